--- /dev/null
+++ b/admission/doc.go
@@ -0,0 +1,2 @@
+// Package admission decides when a request may use a slot of a backend server.
+package admission
--- /dev/null
+++ b/cmd/rosemaryline/main.go
@@ -0,0 +1,4 @@
+// Command rosemaryline is the operators' command-line tool.
+package main
+
+func main() {}
--- /dev/null
+++ b/control/doc.go
@@ -0,0 +1,2 @@
+// Package control serves operators and distributes fleet state to proxies.
+package control
--- /dev/null
+++ b/proxy/doc.go
@@ -0,0 +1,2 @@
+// Package proxy serves callers: entry, gate and announcements of backend servers.
+package proxy
--- /dev/null
+++ b/replica/doc.go
@@ -0,0 +1,2 @@
+// Package replica runs one member of a replicated log: ticks, storage, transport and state machine.
+package replica
--- /dev/null
+++ b/rpc/client.go
@@ -0,0 +1,209 @@
+package rpc
+
+import (
+	"bufio"
+	"context"
+	"crypto/tls"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sourcegraph/jsonrpc2"
+)
+
+// Client keeps one connection a peer and opens it when it is needed.
+type Client struct {
+	tls *tls.Config
+
+	mu    sync.Mutex // guards peers; never held while connecting
+	peers map[string]*peer
+	tick  uint64
+}
+
+type peer struct {
+	dial sync.Mutex // held while connecting, so that concurrent calls share one attempt
+	conn *jsonrpc2.Conn
+	used uint64
+}
+
+// NewClient returns a Client. tlsConfig is nil for plain connections.
+func NewClient(tlsConfig *tls.Config) *Client {
+	return &Client{tls: tlsConfig, peers: map[string]*peer{}}
+}
+
+// Call sends a request to the peer at address and waits for its result. Errors are of type *PeerError; the cause is a
+// *RemoteError where the peer answered with an error.
+func (c *Client) Call(ctx context.Context, address, method string, params, result any) error {
+	conn, err := c.connect(ctx, address)
+	if err != nil {
+		return &PeerError{Step: "connect", Peer: address, Err: err}
+	}
+	if err := conn.Call(ctx, method, params, result); err != nil {
+		c.dropClosed(address, conn)
+		return &PeerError{Step: method, Peer: address, Err: fromWire(err)}
+	}
+	return nil
+}
+
+// Notify sends a message without an answer.
+func (c *Client) Notify(ctx context.Context, address, method string, params any) error {
+	conn, err := c.connect(ctx, address)
+	if err != nil {
+		return &PeerError{Step: "connect", Peer: address, Err: err}
+	}
+	if err := conn.Notify(ctx, method, params); err != nil {
+		c.drop(address, conn)
+		return &PeerError{Step: method, Peer: address, Err: err}
+	}
+	return nil
+}
+
+// Close closes all connections.
+func (c *Client) Close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for address, p := range c.peers {
+		if p.conn != nil {
+			p.conn.Close()
+		}
+		delete(c.peers, address)
+	}
+}
+
+func (c *Client) connect(ctx context.Context, address string) (*jsonrpc2.Conn, error) {
+	p, conn := c.lookup(address)
+	if conn != nil {
+		return conn, nil
+	}
+	p.dial.Lock()
+	defer p.dial.Unlock()
+	if _, conn := c.lookup(address); conn != nil {
+		return conn, nil
+	}
+	conn, err := dial(ctx, address, c.tls)
+	if err != nil {
+		return nil, err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p.conn = conn
+	c.peers[address] = p
+	c.evict()
+	return conn, nil
+}
+
+// lookup returns the peer's entry and its connection, which is nil where none is open.
+func (c *Client) lookup(address string) (*peer, *jsonrpc2.Conn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p, ok := c.peers[address]
+	if !ok {
+		p = &peer{}
+		c.peers[address] = p
+	}
+	c.tick++
+	p.used = c.tick
+	if p.conn == nil {
+		return p, nil
+	}
+	select {
+	case <-p.conn.DisconnectNotify():
+		p.conn = nil
+		return p, nil
+	default:
+		return p, p.conn
+	}
+}
+
+// evict closes the least recently used connections above maxIdlePeers.
+func (c *Client) evict() {
+	for len(c.peers) > maxIdlePeers {
+		oldest := ""
+		for address, p := range c.peers {
+			if oldest == "" || p.used < c.peers[oldest].used {
+				oldest = address
+			}
+		}
+		if conn := c.peers[oldest].conn; conn != nil {
+			conn.Close()
+		}
+		delete(c.peers, oldest)
+	}
+}
+
+func (c *Client) dropClosed(address string, conn *jsonrpc2.Conn) {
+	select {
+	case <-conn.DisconnectNotify():
+		c.drop(address, conn)
+	default:
+	}
+}
+
+func (c *Client) drop(address string, conn *jsonrpc2.Conn) {
+	conn.Close()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if p, ok := c.peers[address]; ok && p.conn == conn {
+		p.conn = nil
+	}
+}
+
+func dial(ctx context.Context, address string, tlsConfig *tls.Config) (*jsonrpc2.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, handshakeTimeout)
+	defer cancel()
+	conn, err := dialConn(ctx, address, tlsConfig)
+	if err != nil {
+		return nil, err
+	}
+	reader, err := upgrade(conn, address)
+	if err != nil {
+		conn.Close()
+		return nil, err
+	}
+	stream := newStream(conn, reader)
+	return jsonrpc2.NewConn(context.Background(), stream, refuseCalls{}, jsonrpc2.SetLogger(discardLogger{})), nil
+}
+
+func dialConn(ctx context.Context, address string, tlsConfig *tls.Config) (net.Conn, error) {
+	if tlsConfig == nil {
+		return (&net.Dialer{}).DialContext(ctx, "tcp", address)
+	}
+	dialer := &tls.Dialer{Config: tlsConfig}
+	return dialer.DialContext(ctx, "tcp", address)
+}
+
+func upgrade(conn net.Conn, address string) (*bufio.Reader, error) {
+	if err := conn.SetDeadline(time.Now().Add(handshakeTimeout)); err != nil {
+		return nil, err
+	}
+	req, err := http.NewRequest(http.MethodGet, "http://"+address+Path, nil)
+	if err != nil {
+		return nil, err
+	}
+	req.Header.Set("Connection", "Upgrade")
+	req.Header.Set("Upgrade", Protocol)
+	if err := req.Write(conn); err != nil {
+		return nil, err
+	}
+	reader := bufio.NewReader(conn)
+	resp, err := http.ReadResponse(reader, req)
+	if err != nil {
+		return nil, err
+	}
+	if resp.StatusCode != http.StatusSwitchingProtocols {
+		resp.Body.Close()
+		return nil, errors.Errorf("upgrade to %s refused: %s, peer offers %q", Protocol, resp.Status, resp.Header.Get("Upgrade"))
+	}
+	return reader, conn.SetDeadline(time.Time{})
+}
+
+// refuseCalls answers calls on a connection that this process opened: peers call back on their own connection.
+type refuseCalls struct{}
+
+func (refuseCalls) Handle(ctx context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request) {
+	if !req.Notif {
+		_ = conn.ReplyWithError(ctx, req.ID, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "no methods on this side"})
+	}
+}
