--- /dev/null
+++ b/proxy/gatehttp.go
@@ -0,0 +1,117 @@
+package proxy
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// maxDeadline bounds the deadline that a peer may ask for.
+const maxDeadline = 10 * time.Minute
+
+// GateHandler serves requests that entries forward to this VM's gate.
+type GateHandler struct {
+	Gate Runner
+	// HoldBody is the largest body in bytes that is read into memory before the request runs.
+	HoldBody int64
+}
+
+// ServeHTTP runs one forwarded request.
+func (h *GateHandler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	req, err := h.parse(r)
+	if err != nil {
+		refusal := notRun(http.StatusBadRequest, ReasonBadRequest, "parse")
+		refusal.Err = err
+		writeGateRefusal(w, r.Header.Get(HeaderRequestID), refusal)
+		return
+	}
+	resp, err := h.Gate.Run(r.Context(), req)
+	if err != nil {
+		writeGateRefusal(w, req.ID, asRefusal(err))
+		return
+	}
+	writeGateAnswer(w, req, resp)
+}
+
+func (h *GateHandler) parse(r *http.Request) (*Request, error) {
+	remaining, err := strconv.ParseInt(r.Header.Get(HeaderDeadline), 10, 64)
+	if err != nil {
+		return nil, errors.Wrap(err, HeaderDeadline)
+	}
+	depth, err := strconv.Atoi(r.Header.Get(headerDepth))
+	if err != nil {
+		return nil, errors.Wrap(err, headerDepth)
+	}
+	version, err := strconv.ParseUint(r.Header.Get(headerConfigVersion), 10, 64)
+	if err != nil {
+		return nil, errors.Wrap(err, headerConfigVersion)
+	}
+	repeatable, err := strconv.ParseBool(r.Header.Get(headerRepeatable))
+	if err != nil {
+		return nil, errors.Wrap(err, headerRepeatable)
+	}
+	body, err := NewBody(r.Body, r.ContentLength, h.HoldBody)
+	if err != nil {
+		return nil, err
+	}
+	req := &Request{
+		ID:             r.Header.Get(HeaderRequestID),
+		Service:        r.Header.Get(headerService),
+		Team:           r.Header.Get(HeaderTeam),
+		Route:          r.Header.Get(headerRoute),
+		Depth:          depth,
+		ConfigVersion:  version,
+		Repeatable:     repeatable,
+		IdempotencyKey: r.Header.Get(HeaderIdempotencyKey),
+		Deadline:       time.Now().Add(min(time.Duration(remaining)*time.Millisecond, maxDeadline)),
+		Method:         r.Method,
+		URI:            r.Header.Get(headerURI),
+		Host:           r.Header.Get(headerHost),
+		Header:         forwardedHeaders(r.Header),
+		Body:           body,
+	}
+	if req.ID == "" || req.Service == "" || req.URI == "" {
+		return nil, errors.New("request id, service or URI is missing")
+	}
+	return req, nil
+}
+
+func forwardedHeaders(from http.Header) http.Header {
+	h := from.Clone()
+	removeHopByHop(h)
+	removeFleetHeaders(h)
+	delete(h, "Expect")
+	return h
+}
+
+func asRefusal(err error) *Refusal {
+	var refusal *Refusal
+	if errors.As(err, &refusal) {
+		return refusal
+	}
+	refusal = unknown(http.StatusBadGateway, ReasonBrokenAnswer, "run")
+	refusal.Err = err
+	return refusal
+}
+
+func writeGateRefusal(w http.ResponseWriter, id string, r *Refusal) {
+	w.Header().Set(headerReason, string(r.Reason))
+	if r.Load != nil {
+		w.Header().Set(headerLoad, formatLoad(*r.Load))
+	}
+	writeRefusal(w, id, r)
+}
+
+func writeGateAnswer(w http.ResponseWriter, req *Request, resp *Response) {
+	defer resp.Body.Close()
+	h := w.Header()
+	copyHeader(h, resp.Header)
+	h.Set(HeaderRequestID, req.ID)
+	h.Set(headerServer, resp.Server)
+	h.Set(headerLoad, formatLoad(resp.Load))
+	h.Set(headerQueue, formatMicros(resp.Timing.Queue))
+	h.Set(headerBackend, formatMicros(resp.Timing.Backend))
+	writeBody(w, req.Method, resp)
+}
--- /dev/null
+++ b/proxy/remote.go
@@ -0,0 +1,200 @@
+package proxy
+
+import (
+	"context"
+	"crypto/tls"
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	// gatePath is where the peer listener accepts requests from entries.
+	gatePath = "/v1/run"
+	// maxPeerConns bounds the connections to one peer's gate.
+	maxPeerConns = 512
+	// maxIdlePeerConns bounds the idle connections to one peer's gate.
+	maxIdlePeerConns = 64
+)
+
+// PeerClient sends requests to gates on other VMs.
+type PeerClient struct {
+	transport *http.Transport
+	scheme    string
+}
+
+// NewPeerClient returns a client. tlsConfig is nil for plain connections.
+func NewPeerClient(tlsConfig *tls.Config) *PeerClient {
+	scheme := "http"
+	if tlsConfig != nil {
+		scheme = "https"
+	}
+	return &PeerClient{
+		transport: newTransport(maxPeerConns, maxIdlePeerConns, defaultConnectTimeout, tlsConfig),
+		scheme:    scheme,
+	}
+}
+
+// Gate returns a Runner for the gate at address.
+func (c *PeerClient) Gate(address string) Runner {
+	return &remoteGate{client: c, address: address}
+}
+
+// Close closes idle connections.
+func (c *PeerClient) Close() { c.transport.CloseIdleConnections() }
+
+type remoteGate struct {
+	client  *PeerClient
+	address string
+}
+
+// Run sends the request to the gate and maps the gate's refusals.
+func (g *remoteGate) Run(ctx context.Context, req *Request) (*Response, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	timer := time.AfterFunc(time.Until(req.Deadline), cancel)
+	resp, err := g.send(ctx, req)
+	headersInTime := timer.Stop()
+	if err != nil {
+		cancel()
+		return nil, g.refuse(err, headersInTime)
+	}
+	if refusal := g.check(req, resp); refusal != nil {
+		cancel()
+		resp.Body.Close()
+		return nil, refusal
+	}
+	return g.response(resp, cancel), nil
+}
+
+func (g *remoteGate) send(ctx context.Context, req *Request) (*http.Response, error) {
+	out, err := http.NewRequestWithContext(ctx, req.Method, g.client.scheme+"://"+g.address+gatePath, nil)
+	if err != nil {
+		return nil, &sendError{err: err}
+	}
+	if err := attachBody(ctx, out, req); err != nil {
+		return nil, &sendError{err: err}
+	}
+	out.Header = req.Header.Clone()
+	if !req.Body.held {
+		// The gate can refuse before a long body is sent, which keeps the body for another attempt.
+		out.Header.Set("Expect", "100-continue")
+	}
+	setGateHeaders(out.Header, req)
+	return roundTrip(g.client.transport, out)
+}
+
+func setGateHeaders(h http.Header, req *Request) {
+	h.Set(HeaderRequestID, req.ID)
+	h.Set(headerService, req.Service)
+	h.Set(HeaderTeam, req.Team)
+	h.Set(headerRoute, req.Route)
+	h.Set(headerDepth, strconv.Itoa(req.Depth))
+	h.Set(headerConfigVersion, strconv.FormatUint(req.ConfigVersion, 10))
+	h.Set(headerRepeatable, strconv.FormatBool(req.Repeatable))
+	h.Set(HeaderDeadline, strconv.FormatInt(time.Until(req.Deadline).Milliseconds(), 10))
+	h.Set(headerURI, req.URI)
+	h.Set(headerHost, req.Host)
+	if req.IdempotencyKey != "" {
+		h.Set(HeaderIdempotencyKey, req.IdempotencyKey)
+	}
+}
+
+func (g *remoteGate) refuse(err error, headersInTime bool) *Refusal {
+	var failed *sendError
+	refusal := notRun(http.StatusServiceUnavailable, ReasonUnreachable, "forward")
+	if errors.As(err, &failed) && failed.sent {
+		refusal = unknown(http.StatusBadGateway, ReasonBrokenAnswer, "forward")
+	}
+	if !headersInTime {
+		refusal.Status = http.StatusGatewayTimeout
+		refusal.Reason = ReasonDeadline
+	}
+	refusal.Peer = g.address
+	refusal.Err = err
+	return refusal
+}
+
+// check returns a refusal where the answer belongs to another request or the gate refused.
+func (g *remoteGate) check(req *Request, resp *http.Response) *Refusal {
+	if got := resp.Header.Get(HeaderRequestID); got != req.ID {
+		// The deferred close of the body with unread data makes the transport drop the connection; Close makes sure.
+		resp.Close = true
+		refusal := unknown(http.StatusBadGateway, ReasonWrongAnswer, "forward")
+		refusal.Peer = g.address
+		refusal.Err = errors.Errorf("answer carries request id %q", got)
+		return refusal
+	}
+	outcome := Outcome(resp.Header.Get(HeaderOutcome))
+	if outcome == "" {
+		return nil
+	}
+	if outcome != OutcomeNotRun {
+		outcome = OutcomeUnknown
+	}
+	refusal := &Refusal{
+		Status:  resp.StatusCode,
+		Outcome: outcome,
+		Reason:  Reason(resp.Header.Get(headerReason)),
+		Step:    "gate",
+		Peer:    g.address,
+	}
+	if load, ok := parseLoad(resp.Header.Get(headerLoad)); ok {
+		refusal.Load = &load
+	}
+	if seconds, err := strconv.Atoi(resp.Header.Get("Retry-After")); err == nil {
+		refusal.RetryAfter = time.Duration(seconds) * time.Second
+	}
+	return refusal
+}
+
+func (g *remoteGate) response(resp *http.Response, cancel context.CancelFunc) *Response {
+	load, _ := parseLoad(resp.Header.Get(headerLoad))
+	return &Response{
+		Status:        resp.StatusCode,
+		Header:        answerHeaders(resp.Header),
+		Body:          newAnswerBody(resp.Body, cancel, func(bool) {}),
+		ContentLength: resp.ContentLength,
+		Server:        resp.Header.Get(headerServer),
+		Timing: Timing{
+			Queue:   parseMicros(resp.Header.Get(headerQueue)),
+			Backend: parseMicros(resp.Header.Get(headerBackend)),
+		},
+		Load: load,
+	}
+}
+
+func formatLoad(l Load) string {
+	return fmt.Sprintf("%d/%d/%d", l.InFlight, l.Slots, l.Queued)
+}
+
+func parseLoad(text string) (Load, bool) {
+	parts := strings.Split(text, "/")
+	if len(parts) != 3 {
+		return Load{}, false
+	}
+	var values [3]int
+	for i, part := range parts {
+		v, err := strconv.Atoi(part)
+		if err != nil || v < 0 {
+			return Load{}, false
+		}
+		values[i] = v
+	}
+	return Load{InFlight: values[0], Slots: values[1], Queued: values[2]}, true
+}
+
+func parseMicros(text string) time.Duration {
+	v, err := strconv.ParseInt(text, 10, 64)
+	if err != nil || v < 0 {
+		return 0
+	}
+	return time.Duration(v) * time.Microsecond
+}
+
+func formatMicros(d time.Duration) string {
+	return strconv.FormatInt(d.Microseconds(), 10)
+}
