--- /dev/null
+++ b/proxy/gate.go
@@ -0,0 +1,265 @@
+package proxy
+
+import (
+	"context"
+	"net/http"
+	"sort"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/pkg/errors"
+
+	"rosemaryline.dev/admission"
+)
+
+// Claimer keeps a request with an idempotency key from running twice.
+type Claimer interface {
+	// Claim returns a claim that allows the request to run, or the answer of the request that ran before. Errors are of
+	// type *Refusal.
+	Claim(ctx context.Context, req *Request) (Claim, *Response, error)
+}
+
+// Claim allows one request to run.
+type Claim interface {
+	// Release reports that the request did not run.
+	Release()
+	// Keep returns an answer that records resp while it is read.
+	Keep(resp *Response) *Response
+}
+
+// Observer learns how backend servers behave.
+type Observer interface {
+	// Begin is called when a request is sent. The returned function is called once with its result.
+	Begin(service, server string) func(latency time.Duration, result admission.Result)
+	// Forget drops a backend server that is gone.
+	Forget(server string)
+}
+
+// GateOptions are the settings and collaborators of a Gate.
+type GateOptions struct {
+	// VM and Domain are this process's VM name and failure domain.
+	VM, Domain string
+	Fleet      *Fleet
+	Clock      Clock
+	Log        *log.Logger
+	Claimer    Claimer
+	Observer   Observer
+}
+
+// Gate is the only way to the backend servers on this VM.
+type Gate struct {
+	opts    GateOptions
+	leaving atomic.Bool
+
+	mu      sync.Mutex // guards the maps below
+	servers map[string]*server
+	running map[string]parent
+}
+
+// parent is a running request that may make nested calls.
+type parent struct {
+	team     string
+	depth    int
+	deadline time.Time
+}
+
+// NewGate returns a Gate without backend servers.
+func NewGate(opts GateOptions) *Gate {
+	return &Gate{
+		opts:    opts,
+		servers: map[string]*server{},
+		running: map[string]parent{},
+	}
+}
+
+// Announce adds or renews a backend server.
+func (g *Gate) Announce(a Announcement, _ time.Time) error {
+	settings, ok := g.opts.Fleet.Service(a.Service)
+	if !ok {
+		return errors.Errorf("service %q is not in the configuration", a.Service)
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	s, ok := g.servers[a.Name]
+	if ok && s.service != a.Service {
+		return errors.Errorf("backend server %q belongs to service %q", a.Name, s.service)
+	}
+	if !ok && len(g.servers) >= maxBackendServers {
+		return errors.Errorf("more than %d backend servers", maxBackendServers)
+	}
+	if !ok {
+		s = newServer(a, settings, g.opts.Clock)
+		g.servers[a.Name] = s
+		g.opts.Log.Info().Str("server", a.Name).Str("service", a.Service).Str("instance", a.Instance).
+			Msg("gate: backend server announced.")
+	}
+	s.update(a)
+	return nil
+}
+
+// Withdraw removes a backend server. Its running requests finish; its queued requests are refused as not run.
+func (g *Gate) Withdraw(name string) {
+	g.mu.Lock()
+	s, ok := g.servers[name]
+	delete(g.servers, name)
+	g.mu.Unlock()
+	if !ok {
+		return
+	}
+	s.remove()
+	g.opts.Observer.Forget(name)
+	g.opts.Log.Info().Str("server", name).Str("service", s.service).Msg("gate: backend server withdrawn.")
+}
+
+func (s *server) remove() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lost = true
+	s.applyState()
+	s.transport.CloseIdleConnections()
+}
+
+// Sweep marks backend servers whose announcement lapsed as lost.
+func (g *Gate) Sweep() {
+	for _, s := range g.list("") {
+		if s.expire() {
+			g.opts.Log.Warn().Str("server", s.name).Str("service", s.service).Msg("gate: announcement lapsed.")
+		}
+	}
+}
+
+// SetEjected ejects a backend server or returns it to service.
+func (g *Gate) SetEjected(name string, ejected bool) {
+	g.mu.Lock()
+	s, ok := g.servers[name]
+	g.mu.Unlock()
+	if ok {
+		s.setEjected(ejected)
+	}
+}
+
+// Leave makes the gate refuse new work as not run.
+func (g *Gate) Leave() { g.leaving.Store(true) }
+
+// list returns the backend servers of a service, or all for an empty name, in order of their names.
+func (g *Gate) list(service string) []*server {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var found []*server
+	for _, s := range g.servers {
+		if service == "" || s.service == service {
+			found = append(found, s)
+		}
+	}
+	sort.Slice(found, func(i, j int) bool { return found[i].name < found[j].name })
+	return found
+}
+
+// Run runs a request on a backend server of this VM. Errors are of type *Refusal.
+func (g *Gate) Run(ctx context.Context, req *Request) (*Response, error) {
+	if refusal := g.refuse(req); refusal != nil {
+		return nil, refusal
+	}
+	s := g.pick(req.Service)
+	if s == nil {
+		return nil, g.refusal(req, notRun(http.StatusServiceUnavailable, ReasonNoCapacity, "pick"), nil)
+	}
+	held, reason := s.acquire(ctx, req)
+	if reason != admission.ReasonNone {
+		return nil, g.refusal(req, refusalFor(reason), s)
+	}
+	g.opts.Log.Debug().Str("request", req.ID).Str("team", req.Team).Str("service", req.Service).
+		Str("server", s.name).Dur("queue", held.wait).Msg("gate: placed request.")
+	resp, err := g.runHeld(ctx, req, held)
+	if err != nil {
+		return nil, g.refusal(req, asRefusal(err), s)
+	}
+	return resp, nil
+}
+
+// refuse applies the conditions that concern the whole VM.
+func (g *Gate) refuse(req *Request) *Refusal {
+	if g.leaving.Load() {
+		return g.refusal(req, notRun(http.StatusServiceUnavailable, ReasonLeaving, "gate"), nil)
+	}
+	if g.opts.Fleet.DomainOut(g.opts.Domain) {
+		return g.refusal(req, notRun(http.StatusServiceUnavailable, ReasonDomainOut, "gate"), nil)
+	}
+	return nil
+}
+
+// refusal completes a refusal with the load and logs it.
+func (g *Gate) refusal(req *Request, r *Refusal, s *server) *Refusal {
+	load := g.Load(req.Service)
+	r.Load = &load
+	entry := g.opts.Log.Info().Str("request", req.ID).Str("team", req.Team).Str("service", req.Service).
+		Str("reason", string(r.Reason)).Str("outcome", string(r.Outcome))
+	if s != nil {
+		entry = entry.Str("server", s.name)
+		r.Peer = s.name
+	}
+	entry.Err(r.Err).Msg("gate: refused request.")
+	return r
+}
+
+func refusalFor(reason admission.Reason) *Refusal {
+	status := http.StatusServiceUnavailable
+	if reason == admission.ReasonDeadline {
+		status = http.StatusGatewayTimeout
+	}
+	return notRun(status, Reason(reason), "admission")
+}
+
+// pick returns the serving backend server with the least load relative to its effective slots, or nil.
+func (g *Gate) pick(service string) *server {
+	var best *server
+	bestLoad := 0.0
+	for _, s := range g.list(service) {
+		l := s.load()
+		if l.State != admission.Serving {
+			continue
+		}
+		load := float64(l.InFlight+l.Queued) / float64(max(l.Effective, 1))
+		if best == nil || load < bestLoad {
+			best, bestLoad = s, load
+		}
+	}
+	return best
+}
+
+// Load returns the load of a service on this VM.
+func (g *Gate) Load(service string) Load {
+	var sum Load
+	for _, s := range g.list(service) {
+		l := s.load()
+		sum.InFlight += l.InFlight
+		if l.State != admission.Serving {
+			continue
+		}
+		sum.Slots += l.Effective
+		sum.Queued += l.Queued
+	}
+	return sum
+}
+
+// track makes a running request known, so that nested calls can be made on its behalf.
+func (g *Gate) track(req *Request) (untrack func()) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.running[req.ID] = parent{team: req.Team, depth: req.Depth, deadline: req.Deadline}
+	return func() {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		delete(g.running, req.ID)
+	}
+}
+
+// Parent returns the running request with this id.
+func (g *Gate) parent(id string) (parent, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	p, ok := g.running[id]
+	return p, ok
+}
--- /dev/null
+++ b/proxy/server.go
@@ -0,0 +1,238 @@
+package proxy
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"rosemaryline.dev/admission"
+	"rosemaryline.dev/fleet/config"
+)
+
+// server is one backend server on this VM. mu guards the fields below it.
+type server struct {
+	name      string
+	service   string
+	clock     Clock
+	transport *http.Transport
+
+	mu       sync.Mutex
+	address  string
+	instance string
+	slots    int
+	draining bool
+	ejected  bool
+	lost     bool
+	lapsesAt time.Duration
+	gate     *admission.Gate
+	waiting  map[admission.Ticket]chan waitResult
+}
+
+// waitResult ends the wait of a queued request: with a grant, or with a refusal.
+type waitResult struct {
+	wait    time.Duration
+	refused admission.Reason
+}
+
+// slot is a held slot of a backend server.
+type slot struct {
+	server  *server
+	ticket  admission.Ticket
+	address string
+	wait    time.Duration
+}
+
+func newServer(a Announcement, settings config.Service, clock Clock) *server {
+	slots := a.Slots
+	if slots == 0 || slots > settings.Slots {
+		slots = settings.Slots
+	}
+	s := &server{
+		name:      a.Name,
+		service:   a.Service,
+		clock:     clock,
+		transport: newTransport(settings.Connections, slots, settings.ConnectTimeout.Std(), nil),
+		slots:     slots,
+		waiting:   map[admission.Ticket]chan waitResult{},
+	}
+	s.gate = admission.NewGate(admissionConfig(settings, slots))
+	return s
+}
+
+func admissionConfig(settings config.Service, slots int) admission.Config {
+	cfg := admission.Config{
+		Slots:            slots,
+		InitialSlots:     settings.Ramp.InitialSlots,
+		SuccessesPerSlot: settings.Ramp.SuccessesPerSlot,
+		QueueLength:      settings.Queue.Length,
+		TeamPercent:      settings.Queue.TeamPercent,
+		MaxWait:          settings.Queue.MaxWait.Std(),
+	}
+	if settings.NestedCalls {
+		cfg.NestedLevels = 1
+	}
+	return cfg
+}
+
+// update takes over an announcement or its renewal.
+func (s *server) update(a Announcement) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if a.Instance != s.instance {
+		s.instance = a.Instance
+		s.gate.SetInstance(a.Instance)
+	}
+	s.address = a.Address
+	s.draining = a.Draining
+	s.lost = false
+	s.lapsesAt = s.clock() + announcementTTL
+	s.applyState()
+}
+
+// expire marks the backend server as lost when its announcement lapsed.
+func (s *server) expire() (lapsed bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.lost || s.clock() < s.lapsesAt {
+		return false
+	}
+	s.lost = true
+	s.applyState()
+	return true
+}
+
+func (s *server) setEjected(ejected bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ejected = ejected
+	s.applyState()
+}
+
+// applyState passes the state to the admission gate and answers the requests that it refuses. The caller holds mu.
+func (s *server) applyState() {
+	refusals := s.gate.SetState(s.clock(), s.state())
+	s.deliverRefusals(refusals)
+}
+
+// state returns the state that counts most. The caller holds mu.
+func (s *server) state() admission.State {
+	switch {
+	case s.lost:
+		return admission.Lost
+	case s.draining:
+		return admission.Draining
+	case s.ejected:
+		return admission.Ejected
+	default:
+		return admission.Serving
+	}
+}
+
+func (s *server) load() admission.Load {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.gate.Load()
+}
+
+// acquire waits for a slot until the deadline.
+func (s *server) acquire(ctx context.Context, req *Request) (*slot, admission.Reason) {
+	now := s.clock()
+	deadline := now + time.Until(req.Deadline)
+	s.mu.Lock()
+	decision := s.gate.Offer(now, admission.Request{Team: req.Team, Depth: req.Depth, Deadline: deadline})
+	s.deliverRefusals(decision.Displaced)
+	if decision.Verdict == admission.Refused {
+		s.mu.Unlock()
+		return nil, decision.Reason
+	}
+	held := &slot{server: s, ticket: decision.Ticket, address: s.address}
+	if decision.Verdict == admission.Admitted {
+		s.mu.Unlock()
+		return held, admission.ReasonNone
+	}
+	result := make(chan waitResult, 1)
+	s.waiting[decision.Ticket] = result
+	s.mu.Unlock()
+	return s.await(ctx, held, result)
+}
+
+// await waits for a grant. The queue's own limits come from Expire, which each waiter calls when its time is up.
+func (s *server) await(ctx context.Context, held *slot, result chan waitResult) (*slot, admission.Reason) {
+	timer := time.NewTimer(s.expireQueue())
+	defer timer.Stop()
+	for {
+		select {
+		case r := <-result:
+			if r.refused != admission.ReasonNone {
+				return nil, r.refused
+			}
+			held.wait = r.wait
+			return held, admission.ReasonNone
+		case <-timer.C:
+			timer.Reset(s.expireQueue())
+		case <-ctx.Done():
+			return nil, s.abandon(held, result)
+		}
+	}
+}
+
+// expireQueue refuses requests that waited too long and returns the time until the next one is due.
+func (s *server) expireQueue() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.clock()
+	s.deliverRefusals(s.gate.Expire(now))
+	next, ok := s.gate.NextExpiry()
+	if !ok {
+		return admission.DefaultMaxWait
+	}
+	return max(next-now, time.Millisecond)
+}
+
+// abandon gives up a queued request whose caller left. A slot that was granted meanwhile is given back.
+func (s *server) abandon(held *slot, result chan waitResult) admission.Reason {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.waiting, held.ticket)
+	select {
+	case r := <-result:
+		if r.refused != admission.ReasonNone {
+			return r.refused
+		}
+	default:
+	}
+	s.deliverGrants(s.gate.Cancel(s.clock(), held.ticket))
+	return admission.ReasonDeadline
+}
+
+// release ends the use of a slot.
+func (h *slot) release(latency time.Duration, result admission.Result) {
+	s := h.server
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.deliverGrants(s.gate.Done(s.clock(), h.ticket, latency, result))
+}
+
+// deliverGrants wakes the waiters. The caller holds mu.
+func (s *server) deliverGrants(grants []admission.Grant) {
+	for _, g := range grants {
+		s.deliver(g.Ticket, waitResult{wait: g.Wait})
+	}
+}
+
+// deliverRefusals wakes the waiters. The caller holds mu.
+func (s *server) deliverRefusals(refusals []admission.Refusal) {
+	for _, r := range refusals {
+		s.deliver(r.Ticket, waitResult{refused: r.Reason})
+	}
+}
+
+func (s *server) deliver(ticket admission.Ticket, r waitResult) {
+	result, ok := s.waiting[ticket]
+	if !ok {
+		return
+	}
+	delete(s.waiting, ticket)
+	result <- r
+}
