fleet: add configuration loading and the replicated state machine

Cause: the daemon needs configuration and fleet state to build against. The JSON form of repeatableMethods keeps an empty list, which differs from the default.

--- a/fleet/config/document.go
+++ b/fleet/config/document.go
@@ -91,8 +91,9 @@
 	Access Access `json:"access"`
 	// Teams are the teams that may use the route; empty means all teams.
 	Teams []string `json:"teams,omitempty"`
-	// RepeatableMethods are the methods whose requests may be repeated. Default GET, HEAD, OPTIONS.
-	RepeatableMethods []string `json:"repeatableMethods,omitempty"`
+	// RepeatableMethods are the methods whose requests may be repeated. Default GET, HEAD, OPTIONS; an empty list means
+	// none, which is why the JSON form keeps it.
+	RepeatableMethods []string `json:"repeatableMethods,omitzero"`
 	// Deadline bounds a request from its arrival to the last byte of its answer's header. Default 10s.
 	Deadline Duration `json:"deadline,omitempty"`
 }
--- /dev/null
+++ b/fleet/config/validate_unique.go
@@ -0,0 +1,74 @@
+package config
+
+// checkRoutesDiffer reports routes that match the same requests.
+func (c *checker) checkRoutesDiffer() {
+	type match struct{ host, path string }
+	first := make(map[match]string, len(c.doc.Routes))
+	eachSorted(c.doc.Routes, func(name string, r Route) {
+		key := match{r.Host, r.Path}
+		if other, ok := first[key]; ok {
+			c.fail(joinPath("routes", name)+".path", "route %q has the same host and path", other)
+			return
+		}
+		first[key] = name
+	})
+}
+
+// checkKeysDiffer reports key hashes that occur more than once, which would leave the caller's team open.
+func (c *checker) checkKeysDiffer() {
+	first := map[string]string{}
+	eachSorted(c.doc.Teams, func(name string, t Team) { c.checkTeamKeys(name, t, first) })
+}
+
+func (c *checker) checkTeamKeys(name string, t Team, first map[string]string) {
+	for i, hash := range t.KeyHashes {
+		if other, ok := first[hash]; ok {
+			c.failKey(name, i, other)
+			continue
+		}
+		first[hash] = name
+	}
+}
+
+func (c *checker) failKey(team string, i int, other string) {
+	c.fail(indexPath(joinPath("teams", team)+".keyHashes", i), "team %q has the same key hash", other)
+}
+
+// checkKeysUnowned reports key hashes of changed teams that another, unchanged team holds.
+func (c *checker) checkKeysUnowned(teams Entries[Team], owner KeyOwner) {
+	changed := map[string]bool{}
+	for _, name := range teams.Remove {
+		changed[name] = true
+	}
+	for name := range teams.Set {
+		changed[name] = true
+	}
+	first := map[string]string{}
+	eachSorted(teams.Set, func(name string, t Team) {
+		c.checkTeamKeys(name, t, first)
+		for i, hash := range t.KeyHashes {
+			if other, ok := owner(hash); ok && !changed[other] {
+				c.failKey(name, i, other)
+			}
+		}
+	})
+}
+
+// checkOperators reports shared credentials and a document that nobody could administer. A document without operators
+// is valid: the first administrator uses the bootstrap credential.
+func (c *checker) checkOperators() {
+	first := map[string]string{}
+	admins := 0
+	eachSorted(c.doc.Operators, func(name string, o Operator) {
+		if other, ok := first[o.CredentialHash]; ok {
+			c.fail(joinPath("operators", name)+".credentialHash", "operator %q has the same credential", other)
+		}
+		first[o.CredentialHash] = name
+		if o.Role == RoleAdmin {
+			admins++
+		}
+	})
+	if len(c.doc.Operators) > 0 && admins == 0 {
+		c.fail("operators", "none has role %s", RoleAdmin)
+	}
+}
--- /dev/null
+++ b/fleet/state/apply_config.go
@@ -0,0 +1,105 @@
+package state
+
+import (
+	"slices"
+
+	"rosemaryline.dev/fleet/config"
+)
+
+func (s *State) runApply(a *ApplyChange) ([]string, *Refusal) {
+	if hash := a.Change.Hash(); hash != a.ContentHash {
+		return nil, refuse(CodeInvalid, nil, "content hash %q does not match the change, which has %q", a.ContentHash, hash)
+	}
+	if a.Change.IsZero() {
+		return nil, refuse(CodeUnchanged, nil, "the change is empty")
+	}
+	if refusal := s.checkListedKeys(a.Change.Teams); refusal != nil {
+		return nil, refusal
+	}
+	if refusal := s.checkRosterDomains(a.Change.Domains.Remove); refusal != nil {
+		return nil, refusal
+	}
+	fields := s.doc.ChangedFields(a.Change)
+	listed := s.listedKeys(a.Change.Teams)
+	if errs := s.doc.PatchChecked(a.Change, s.listedKeyOwner); len(errs) > 0 {
+		return nil, refuseFields(errs)
+	}
+	s.reindex(a.Change.Teams, listed)
+	for _, domain := range a.Change.Domains.Remove {
+		delete(s.out, domain)
+	}
+	return fields, nil
+}
+
+// checkListedKeys refuses documents that bring a withdrawn key back or list an issued one.
+func (s *State) checkListedKeys(teams config.Entries[config.Team]) *Refusal {
+	for _, team := range sortedNames(teams.Set) {
+		for _, hash := range teams.Set[team].KeyHashes {
+			field := []string{"teams." + team + ".keyHashes"}
+			if s.withdrawn.has(hash) {
+				return refuse(CodeInvalid, field, "%s: key %s was withdrawn; remove it from the file", field[0], hash)
+			}
+			if e, ok := s.keys.findHex(hash); ok && e.issued {
+				return refuse(CodeInvalid, field, "%s: key %s was issued to team %s; remove it from the file", field[0], hash, e.team)
+			}
+		}
+	}
+	return nil
+}
+
+// checkRosterDomains refuses to remove a failure domain that processes are in.
+func (s *State) checkRosterDomains(removed []string) *Refusal {
+	if len(removed) == 0 {
+		return nil
+	}
+	for _, p := range s.Roster() {
+		if slices.Contains(removed, p.Domain) {
+			return refuse(CodeInvalid, []string{"domains." + p.Domain}, "process %s is in failure domain %s", p.Name, p.Domain)
+		}
+	}
+	return nil
+}
+
+func (s *State) listedKeyOwner(hash string) (string, bool) {
+	e, ok := s.keys.findHex(hash)
+	return e.team, ok && !e.issued
+}
+
+// listedKeys returns the key hashes that the document holds for the teams that a change touches.
+func (s *State) listedKeys(teams config.Entries[config.Team]) []string {
+	var hashes []string
+	for name := range teams.Set {
+		hashes = append(hashes, s.doc.Teams[name].KeyHashes...)
+	}
+	for _, name := range teams.Remove {
+		hashes = append(hashes, s.doc.Teams[name].KeyHashes...)
+	}
+	return hashes
+}
+
+// reindex replaces the former listed keys of changed teams and drops the issued keys of removed ones.
+func (s *State) reindex(teams config.Entries[config.Team], former []string) {
+	for _, hash := range former {
+		s.keys.remove(hash)
+	}
+	for _, name := range teams.Remove {
+		for _, key := range s.issued[name] {
+			s.keys.remove(key.Hash)
+		}
+		delete(s.issued, name)
+	}
+	for name, team := range teams.Set {
+		for _, hash := range team.KeyHashes {
+			s.keys.add(hash, name, false)
+		}
+	}
+}
+
+func sortedNames[T any](m map[string]T) []string {
+	names := make([]string, 0, len(m))
+	for name := range m {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
--- /dev/null
+++ b/fleet/state/deltas.go
@@ -0,0 +1,86 @@
+package state
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+)
+
+const (
+	// maxDeltas bounds the accepted commands that are kept for processes that follow by version.
+	maxDeltas = 4096
+	// maxDeltaBytes bounds their total size.
+	maxDeltaBytes = 4 << 20
+)
+
+// Delta is an accepted command with the version that it was applied to.
+type Delta struct {
+	From    uint64          `json:"from"`
+	Command json.RawMessage `json:"command"`
+}
+
+// deltaLog holds the latest deltas without a gap.
+type deltaLog struct {
+	list  []Delta
+	bytes int
+}
+
+func (l *deltaLog) add(d Delta) {
+	l.list = append(l.list, d)
+	l.bytes += len(d.Command)
+	for len(l.list) > maxDeltas || l.bytes > maxDeltaBytes {
+		l.bytes -= len(l.list[0].Command)
+		l.list[0] = Delta{}
+		l.list = l.list[1:]
+	}
+}
+
+// Since returns the accepted commands after a version, in order. It returns false where they are compacted away, in
+// which case a snapshot is needed. For a version that this copy has not reached it returns nothing and true.
+func (s *State) Since(version uint64) ([]Delta, bool) {
+	if version >= s.version {
+		return nil, true
+	}
+	missing := s.version - version
+	if missing > uint64(len(s.deltas.list)) {
+		return nil, false
+	}
+	return slices.Clone(s.deltas.list[uint64(len(s.deltas.list))-missing:]), true
+}
+
+// GapError reports a delta that does not follow this copy's version.
+type GapError struct{ From, Version uint64 }
+
+func (e *GapError) Error() string {
+	return fmt.Sprintf("delta applies to version %d, this copy has version %d", e.From, e.Version)
+}
+
+// DivergedError reports that this copy refuses a command that was accepted elsewhere. The copy must be replaced by a
+// snapshot.
+type DivergedError struct {
+	Version uint64
+	Refusal *Refusal
+}
+
+func (e *DivergedError) Error() string {
+	return fmt.Sprintf("copy at version %d refuses an accepted command: %v", e.Version, e.Refusal)
+}
+
+// Unwrap returns the refusal.
+func (e *DivergedError) Unwrap() error { return e.Refusal }
+
+// ApplyDelta applies an accepted command to a copy. Errors are *GapError, which leaves the copy unchanged, and
+// *DivergedError.
+func (s *State) ApplyDelta(d Delta) error {
+	if d.From != s.version {
+		return &GapError{From: d.From, Version: s.version}
+	}
+	result := s.apply(d.Command)
+	if result.Err != nil {
+		return &DivergedError{Version: s.version, Refusal: result.Err}
+	}
+	if s.version != d.From+1 {
+		return &DivergedError{Version: s.version, Refusal: refuse(CodeChangeIDReused, nil, "the change is known already")}
+	}
+	return nil
+}
--- /dev/null
+++ b/fleet/state/snapshot.go
@@ -0,0 +1,107 @@
+package state
+
+import (
+	"encoding/json"
+
+	"github.com/pkg/errors"
+
+	"rosemaryline.dev/fleet/config"
+)
+
+// snapshotFormat changes when snapshots change incompatibly.
+const snapshotFormat = 1
+
+type snapshot struct {
+	Format          int                    `json:"format"`
+	Version         uint64                 `json:"version"`
+	OperatorVersion uint64                 `json:"operatorVersion"`
+	Document        *config.Document       `json:"document"`
+	Issued          map[string][]IssuedKey `json:"issued,omitempty"`
+	Withdrawn       []string               `json:"withdrawn,omitempty"`
+	Out             []string               `json:"out,omitempty"`
+	Roster          []Process              `json:"roster,omitempty"`
+	Shards          [Shards]string         `json:"shards"`
+	Accepted        []Record               `json:"accepted,omitempty"`
+	Refused         []Record               `json:"refused,omitempty"`
+	// Deltas let processes that follow by version go on after a restart without a snapshot of their own.
+	Deltas []Delta `json:"deltas,omitempty"`
+}
+
+// Snapshot returns the whole state, with the answers for resends and the latest deltas.
+func (s *State) Snapshot() ([]byte, error) {
+	data, err := json.Marshal(snapshot{
+		Format:          snapshotFormat,
+		Version:         s.version,
+		OperatorVersion: s.operatorVersion,
+		Document:        s.doc,
+		Issued:          s.issued,
+		Withdrawn:       s.withdrawn.order,
+		Out:             s.DomainsOut(),
+		Roster:          s.Roster(),
+		Shards:          s.shards,
+		Accepted:        s.accepted.records,
+		Refused:         s.refused.records,
+		Deltas:          s.deltas.list,
+	})
+	return data, errors.Wrap(err, "encode snapshot")
+}
+
+// Restore returns the State of a snapshot.
+func Restore(data []byte) (*State, error) {
+	var snap snapshot
+	if err := json.Unmarshal(data, &snap); err != nil {
+		return nil, errors.Wrap(err, "decode snapshot")
+	}
+	if snap.Format != snapshotFormat {
+		return nil, errors.Errorf("snapshot has format %d, this version reads format %d", snap.Format, snapshotFormat)
+	}
+	if snap.Document == nil {
+		return nil, errors.New("snapshot holds no configuration document")
+	}
+	return snap.state(), nil
+}
+
+func (snap *snapshot) state() *State {
+	s := New()
+	s.version = snap.Version
+	s.operatorVersion = snap.OperatorVersion
+	// Patch onto the empty document keeps missing maps usable.
+	s.doc.Patch(config.Diff(s.doc, snap.Document))
+	s.shards = snap.Shards
+	for team, keys := range snap.Issued {
+		s.issued[team] = keys
+	}
+	for _, hash := range snap.Withdrawn {
+		s.withdrawn.add(hash)
+	}
+	for _, domain := range snap.Out {
+		s.out[domain] = true
+	}
+	for _, p := range snap.Roster {
+		s.roster[p.Name] = p
+	}
+	for _, r := range snap.Accepted {
+		s.accepted.add(r)
+	}
+	for _, r := range snap.Refused {
+		s.refused.add(r)
+	}
+	for _, d := range snap.Deltas {
+		s.deltas.add(d)
+	}
+	s.indexAll()
+	return s
+}
+
+func (s *State) indexAll() {
+	for name, team := range s.doc.Teams {
+		for _, hash := range team.KeyHashes {
+			s.keys.add(hash, name, false)
+		}
+	}
+	for team, keys := range s.issued {
+		for _, key := range keys {
+			s.keys.add(key.Hash, team, true)
+		}
+	}
+}
--- /dev/null
+++ b/fleet/state/state_test.go
@@ -0,0 +1,66 @@
+package state
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"rosemaryline.dev/fleet/config"
+)
+
+func testDocument() *config.Document {
+	doc := &config.Document{
+		Domains:  map[string]config.Domain{"d1": {Region: "r"}, "d2": {Region: "r"}, "d3": {Region: "r"}},
+		Services: map[string]config.Service{"web": {Slots: 5, Connections: 400, FloorPercent: 60}},
+		Routes:   map[string]config.Route{"home": {Path: "/", Service: "web", Access: config.AccessOpen}},
+		Teams:    map[string]config.Team{"red": {Rate: 10, Burst: 20, KeyHashes: []string{config.HashKey("listed")}}, "blue": {Rate: 5, Burst: 10}},
+	}
+	doc.SetDefaults()
+	return doc
+}
+
+func applyCommand(c config.Change) *ApplyChange {
+	return &ApplyChange{Change: c, ContentHash: c.Hash()}
+}
+
+func propose(t testing.TB, s *State, c Command) Result {
+	t.Helper()
+	if c.Operator == "" {
+		c.Operator = "ann"
+	}
+	data, err := c.Encode()
+	assert.NilError(t, err)
+	result, err := DecodeResult(s.Apply(data))
+	assert.NilError(t, err)
+	return result
+}
+
+func newTestState(t testing.TB) *State {
+	t.Helper()
+	s := New()
+	change := config.Diff(s.Config(), testDocument())
+	result := propose(t, s, Command{ChangeID: "first", Apply: applyCommand(change)})
+	assert.Equal(t, result, Result{Version: 1})
+	return s
+}
+
+func setTeam(name string, rate float64) *ApplyChange {
+	team := config.Team{Rate: rate, Burst: 1}
+	return applyCommand(config.Change{Teams: config.Entries[config.Team]{Set: map[string]config.Team{name: team}}})
+}
+
+// Guards against a second racer that silently overwrites the first one's change.
+func TestEqualBaseVersionsOneWins(t *testing.T) {
+	s := newTestState(t)
+	first := propose(t, s, Command{ChangeID: "a", BaseVersion: 1, Apply: setTeam("blue", 7)})
+	assert.Equal(t, first, Result{Version: 2})
+	second := propose(t, s, Command{ChangeID: "b", BaseVersion: 1, Apply: setTeam("blue", 8)})
+	assert.Equal(t, second.Err.Code, CodeConflict)
+	assert.DeepEqual(t, second.Err.Fields, []string{"teams.blue.burst", "teams.blue.rate"})
+	assert.Equal(t, s.Config().Teams["blue"].Rate, 7.0)
+	again := propose(t, s, Command{ChangeID: "b", BaseVersion: 1, Apply: setTeam("blue", 8)})
+	assert.DeepEqual(t, again, second)
+	resend := propose(t, s, Command{ChangeID: "a", BaseVersion: 1, Apply: setTeam("blue", 7)})
+	assert.Equal(t, resend, first)
+	assert.Equal(t, s.Version(), uint64(2))
+}
--- /dev/null
+++ b/fleet/state/withdrawn.go
@@ -0,0 +1,28 @@
+package state
+
+// maxWithdrawn bounds the remembered withdrawals of keys that a file may still list.
+const maxWithdrawn = 10_000
+
+// withdrawnKeys remembers keys of the configuration document that were withdrawn by command, so that applying the
+// unchanged file does not bring them back. The oldest is forgotten first.
+type withdrawnKeys struct {
+	order []string
+	set   map[string]bool
+}
+
+func (w *withdrawnKeys) add(hash string) {
+	if w.set == nil {
+		w.set = map[string]bool{}
+	}
+	if w.set[hash] {
+		return
+	}
+	w.set[hash] = true
+	w.order = append(w.order, hash)
+	if len(w.order) > maxWithdrawn {
+		delete(w.set, w.order[0])
+		w.order = w.order[1:]
+	}
+}
+
+func (w *withdrawnKeys) has(hash string) bool { return w.set[hash] }
