--- /dev/null
+++ b/raft/cluster_test.go
@@ -0,0 +1,264 @@
+package raft
+
+import (
+	"flag"
+	"fmt"
+	"hash/fnv"
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+func init() { _ = flag.Set("rapid.seed", "1") }
+
+// disk is what a member has synced.
+type disk struct {
+	hs       HardState
+	snapshot Snapshot
+	entries  []Entry
+}
+
+// save follows the order and the rules that Ready documents.
+func (d *disk) save(r Ready) {
+	if r.HardState != nil {
+		d.hs = *r.HardState
+	}
+	if len(r.Entries) > 0 {
+		keep := r.Entries[0].Index - d.snapshot.Index - 1
+		d.entries = append(slices.Clone(d.entries[:keep]), r.Entries...)
+	}
+	if r.Snapshot != nil {
+		d.saveSnapshot(*r.Snapshot)
+	}
+}
+
+func (d *disk) saveSnapshot(s Snapshot) {
+	at := slices.IndexFunc(d.entries, func(e Entry) bool { return e.Index == s.Index && e.Term == s.Term })
+	d.entries = slices.Clone(d.entries[at+1:])
+	if at < 0 {
+		d.entries = nil
+	}
+	d.snapshot = s
+}
+
+// machine is the replicated state: a hash over all applied commands and the last one.
+type machine struct {
+	index uint64
+	hash  uint64
+	value string
+}
+
+func (s *machine) apply(e Entry) {
+	s.index = e.Index
+	if e.Kind != EntryCommand || len(e.Data) == 0 {
+		return
+	}
+	h := fnv.New64a()
+	fmt.Fprintf(h, "%d %s", s.hash, e.Data)
+	s.hash, s.value = h.Sum64(), string(e.Data)
+}
+
+func (s *machine) encode() []byte { return fmt.Appendf(nil, "%d %s", s.hash, s.value) }
+
+func (s *machine) restore(snap Snapshot) {
+	*s = machine{index: snap.Index}
+	_, _ = fmt.Sscanf(string(snap.Data), "%d %s", &s.hash, &s.value)
+}
+
+type member struct {
+	id    ID
+	node  *Node // nil while down
+	disk  disk
+	state machine
+	ready *Ready // synced, not advanced yet
+}
+
+type link struct{ from, to ID }
+
+// cluster runs members of one group over a network that a test controls.
+type cluster struct {
+	t       rapidOrTest
+	rnd     *rand.Rand
+	members map[ID]*member
+	net     []Message
+	blocked map[link]bool
+	oracle  *oracle
+}
+
+// rapidOrTest is what testing.T and rapid.T share.
+type rapidOrTest interface {
+	Helper()
+	Fatalf(format string, args ...any)
+	Logf(format string, args ...any)
+}
+
+func newCluster(t rapidOrTest, seed uint64, voters ...ID) *cluster {
+	c := &cluster{
+		t: t, rnd: rand.New(rand.NewPCG(seed, 1)),
+		members: map[ID]*member{}, blocked: map[link]bool{}, oracle: newOracle(t),
+	}
+	for _, id := range voters {
+		boot := Bootstrap(voters)
+		c.start(&member{id: id, disk: disk{hs: boot.HardState, snapshot: boot.Snapshot}})
+	}
+	return c
+}
+
+// add starts an empty member, which must be added as a learner.
+func (c *cluster) add(id ID) { c.start(&member{id: id}) }
+
+func (c *cluster) start(m *member) {
+	node, err := New(Config{
+		ID: m.id, ElectionTicks: 6, HeartbeatTicks: 1, MaxAppendBytes: 120, MaxInflight: 3, RetainedEntries: 2,
+		Rand: rand.New(rand.NewPCG(c.rnd.Uint64(), 2)),
+	}, Restored{HardState: m.disk.hs, Snapshot: m.disk.snapshot, Entries: m.disk.entries})
+	if err != nil {
+		c.t.Fatalf("restart of %d: %v", m.id, err)
+	}
+	m.node, m.ready = node, nil
+	m.state.restore(m.disk.snapshot)
+	c.members[m.id] = m
+}
+
+func (c *cluster) crash(id ID) { c.members[id].node = nil }
+
+func (c *cluster) restart(id ID) { c.start(c.members[id]) }
+
+// ids lists the running members in order.
+func (c *cluster) ids() []ID {
+	var ids []ID
+	for id, m := range c.members {
+		if m.node != nil {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// take fetches a Ready and syncs it; finish does the rest. Messages may arrive between the two.
+func (c *cluster) take(m *member) bool {
+	r, ok := m.node.Ready()
+	if ok {
+		m.disk.save(r)
+		m.ready = &r
+		c.oracle.observe(m)
+	}
+	return ok
+}
+
+func (c *cluster) finish(m *member) {
+	r := m.ready
+	if r == nil {
+		return
+	}
+	m.ready = nil
+	c.net = append(c.net, r.Messages...)
+	if r.Snapshot != nil {
+		m.state.restore(*r.Snapshot)
+		c.oracle.applied(m)
+	}
+	for _, e := range r.Committed {
+		m.state.apply(e)
+		c.oracle.committed(m, e)
+	}
+	c.oracle.reads(m, r.Reads, r.FailedReads)
+	m.node.Advance()
+}
+
+func (c *cluster) drain(m *member) {
+	c.finish(m)
+	for c.take(m) {
+		c.finish(m)
+	}
+}
+
+// deliver hands over message i of the network unless its link is blocked.
+func (c *cluster) deliver(i int) {
+	msg := c.net[i]
+	c.net = slices.Delete(c.net, i, i+1)
+	to := c.members[msg.To]
+	if to == nil || to.node == nil || c.blocked[link{msg.From, msg.To}] {
+		return
+	}
+	if err := to.node.Step(msg); err != nil {
+		c.oracle.stepFailed(msg, err)
+	}
+	c.oracle.observe(to)
+}
+
+// settle exchanges messages in order until nothing is left.
+func (c *cluster) settle() {
+	for busy := true; busy; {
+		busy = false
+		for _, id := range c.ids() {
+			c.drain(c.members[id])
+		}
+		for len(c.net) > 0 {
+			c.deliver(0)
+			busy = true
+		}
+	}
+}
+
+// run ticks all members in step n times with a reliable network.
+func (c *cluster) run(n int) {
+	for range n {
+		for _, id := range c.ids() {
+			c.members[id].node.Tick()
+		}
+		c.settle()
+	}
+}
+
+// leader returns the running leader with the highest term, or nil.
+func (c *cluster) leader() *member {
+	var best *member
+	for _, id := range c.ids() {
+		m := c.members[id]
+		if m.node.role == Leader && (best == nil || m.node.term > best.node.term) {
+			best = m
+		}
+	}
+	return best
+}
+
+// elect runs until there is a leader.
+func (c *cluster) elect() *member {
+	c.t.Helper()
+	for range 100 {
+		if m := c.leader(); m != nil {
+			return m
+		}
+		c.run(1)
+	}
+	c.t.Fatalf("no leader after 100 ticks")
+	return nil
+}
+
+func (c *cluster) propose(m *member, data string) uint64 {
+	c.t.Helper()
+	index, term, err := m.node.Propose([]byte(data))
+	if err != nil {
+		c.t.Fatalf("propose on %d: %v", m.id, err)
+	}
+	c.oracle.proposed(m, index, term, data)
+	return index
+}
+
+// Guards against a group that elects nobody or does not apply proposals on all members.
+func TestElectAndReplicate(t *testing.T) {
+	for _, voters := range [][]ID{{1}, {1, 2, 3}, {1, 2, 3, 4, 5}} {
+		c := newCluster(t, 1, voters...)
+		leader := c.elect()
+		for i := range 20 {
+			c.propose(leader, fmt.Sprintf("v%d", i))
+		}
+		c.run(2)
+		for _, id := range c.ids() {
+			assert.Equal(t, c.members[id].state.value, "v19")
+		}
+	}
+}
--- /dev/null
+++ b/raft/follow.go
@@ -0,0 +1,90 @@
+package raft
+
+import "github.com/pkg/errors"
+
+// stepFromLeader takes a message from the leader of the current term.
+func (n *Node) stepFromLeader(m Message) error {
+	if n.role == Leader {
+		return errors.Wrapf(ErrMalformed, "second leader %016x in term %d", uint64(m.From), m.Term)
+	}
+	n.role, n.leader, n.votes, n.starting = Follower, m.From, nil, false
+	n.resetElectionTimer()
+	if n.pendingSnapshot != nil {
+		// Nothing is acknowledged until the snapshot is on disk.
+		return nil
+	}
+	switch m.Kind {
+	case MessageAppend:
+		return n.stepAppend(m)
+	case MessageSnapshot:
+		return n.stepSnapshot(m)
+	}
+	n.commitTo(min(m.Commit, n.log.last()))
+	n.send(Message{Kind: MessageHeartbeatReply, To: m.From, Context: m.Context})
+	return nil
+}
+
+func (n *Node) stepAppend(m Message) error {
+	if m.Index < n.log.commit && m.Index+uint64(len(m.Entries)) <= n.log.commit {
+		n.acceptAppend(m, n.log.commit)
+		return nil
+	}
+	if m.Index >= n.log.base && !n.log.matches(m.Index, m.LogTerm) {
+		n.rejectAppend(m)
+		return nil
+	}
+	if err := checkEntries(m); err != nil {
+		return err
+	}
+	if err := n.log.merge(m.Entries); err != nil {
+		return err
+	}
+	last := m.Index + uint64(len(m.Entries))
+	n.commitTo(min(m.Commit, last))
+	n.acceptAppend(m, last)
+	return nil
+}
+
+func checkEntries(m Message) error {
+	for i, e := range m.Entries {
+		if e.Index != m.Index+uint64(i)+1 || e.Term > m.Term {
+			return errors.Wrapf(ErrMalformed, "append after %d holds entry %d of term %d", m.Index, e.Index, e.Term)
+		}
+	}
+	return nil
+}
+
+func (n *Node) acceptAppend(m Message, index uint64) {
+	n.send(Message{Kind: MessageAppendReply, To: m.From, Index: index, Context: m.Context})
+}
+
+// rejectAppend names the index from which the leader should retry. It skips all own entries of the conflicting term,
+// so that the leader needs one round for each term instead of one for each entry.
+func (n *Node) rejectAppend(m Message) {
+	hint := n.log.last() + 1
+	if m.Index <= n.log.last() {
+		hint = n.log.firstOfTerm(m.Index)
+	}
+	n.send(Message{
+		Kind: MessageAppendReply, To: m.From, Index: m.Index, Reject: true, RejectHint: hint, Context: m.Context,
+	})
+}
+
+func (n *Node) stepSnapshot(m Message) error {
+	s := m.Snapshot
+	if s == nil || s.Index == 0 || s.Term > m.Term {
+		return errors.Wrapf(ErrMalformed, "snapshot from %016x", uint64(m.From))
+	}
+	if n.isEmpty() && s.Membership.IsVoter(n.cfg.ID) {
+		return errors.Wrapf(ErrLostState, "member %016x", uint64(n.cfg.ID))
+	}
+	if s.Index > n.log.commit && !n.log.matches(s.Index, s.Term) {
+		n.log.reset(*s)
+		n.pendingSnapshot = s
+	}
+	n.commitTo(s.Index)
+	n.acceptAppend(m, n.log.commit)
+	return nil
+}
+
+func (n *Node) commitTo(index uint64) { n.log.commit = max(n.log.commit, index) }
--- a/raft/types.go
+++ b/raft/types.go
@@ -2,11 +2,6 @@
 // sync and entries to apply come out of Ready. The package uses no clock, socket, goroutine or package-level state.
 package raft
 
-import (
-	"fmt"
-	"math/rand/v2"
-)
-
 // ID names a member of a group. It is random and stored in the member's data folder. 0 means no member.
 type ID uint64
 
@@ -73,33 +68,23 @@
 	To   ID          `json:"to"`
 	Term uint64      `json:"term"`
 	// LogTerm and Index name the entry that precedes Entries, or the sender's last entry in vote requests. In replies
-	// Index is the highest matching index.
+	// Index is the highest matching index; in a rejecting append reply it is the preceding index that did not match.
 	LogTerm uint64  `json:"logTerm,omitempty"`
 	Index   uint64  `json:"index,omitempty"`
 	Commit  uint64  `json:"commit,omitempty"`
 	Entries []Entry `json:"entries,omitempty"`
 	Reject  bool    `json:"reject,omitempty"`
-	// RejectHint is the index from which the leader may retry.
+	// RejectHint is the index from which the leader may retry. It is 1 when the sender has no log at all.
 	RejectHint uint64    `json:"rejectHint,omitempty"`
 	Snapshot   *Snapshot `json:"snapshot,omitempty"`
-	// Context identifies a read confirmation round.
+	// Context is the number of the leader's confirmation round; replies repeat it.
 	Context uint64 `json:"context,omitempty"`
+	// Transfer marks a vote request that the leader itself ordered; it is exempt from the lease check.
+	Transfer bool `json:"transfer,omitempty"`
 }
 
-// Config holds the settings of a Node.
-type Config struct {
-	ID ID
-	// ElectionTicks is the least number of ticks without contact before a follower campaigns.
-	ElectionTicks int
-	// HeartbeatTicks is the number of ticks between two heartbeats of a leader.
-	HeartbeatTicks int
-	// MaxAppendBytes bounds the entries of one append message, in bytes of data.
-	MaxAppendBytes int
-	// Rand randomises election timeouts.
-	Rand *rand.Rand
-}
-
-// Restored is what the storage recovered.
+// Restored is what the storage recovered. The zero value starts a new member that waits for a leader's snapshot;
+// Bootstrap gives the state of a founding member.
 type Restored struct {
 	HardState HardState
 	Snapshot  Snapshot
@@ -114,15 +99,20 @@
 }
 
 // Ready lists the work that a driver must do, in this order: sync HardState, Entries and Snapshot; send Messages;
-// apply Committed; answer Reads; call Advance.
+// restore the state machine from Snapshot; apply Committed; answer Reads; call Advance.
 type Ready struct {
 	HardState *HardState
 	// Entries replace any stored entries at or after their first index.
-	Entries   []Entry
-	Snapshot  *Snapshot
-	Messages  []Message
+	Entries []Entry
+	// Snapshot came from the leader. Unless the stored entry at Snapshot.Index has Snapshot.Term, all stored entries
+	// must be dropped with it: they conflict with the log that the snapshot stands for. Entries is empty beside it.
+	Snapshot *Snapshot
+	Messages []Message
+	// Committed includes membership entries and empty commands, which the state machine does not see.
 	Committed []Entry
 	Reads     []ReadState
+	// FailedReads holds the contexts of reads that ended unanswered because this member stopped being the leader.
+	FailedReads []uint64
 }
 
 // ChangeKind is the type of a MemberChange.
@@ -166,16 +156,7 @@
 	Membership Membership
 	// Match holds the highest replicated index per member; only a leader has it.
 	Match map[ID]uint64
-	// LeaseValid is true while a leader has heard from a quorum within an election timeout.
+	// LeaseValid is true while a leader has heard from a quorum within an election timeout of its own ticks. A paused
+	// process counts no ticks, so the lease alone must not be used to serve reads.
 	LeaseValid bool
 }
-
-// NotLeaderError reports that the call needs the leader. Leader is 0 where none is known.
-type NotLeaderError struct{ Leader ID }
-
-func (e *NotLeaderError) Error() string {
-	if e.Leader == 0 {
-		return "raft: not the leader, leader unknown"
-	}
-	return fmt.Sprintf("raft: not the leader, leader is %016x", uint64(e.Leader))
-}
