--- /dev/null
+++ b/proxy/entry.go
@@ -0,0 +1,253 @@
+package proxy
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/pkg/errors"
+
+	"rosemaryline.dev/fleet/config"
+	"rosemaryline.dev/routing"
+)
+
+// Limiter takes requests from teams' rates.
+type Limiter interface {
+	// Take takes one request from the team's rate. It may wait a short time for tokens. Where it returns false the
+	// request must not run, and retryAfter tells when a retry is worthwhile.
+	Take(ctx context.Context, team string) (ok bool, retryAfter time.Duration)
+}
+
+// Admitter tells whether this process may admit requests on open routes.
+type Admitter interface {
+	MayAdmit() bool
+}
+
+// EntryOptions are the settings and collaborators of an Entry.
+type EntryOptions struct {
+	VM, Domain string
+	Fleet      *Fleet
+	Clock      Clock
+	Log        *log.Logger
+	Limiter    Limiter
+	Admitter   Admitter
+	Directory  Directory
+	Gate       *Gate
+	Peers      *PeerClient
+	// HoldBody is the largest body in bytes that is held in memory, so that it can be sent again. Default 64 KiB.
+	HoldBody int64
+	// KeyedBody is the largest body in bytes of a request with an Idempotency-Key. Default 1 MiB.
+	KeyedBody int64
+}
+
+// Defaults of EntryOptions.
+const (
+	DefaultHoldBody  = 64 << 10
+	DefaultKeyedBody = 1 << 20
+	// maxIdempotencyKey bounds the length of an Idempotency-Key in bytes.
+	maxIdempotencyKey = 256
+)
+
+// Entry accepts requests and chooses the VM that runs them.
+type Entry struct {
+	opts  EntryOptions
+	route *router
+}
+
+// NewEntry returns an Entry.
+func NewEntry(opts EntryOptions) *Entry {
+	if opts.HoldBody <= 0 {
+		opts.HoldBody = DefaultHoldBody
+	}
+	if opts.KeyedBody <= 0 {
+		opts.KeyedBody = DefaultKeyedBody
+	}
+	return &Entry{opts: opts, route: newRouter(opts)}
+}
+
+// Sweep drops what the entry remembers of gates without traffic.
+func (e *Entry) Sweep() { e.route.loads.sweep(e.opts.Clock()) }
+
+// ServeHTTP serves the caller listener.
+func (e *Entry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	id := newRequestID()
+	req, refusal := e.accept(r, id)
+	if refusal != nil {
+		e.refuse(w, id, req, refusal)
+		return
+	}
+	e.run(w, r, req)
+}
+
+// ServeNested serves internal routes on the local listener.
+func (e *Entry) ServeNested(w http.ResponseWriter, r *http.Request) {
+	id := newRequestID()
+	req, refusal := e.acceptNested(r, id)
+	if refusal != nil {
+		e.refuse(w, id, req, refusal)
+		return
+	}
+	e.run(w, r, req)
+}
+
+// accept checks a caller's request: route, key, team and rate.
+func (e *Entry) accept(r *http.Request, id string) (*Request, *Refusal) {
+	if e.opts.Fleet.Version() == 0 {
+		return nil, notRun(http.StatusServiceUnavailable, ReasonNoState, "accept")
+	}
+	route, ok := e.opts.Fleet.Match(hostOnly(r.Host), r.URL.Path)
+	if !ok || route.Access != config.AccessOpen {
+		return nil, notRun(http.StatusNotFound, ReasonNoRoute, "accept")
+	}
+	req := newRequest(r, id, route, e.opts.Fleet.Version())
+	if !e.opts.Admitter.MayAdmit() {
+		return req, notRun(http.StatusServiceUnavailable, ReasonIsolated, "accept")
+	}
+	key, ok := bearerKey(r.Header)
+	if !ok {
+		return req, notRun(http.StatusUnauthorized, ReasonBadKey, "accept")
+	}
+	req.Team, ok = e.opts.Fleet.TeamByKey(key)
+	if !ok {
+		return req, notRun(http.StatusUnauthorized, ReasonBadKey, "accept")
+	}
+	if !route.AllowsTeam(req.Team) {
+		return req, notRun(http.StatusForbidden, ReasonForbidden, "accept")
+	}
+	if refusal := e.readBody(r, req); refusal != nil {
+		return req, refusal
+	}
+	return req, e.takeRate(r.Context(), req)
+}
+
+func (e *Entry) takeRate(ctx context.Context, req *Request) *Refusal {
+	ok, retryAfter := e.opts.Limiter.Take(ctx, req.Team)
+	if ok {
+		return nil
+	}
+	refusal := notRun(http.StatusTooManyRequests, ReasonOverRate, "rate")
+	refusal.RetryAfter = max(retryAfter, time.Second)
+	return refusal
+}
+
+// acceptNested checks a call of a backend server on this VM. Team, depth and deadline come from the running request
+// that the call is made for, never from headers; a call without one is new internal work without a team.
+func (e *Entry) acceptNested(r *http.Request, id string) (*Request, *Refusal) {
+	route, ok := e.opts.Fleet.Match(hostOnly(r.Host), r.URL.Path)
+	if !ok || route.Access != config.AccessInternal {
+		return nil, notRun(http.StatusNotFound, ReasonNoRoute, "accept")
+	}
+	req := newRequest(r, id, route, e.opts.Fleet.Version())
+	if caller, ok := e.opts.Gate.parent(r.Header.Get(HeaderRequestID)); ok {
+		req.Team = caller.team
+		req.Depth = caller.depth + 1
+		if caller.deadline.Before(req.Deadline) {
+			req.Deadline = caller.deadline
+		}
+	}
+	return req, e.readBody(r, req)
+}
+
+func newRequest(r *http.Request, id string, route *routing.Route, version uint64) *Request {
+	return &Request{
+		ID:             id,
+		Service:        route.Service,
+		Route:          route.Name,
+		ConfigVersion:  version,
+		Repeatable:     route.Repeatable(r.Method),
+		IdempotencyKey: r.Header.Get(HeaderIdempotencyKey),
+		Deadline:       time.Now().Add(route.Deadline),
+		Method:         r.Method,
+		URI:            r.URL.RequestURI(),
+		Host:           r.Host,
+		Header:         requestHeaders(r.Header),
+	}
+}
+
+// readBody takes over the body. A body that fits into memory is read before the request takes a slot, so that a slow
+// sender does not hold one.
+func (e *Entry) readBody(r *http.Request, req *Request) *Refusal {
+	if len(req.IdempotencyKey) > maxIdempotencyKey {
+		return notRun(http.StatusBadRequest, ReasonBadRequest, "read body")
+	}
+	body, err := NewBody(r.Body, r.ContentLength, e.opts.HoldBody)
+	if err == nil && req.IdempotencyKey != "" {
+		// The whole body is needed to tell whether a resubmission is the same request.
+		err = body.Hold(e.opts.KeyedBody)
+	}
+	req.Body = body
+	switch {
+	case err == nil:
+		return nil
+	case errors.Is(err, ErrBodyTooLarge):
+		return notRun(http.StatusRequestEntityTooLarge, ReasonBodyTooLarge, "read body")
+	default:
+		refusal := notRun(http.StatusBadRequest, ReasonBadRequest, "read body")
+		refusal.Err = err
+		return refusal
+	}
+}
+
+// run routes the request and writes its answer.
+func (e *Entry) run(w http.ResponseWriter, r *http.Request, req *Request) {
+	ctx := r.Context()
+	if !req.Repeatable {
+		ctx = context.WithoutCancel(ctx)
+	}
+	resp, err := e.route.run(ctx, req)
+	if err != nil {
+		e.refuse(w, req.ID, req, asRefusal(err))
+		return
+	}
+	defer resp.Body.Close()
+	copyHeader(w.Header(), resp.Header)
+	w.Header().Set(HeaderRequestID, req.ID)
+	writeBody(w, req.Method, resp)
+}
+
+func (e *Entry) refuse(w http.ResponseWriter, id string, req *Request, refusal *Refusal) {
+	entry := e.opts.Log.Info().Str("request", id).Str("reason", string(refusal.Reason)).
+		Str("outcome", string(refusal.Outcome)).Str("step", refusal.Step).Str("peer", refusal.Peer)
+	if req != nil {
+		entry = entry.Str("team", req.Team).Str("route", req.Route).Str("service", req.Service)
+	}
+	entry.Err(refusal.Err).Msg("entry: refused request.")
+	countRefusal(refusal)
+	writeRefusal(w, id, refusal)
+}
+
+// bearerKey returns the key of an Authorization header. Exactly one header is accepted, so that no two processes can
+// read different keys from one request.
+func bearerKey(h http.Header) (string, bool) {
+	values := h["Authorization"]
+	if len(values) != 1 {
+		return "", false
+	}
+	scheme, key, ok := strings.Cut(values[0], " ")
+	if !ok || !strings.EqualFold(scheme, "Bearer") {
+		return "", false
+	}
+	key = strings.TrimSpace(key)
+	return key, key != ""
+}
+
+func hostOnly(hostport string) string {
+	host, _, err := net.SplitHostPort(hostport)
+	if err != nil {
+		return hostport
+	}
+	return host
+}
+
+// newRequestID returns 16 random bytes in hex.
+func newRequestID() string {
+	var id [16]byte
+	// crypto/rand.Read never fails.
+	_, _ = rand.Read(id[:])
+	return hex.EncodeToString(id[:])
+}
--- /dev/null
+++ b/proxy/router.go
@@ -0,0 +1,239 @@
+package proxy
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"rosemaryline.dev/fleet/state"
+	"rosemaryline.dev/routing"
+)
+
+// router chooses the VM for each attempt of a request.
+type router struct {
+	opts   EntryOptions
+	policy routing.Policy
+	loads  *loadTable
+
+	mu      sync.Mutex // guards the fields below
+	paths   *routing.PathHealth
+	budgets map[string]*routing.RetryBudget
+	rnd     *rand.Rand
+}
+
+func newRouter(opts EntryOptions) *router {
+	return &router{
+		opts:    opts,
+		policy:  routing.TwoChoices{},
+		loads:   newLoadTable(),
+		paths:   routing.NewPathHealth(),
+		budgets: map[string]*routing.RetryBudget{},
+		rnd:     rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+	}
+}
+
+// choice is the VM of one attempt.
+type choice struct {
+	peer   Peer
+	reason routing.Reason
+}
+
+// run tries VMs until one answers, the request must not be sent again, or the budget or deadline is used up. Errors
+// are of type *Refusal. The refusal says not-run only where no attempt may have run.
+func (t *router) run(ctx context.Context, req *Request) (*Response, error) {
+	t.countRequest(req.Service)
+	tried := map[string]bool{}
+	var last *Refusal
+	mayHaveRun := false
+	for number := 1; ; number++ {
+		chosen, ok := t.choose(req, tried)
+		if !ok {
+			return nil, finalRefusal(last, mayHaveRun)
+		}
+		t.logChoice(req, chosen, number)
+		resp, refusal := t.attempt(ctx, req, chosen)
+		if refusal == nil {
+			return resp, nil
+		}
+		last = refusal
+		mayHaveRun = mayHaveRun || refusal.Outcome == OutcomeUnknown
+		tried[chosen.peer.VM] = true
+		if !t.mayRetry(req, refusal, number) {
+			return nil, finalRefusal(last, mayHaveRun)
+		}
+	}
+}
+
+// finalRefusal is what the caller sees.
+func finalRefusal(last *Refusal, mayHaveRun bool) *Refusal {
+	if last == nil {
+		return notRun(http.StatusServiceUnavailable, ReasonNoCapacity, "choose")
+	}
+	final := *last
+	if mayHaveRun {
+		final.Outcome = OutcomeUnknown
+	}
+	return &final
+}
+
+func (t *router) mayRetry(req *Request, refusal *Refusal, number int) bool {
+	if final(refusal.Reason) {
+		return false
+	}
+	attempt := routing.Attempt{
+		Outcome:    routing.OutcomeNotRun,
+		Repeatable: req.Repeatable || req.IdempotencyKey != "",
+		BodySpent:  !req.Body.CanReplay(),
+		Number:     number,
+		Remaining:  time.Until(req.Deadline),
+	}
+	if refusal.Outcome == OutcomeUnknown {
+		attempt.Outcome = routing.OutcomeUnknown
+	}
+	if !routing.MayRetry(attempt) {
+		return false
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.budget(req.Service).Retry(t.opts.Clock())
+}
+
+// final tells whether another VM would answer the same.
+func final(reason Reason) bool {
+	switch reason {
+	case ReasonBadRequest, ReasonRunning, ReasonLost, ReasonKeyReused, ReasonAnswerNotKept, ReasonNoRecords:
+		return true
+	default:
+		return false
+	}
+}
+
+func (t *router) countRequest(service string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.budget(service).Request(t.opts.Clock())
+}
+
+// budget returns the service's retry budget. The caller holds mu.
+func (t *router) budget(service string) *routing.RetryBudget {
+	b, ok := t.budgets[service]
+	if !ok {
+		b = routing.NewRetryBudget(t.opts.Clock())
+		t.budgets[service] = b
+	}
+	return b
+}
+
+// choose returns the VM for the next attempt.
+func (t *router) choose(req *Request, tried map[string]bool) (choice, bool) {
+	hosts := t.opts.Directory.Hosts(req.Service)
+	local := t.local()
+	now := t.opts.Clock()
+	cands := make([]routing.Candidate, len(hosts))
+	for i, h := range hosts {
+		cands[i] = t.candidate(h, req.Service, now)
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for i := range cands {
+		cands[i].PathPenalty = t.paths.Penalty(cands[i].VM, now)
+	}
+	i, reason := t.policy.Choose(cands, local, tried, t.rnd)
+	if i < 0 {
+		return choice{}, false
+	}
+	return choice{peer: hosts[i], reason: reason}, true
+}
+
+func (t *router) local() routing.Local {
+	local := routing.Local{VM: t.opts.VM, Domain: t.opts.Domain, Regions: map[string]string{}}
+	t.opts.Fleet.Read(func(s *state.State) {
+		for name, d := range s.Config().Domains {
+			local.Regions[name] = d.Region
+		}
+	})
+	local.Region = local.Regions[t.opts.Domain]
+	return local
+}
+
+func (t *router) candidate(h Peer, service string, now time.Duration) routing.Candidate {
+	c := routing.Candidate{
+		VM:       h.VM,
+		Domain:   h.Domain,
+		Capacity: h.Slots,
+		InFlight: h.InFlight,
+		Queued:   h.Queued,
+		State:    h.State,
+		LoadAge:  h.Age,
+	}
+	if t.opts.Fleet.DomainOut(h.Domain) {
+		c.State = routing.StateTakenOut
+	}
+	if h.VM == t.opts.VM {
+		load := t.opts.Gate.Load(service)
+		c.Capacity = float64(load.Slots)
+		c.InFlight = float64(load.InFlight)
+		c.Queued = float64(load.Queued)
+		c.LoadAge = 0
+		return c
+	}
+	t.loads.refine(&c, service, now)
+	return c
+}
+
+func (t *router) runner(vm, address string) Runner {
+	if vm == t.opts.VM {
+		return t.opts.Gate
+	}
+	return t.opts.Peers.Gate(address)
+}
+
+// attempt sends the request to one VM and learns from the result.
+func (t *router) attempt(ctx context.Context, req *Request, chosen choice) (*Response, *Refusal) {
+	vm := chosen.peer.VM
+	began := t.opts.Clock()
+	end := t.loads.begin(vm, req.Service, began)
+	resp, err := t.runner(vm, chosen.peer.Address).Run(ctx, req)
+	now := t.opts.Clock()
+	if err != nil {
+		end()
+		refusal := asRefusal(err)
+		t.learnRefusal(vm, req.Service, refusal, now)
+		return nil, refusal
+	}
+	t.loads.report(vm, req.Service, resp.Load, now)
+	t.learnPath(vm, now-began-resp.Timing.Queue-resp.Timing.Backend)
+	countTiming(resp.Timing, now-began)
+	resp.Body = &endingBody{ReadCloser: resp.Body, end: end}
+	return resp, nil
+}
+
+func (t *router) learnRefusal(vm, service string, refusal *Refusal, now time.Duration) {
+	if refusal.Load != nil {
+		t.loads.report(vm, service, *refusal.Load, now)
+	}
+	fromGate := refusal.Load != nil
+	if vm == t.opts.VM || fromGate || refusal.Reason == ReasonCallerGone {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.paths.Failure(vm, now)
+}
+
+func (t *router) learnPath(vm string, pathTime time.Duration) {
+	if vm == t.opts.VM {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.paths.Success(vm, t.opts.Clock(), max(pathTime, 0))
+}
+
+func (t *router) logChoice(req *Request, chosen choice, number int) {
+	t.opts.Log.Info().Str("request", req.ID).Str("team", req.Team).Str("route", req.Route).
+		Str("service", req.Service).Str("vm", chosen.peer.VM).Str("domain", chosen.peer.Domain).
+		Str("reason", string(chosen.reason)).Int("attempt", number).Msg("entry: chose VM.")
+}
