--- /dev/null
+++ b/storage/crash_test.go
@@ -0,0 +1,178 @@
+package storage
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"reflect"
+	"testing"
+
+	"github.com/pkg/errors"
+	"pgregory.net/rapid"
+
+	"rosemaryline.dev/raft"
+)
+
+func init() { flag.Set("rapid.seed", "1") }
+
+// image is what a store should hold.
+type image struct {
+	id       raft.ID
+	hs       raft.HardState
+	snapshot raft.Snapshot
+	entries  []raft.Entry
+}
+
+func (i image) matches(r Recovered) bool {
+	want := raft.Restored{HardState: i.hs, Snapshot: i.snapshot, Entries: i.entries}
+	want.HardState.Commit = i.snapshot.Index
+	got := r.Restored
+	return (i.id == 0 || i.id == r.ID) && want.HardState == got.HardState && reflect.DeepEqual(want.Snapshot, got.Snapshot) &&
+		(len(want.Entries) == 0 && len(got.Entries) == 0 || reflect.DeepEqual(want.Entries, got.Entries))
+}
+
+func (i image) last() uint64 { return i.snapshot.Index + uint64(len(i.entries)) }
+
+// foreignTerm is added to the term of a snapshot that conflicts with the log. It is above the terms of all entries.
+const foreignTerm = 1000
+
+// operation is one random call of a Store; its sizes are taken modulo what the state allows.
+type operation struct {
+	Kind, Back, Count, Bytes uint8
+}
+
+func drawOperation(t *rapid.T) operation {
+	return operation{
+		Kind:  rapid.Uint8Range(0, 5).Draw(t, "kind"),
+		Back:  rapid.Uint8Range(0, 5).Draw(t, "back"),
+		Count: rapid.Uint8Range(0, 4).Draw(t, "count"),
+		Bytes: rapid.Uint8Range(0, 40).Draw(t, "bytes"),
+	}
+}
+
+// run calls the store and returns what it should hold afterwards.
+func (o operation) run(s *Store, before image) (image, error) {
+	after := before
+	after.hs = raft.HardState{Term: before.hs.Term + 1, Vote: raft.ID(o.Back)}
+	switch o.Kind {
+	case 0:
+		return after, s.Save(&after.hs, nil)
+	case 1, 2, 3:
+		first := max(before.snapshot.Index, before.last()-min(before.last(), uint64(o.Back))) + 1
+		var added []raft.Entry
+		for i := range uint64(o.Count) + 1 {
+			entry := raft.Entry{Term: after.hs.Term, Index: first + i, Kind: raft.EntryKind(o.Kind & 1)}
+			if o.Bytes > 0 {
+				entry.Data = make([]byte, o.Bytes)
+			}
+			added = append(added, entry)
+		}
+		after.entries = append(append([]raft.Entry(nil), before.entries[:first-before.snapshot.Index-1]...), added...)
+		if o.Kind == 3 {
+			after.hs = before.hs
+			return after, s.Save(nil, added)
+		}
+		return after, s.Save(&after.hs, added)
+	}
+	after.hs = before.hs
+	after.snapshot = raft.Snapshot{
+		Index:      before.snapshot.Index + 1 + uint64(o.Back),
+		Term:       before.hs.Term + foreignTerm,
+		Membership: raft.Membership{Voters: []raft.ID{1, 2, 3}, Learners: []raft.ID{raft.ID(o.Count) + 4}},
+		Data:       make([]byte, 10*int(o.Bytes)+1),
+	}
+	after.entries = nil
+	if at := int(o.Back); o.Kind == 4 && at < len(before.entries) {
+		after.snapshot.Term = before.entries[at].Term
+		after.entries = before.entries[at+1:]
+	}
+	return after, s.SaveSnapshot(after.snapshot)
+}
+
+// Guards against lost, invented or half-applied changes after a crash at any write, sync or rename, also when recovery
+// itself is interrupted, for a killed process and for a loss of power.
+func TestCrashAtEveryOperation(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		operations := rapid.SliceOfN(rapid.Custom(drawOperation), 1, 12).Draw(t, "operations")
+		seed := rapid.Uint64().Draw(t, "seed")
+		total := 1
+		for crashAt := 0; crashAt <= total; crashAt++ {
+			rnd := rand.New(rand.NewPCG(seed, uint64(crashAt)))
+			ops, err := crashOnce(newMemFS(rnd), operations, crashAt)
+			if err != nil {
+				t.Fatalf("crash at operation %d: %v", crashAt, err)
+			}
+			if crashAt == 0 {
+				total = ops
+			}
+		}
+	})
+}
+
+// crashOnce runs the operations with a first crash at crashAt, then with further random crashes. It returns the number
+// of file operations before the first crash.
+func crashOnce(m *memFS, operations []operation, crashAt int) (int, error) {
+	m.crashAt = crashAt
+	firstOps := 0
+	var held image
+	for round := range 4 {
+		possible, err := runUntilCrash(m, operations, held)
+		if err != nil {
+			return 0, errors.WithMessagef(err, "round %d", round)
+		}
+		if round == 0 {
+			firstOps = m.ops
+		}
+		m.restart(0)
+		s, recovered, err := Open(m, "data")
+		if err != nil {
+			return 0, errors.WithMessagef(err, "open after round %d", round)
+		}
+		at := len(possible) - 1
+		for at >= 0 && !possible[at].matches(recovered) {
+			at--
+		}
+		if at < 0 {
+			return 0, errors.Errorf("round %d recovered %+v, expected one of %+v", round, recovered, possible)
+		}
+		held = possible[at]
+		held.id = recovered.ID
+		s.Close()
+		m.restart(1 + m.rnd.IntN(30))
+	}
+	return firstOps, nil
+}
+
+func (m *memFS) restart(crashAt int) {
+	if m.rnd.IntN(2) == 0 {
+		m.kill(crashAt)
+		return
+	}
+	m.powerLoss(crashAt)
+}
+
+// runUntilCrash returns the states that recovery may find.
+func runUntilCrash(m *memFS, operations []operation, held image) ([]image, error) {
+	s, recovered, err := Open(m, "data")
+	if errors.Is(err, errCrash) {
+		return []image{held}, nil
+	}
+	if err != nil {
+		return nil, err
+	}
+	if !held.matches(recovered) {
+		return nil, errors.Errorf("opened %+v, expected %+v", recovered, held)
+	}
+	held.id = recovered.ID
+	for _, o := range operations {
+		after, err := o.run(s, held)
+		if errors.Is(err, errCrash) {
+			return []image{held, after}, nil
+		}
+		if err != nil {
+			return nil, errors.WithMessage(err, fmt.Sprintf("%+v", o))
+		}
+		held = after
+	}
+	return []image{held}, nil
+}
--- /dev/null
+++ b/storage/folder.go
@@ -0,0 +1,111 @@
+package storage
+
+import (
+	"fmt"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	lockName       = "lock"
+	idName         = "id"
+	logPrefix      = "log-"
+	snapshotPrefix = "snapshot-"
+	tempSuffix     = ".tmp"
+	indexDigits    = 20
+)
+
+// folder is a data folder on a file layer.
+type folder struct {
+	fs  FS
+	dir string
+}
+
+func (d folder) path(name string) string { return filepath.Join(d.dir, name) }
+
+func logName(first uint64) string { return fmt.Sprintf("%s%0*d", logPrefix, indexDigits, first) }
+
+func snapshotName(index uint64) string {
+	return fmt.Sprintf("%s%0*d", snapshotPrefix, indexDigits, index)
+}
+
+// listing is what a data folder holds. Indexes are in ascending order.
+type listing struct {
+	hasID     bool
+	logs      []uint64
+	snapshots []uint64
+	temps     []string
+}
+
+func (d folder) list() (listing, error) {
+	var l listing
+	names, err := d.fs.List(d.dir)
+	if err != nil {
+		return l, errors.Wrapf(err, "list %s", d.dir)
+	}
+	for _, name := range names {
+		if strings.HasSuffix(name, tempSuffix) {
+			l.temps = append(l.temps, name)
+			continue
+		}
+		if name == idName {
+			l.hasID = true
+		}
+		if index, ok := parseIndex(name, logPrefix); ok {
+			l.logs = append(l.logs, index)
+		}
+		if index, ok := parseIndex(name, snapshotPrefix); ok {
+			l.snapshots = append(l.snapshots, index)
+		}
+	}
+	slices.Sort(l.logs)
+	slices.Sort(l.snapshots)
+	return l, nil
+}
+
+func parseIndex(name, prefix string) (uint64, bool) {
+	digits, ok := strings.CutPrefix(name, prefix)
+	if !ok || len(digits) != indexDigits {
+		return 0, false
+	}
+	index, err := strconv.ParseUint(digits, 10, 64)
+	return index, err == nil
+}
+
+// writeTemp writes a synced file under a temporary name and returns that file, open at its end.
+func (d folder) writeTemp(temp string, data []byte) (File, error) {
+	file, err := d.fs.Create(d.path(temp))
+	if err != nil {
+		return nil, errors.Wrapf(err, "create %s", temp)
+	}
+	if _, err := file.Write(data); err != nil {
+		file.Close()
+		return nil, errors.Wrapf(err, "write %s", temp)
+	}
+	if err := file.Sync(); err != nil {
+		file.Close()
+		return nil, errors.Wrapf(err, "sync %s", temp)
+	}
+	return file, nil
+}
+
+// publish renames a synced temporary file to its final name and makes the name durable.
+func (d folder) publish(temp, name string) error {
+	if err := d.fs.Rename(d.path(temp), d.path(name)); err != nil {
+		return errors.Wrapf(err, "rename %s", temp)
+	}
+	return errors.Wrapf(d.fs.SyncDir(d.dir), "sync folder %s", d.dir)
+}
+
+func (d folder) remove(names ...string) error {
+	for _, name := range names {
+		if err := d.fs.Remove(d.path(name)); err != nil {
+			return errors.Wrapf(err, "remove %s", name)
+		}
+	}
+	return nil
+}
