--- /dev/null
+++ b/outlier/detector.go
@@ -0,0 +1,279 @@
+package outlier
+
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+// Config sets the detector. Zero values mean the defaults.
+type Config struct {
+	// Interval is the time between two calls of Evaluate. Default 100ms.
+	Interval time.Duration
+	// MinPeers is the number of peers with recent digests that a judgement by comparison needs. Default 3.
+	MinPeers int
+	// MinSamples is the number of finished requests that a judgement needs. Default 8.
+	MinSamples int
+	// SlowFactor is the ratio to the peers' median from which a server can count as slow. Default 3.
+	SlowFactor float64
+	// Deviations is the number of robust deviations above the peers' median from which a server can count as slow.
+	// Default 5.
+	Deviations float64
+	// FailureMargin is the difference to the peers' median failure ratio from which a server can count as failing.
+	// Default 0.15.
+	FailureMargin float64
+	// DigestAge is the age from which a peer's digest is not used any more. Default 10s.
+	DigestAge time.Duration
+}
+
+func (c Config) withDefaults() Config {
+	setDuration(&c.Interval, 100*time.Millisecond)
+	setDuration(&c.DigestAge, 10*time.Second)
+	setInt(&c.MinPeers, 3)
+	setInt(&c.MinSamples, 8)
+	setFloat(&c.SlowFactor, 3)
+	setFloat(&c.Deviations, 5)
+	setFloat(&c.FailureMargin, 0.15)
+	return c
+}
+
+// Detector judges the backend servers of one VM against their peers.
+type Detector struct {
+	cfg     Config
+	servers map[string]*server
+	names   []string // sorted keys of servers
+	peers   map[string]map[string]peer
+}
+
+// server is the evidence about one local backend server.
+type server struct {
+	name, service string
+	warming       bool
+	window        window
+	running       map[uint64]time.Duration // start times by request id
+}
+
+// peer is the newest digest of a backend server on another VM.
+type peer struct {
+	Digest
+	at time.Duration
+}
+
+// NewDetector returns a detector without backend servers.
+func NewDetector(cfg Config) *Detector {
+	return &Detector{
+		cfg:     cfg.withDefaults(),
+		servers: make(map[string]*server),
+		peers:   make(map[string]map[string]peer),
+	}
+}
+
+// AddServer starts to judge a backend server. Adding it again, for a new instance, drops all evidence about it.
+func (d *Detector) AddServer(name, service string, warming bool) {
+	if d.servers[name] == nil {
+		i, _ := slices.BinarySearch(d.names, name)
+		d.names = slices.Insert(d.names, i, name)
+	}
+	d.servers[name] = &server{
+		name:    name,
+		service: service,
+		warming: warming,
+		running: make(map[uint64]time.Duration),
+	}
+}
+
+// RemoveServer forgets a backend server.
+func (d *Detector) RemoveServer(name string) {
+	if d.servers[name] == nil {
+		return
+	}
+	delete(d.servers, name)
+	i, _ := slices.BinarySearch(d.names, name)
+	d.names = slices.Delete(d.names, i, i+1)
+}
+
+// SetWarming tells whether the server is in its ramp. A warming server is expected to be slow.
+func (d *Detector) SetWarming(name string, warming bool) {
+	if s := d.servers[name]; s != nil {
+		s.warming = warming
+	}
+}
+
+// Start records that a request was sent to a server, so that requests that never end count as evidence too. Ids are
+// unique among the running requests of the server.
+func (d *Detector) Start(name string, id uint64, now time.Duration) {
+	if s := d.servers[name]; s != nil {
+		s.running[id] = now
+	}
+}
+
+// Finish records the end of a request. Use Cancel for a request that the caller gave up.
+func (d *Detector) Finish(name string, id uint64, now time.Duration, failed bool) {
+	s := d.servers[name]
+	if s == nil {
+		return
+	}
+	start, ok := s.running[id]
+	if !ok {
+		return
+	}
+	delete(s.running, id)
+	d.Observe(name, now, now-start, failed)
+}
+
+// Cancel drops a request that ended without telling anything about the server.
+func (d *Detector) Cancel(name string, id uint64) {
+	if s := d.servers[name]; s != nil {
+		delete(s.running, id)
+	}
+}
+
+// Observe records a request or probe that ended now and took latency. Times exclude the queue of the gate.
+func (d *Detector) Observe(name string, now, latency time.Duration, failed bool) {
+	if s := d.servers[name]; s != nil {
+		s.window.add(sample{at: now, latency: latency, failed: failed})
+	}
+}
+
+// PeerDigest records the digest of a backend server of the service on another VM.
+func (d *Detector) PeerDigest(service string, digest Digest, now time.Duration) {
+	peers := d.peers[service]
+	if peers == nil {
+		peers = make(map[string]peer)
+		d.peers[service] = peers
+	}
+	peers[digest.Server] = peer{digest, now}
+}
+
+// Digest returns the summary of a local server for the gates of its peers.
+func (d *Detector) Digest(name string, now time.Duration) (Digest, bool) {
+	s := d.servers[name]
+	if s == nil {
+		return Digest{}, false
+	}
+	return s.digest(now), true
+}
+
+func (s *server) digest(now time.Duration) Digest {
+	samples := s.window.newest(now)
+	sorted := latencies(samples)
+	return Digest{
+		Server:  s.name,
+		Count:   len(samples),
+		Failed:  failures(samples),
+		P50:     quantile(sorted, 0.5),
+		P90:     quantile(sorted, 0.9),
+		Warming: s.warming,
+	}
+}
+
+// Evaluate judges all local servers and returns one verdict for each, sorted by name.
+func (d *Detector) Evaluate(now time.Duration) []Verdict {
+	d.dropOldDigests(now)
+	verdicts := make([]Verdict, 0, len(d.names))
+	for _, name := range d.names {
+		verdicts = append(verdicts, d.judge(d.servers[name], now))
+	}
+	return verdicts
+}
+
+func (d *Detector) judge(s *server, now time.Duration) Verdict {
+	v := Verdict{Server: s.name, Service: s.service}
+	own := s.digest(now)
+	peers := d.comparable(s, now)
+	if own.Count < d.cfg.MinSamples || len(peers) < d.cfg.MinPeers {
+		return v
+	}
+	v.grade(CauseFailing, d.failingScore(own, peers))
+	if !s.warming {
+		v.grade(CauseSlow, d.slowScore(own, peers))
+	}
+	return v
+}
+
+// grade raises the verdict to the score of a cause.
+func (v *Verdict) grade(cause Cause, score float64) {
+	const suspectScore = 0.5
+	if score <= v.Score || score < suspectScore {
+		return
+	}
+	v.Score, v.Cause, v.Health = score, cause, Suspect
+	if score >= 1 {
+		v.Health = Faulty
+	}
+}
+
+// comparable returns the digests that a server is judged by, sorted by name: those of its peers on other VMs and of
+// other local servers of the service.
+func (d *Detector) comparable(s *server, now time.Duration) []Digest {
+	var digests []Digest
+	for _, p := range d.peers[s.service] {
+		digests = append(digests, p.Digest)
+	}
+	for _, name := range d.names {
+		if o := d.servers[name]; o != s && o.service == s.service {
+			digests = append(digests, o.digest(now))
+		}
+	}
+	digests = slices.DeleteFunc(digests, func(p Digest) bool { return p.Warming || p.Count < d.cfg.MinSamples })
+	slices.SortFunc(digests, func(a, b Digest) int {
+		if a.Server < b.Server {
+			return -1
+		}
+		return 1
+	})
+	return digests
+}
+
+// slowScore compares medians on a logarithmic scale, on which latencies of a service are roughly symmetric.
+func (d *Detector) slowScore(own Digest, peers []Digest) float64 {
+	const leastDeviation = 0.15
+	if own.P50 <= 0 {
+		return 0
+	}
+	var logs []float64
+	for _, p := range peers {
+		if p.P50 > 0 {
+			logs = append(logs, math.Log(p.P50.Seconds()))
+		}
+	}
+	if len(logs) < d.cfg.MinPeers {
+		return 0
+	}
+	usual := robustSpread(logs)
+	mine := math.Log(own.P50.Seconds())
+	byFactor := (mine - usual.median) / math.Log(d.cfg.SlowFactor)
+	byDeviation := usual.above(mine, leastDeviation) / d.cfg.Deviations
+	return min(byFactor, byDeviation)
+}
+
+// failingScore compares failure ratios.
+func (d *Detector) failingScore(own Digest, peers []Digest) float64 {
+	const leastDeviation = 0.02
+	var ratios []float64
+	for _, p := range peers {
+		ratios = append(ratios, ratio(p.Failed, p.Count))
+	}
+	usual := robustSpread(ratios)
+	mine := ratio(own.Failed, own.Count)
+	byMargin := (mine - usual.median) / d.cfg.FailureMargin
+	byDeviation := usual.above(mine, leastDeviation) / d.cfg.Deviations
+	return min(byMargin, byDeviation)
+}
+
+func (d *Detector) dropOldDigests(now time.Duration) {
+	for _, peers := range d.peers {
+		for name, p := range peers {
+			if now-p.at > d.cfg.DigestAge {
+				delete(peers, name)
+			}
+		}
+	}
+}
+
+func ratio(part, whole int) float64 {
+	if whole == 0 {
+		return 0
+	}
+	return float64(part) / float64(whole)
+}
--- a/outlier/doc.go
+++ b/outlier/doc.go
@@ -1,2 +1,13 @@
 // Package outlier detects backend servers with gray failures and ejects them without passing the capacity floor.
+//
+// A gate runs one Detector, one Holder and one Ejector over the backend servers of its VM:
+//
+//	Detector  judges each backend server against its peers in the service
+//	Holder    holds the permits without which nothing is ejected
+//	Ejector   decides on ejection, probes, back-off and readmission
+//
+// The process that owns a service's shard runs an Arbiter for it, which grants permits against the floor.
+//
+// The package is pure: time and messages are arguments, and there are no clocks, sockets or goroutines. No type is safe
+// for concurrent use.
 package outlier
