--- /dev/null
+++ b/admission/gate.go
@@ -0,0 +1,241 @@
+package admission
+
+import "time"
+
+// Gate admits requests to one backend server.
+type Gate struct {
+	cfg      Config
+	state    State
+	instance string
+	ramp     ramp
+
+	lastTicket Ticket
+	running    map[Ticket]run
+	// inFlight counts the running requests for each level.
+	inFlight []int
+	waiting  map[Ticket]*waiter
+	// queues has one queue for each level; deeper calls are served first.
+	queues []*fairQueue
+	// expired holds waiters that were found past their time and are reported by the next Expire.
+	expired []Refusal
+}
+
+// run is an admitted request.
+type run struct {
+	level int
+	epoch uint32
+}
+
+// NewGate returns a Gate for a cold backend server.
+func NewGate(cfg Config) *Gate {
+	cfg = cfg.withDefaults()
+	g := &Gate{
+		cfg:      cfg,
+		ramp:     newRamp(cfg),
+		running:  make(map[Ticket]run),
+		waiting:  make(map[Ticket]*waiter),
+		inFlight: make([]int, cfg.NestedLevels+1),
+		queues:   make([]*fairQueue, cfg.NestedLevels+1),
+	}
+	for level := range g.queues {
+		g.queues[level] = newFairQueue()
+	}
+	return g
+}
+
+// Offer admits, queues or refuses a request.
+func (g *Gate) Offer(now time.Duration, r Request) Decision {
+	if reason := g.state.reason(); reason != ReasonNone {
+		return refuse(reason)
+	}
+	if r.Deadline != 0 && now >= r.Deadline {
+		return refuse(ReasonDeadline)
+	}
+	level := min(max(r.Depth, 0), g.cfg.NestedLevels)
+	if g.queues[level].size == 0 && g.free(level) {
+		ticket := g.newTicket()
+		g.start(ticket, level)
+		return Decision{Verdict: Admitted, Ticket: ticket}
+	}
+	// A call deeper than the reserved levels could wait on its own ancestors.
+	if r.Depth > g.cfg.NestedLevels {
+		return refuse(ReasonNested)
+	}
+	return g.enqueue(now, r, level)
+}
+
+// enqueue queues a request where its team's share and the queue have room.
+func (g *Gate) enqueue(now time.Duration, r Request, level int) Decision {
+	q := g.queues[level]
+	if q.teamSize(r.Team) >= g.cfg.teamLength() {
+		return refuse(ReasonTeamShare)
+	}
+	if q.size >= g.cfg.QueueLength {
+		return refuse(ReasonQueueFull)
+	}
+	w := &waiter{
+		ticket:   g.newTicket(),
+		team:     r.Team,
+		level:    level,
+		queuedAt: now,
+		expires:  now + g.cfg.MaxWait,
+		reason:   ReasonMaxWait,
+	}
+	if r.Deadline != 0 && r.Deadline < w.expires {
+		w.expires = r.Deadline
+		w.reason = ReasonDeadline
+	}
+	q.push(w)
+	g.waiting[w.ticket] = w
+	return Decision{Verdict: Queued, Ticket: w.ticket}
+}
+
+// Done ends an admitted request and returns the queued requests that start now. An unknown ticket changes nothing.
+func (g *Gate) Done(now time.Duration, ticket Ticket, latency time.Duration, result Result) []Grant {
+	r, ok := g.running[ticket]
+	if !ok {
+		return nil
+	}
+	delete(g.running, ticket)
+	g.inFlight[r.level]--
+	g.ramp.observe(r.epoch, latency, result)
+	return g.grant(now)
+}
+
+// Cancel ends a queued or admitted request whose caller left. An unknown ticket changes nothing.
+func (g *Gate) Cancel(now time.Duration, ticket Ticket) []Grant {
+	w, ok := g.waiting[ticket]
+	if !ok {
+		return g.Done(now, ticket, 0, Cancelled)
+	}
+	delete(g.waiting, ticket)
+	g.queues[w.level].remove(w)
+	return nil
+}
+
+// Expire returns the queued requests whose time has passed. Call it at NextExpiry or more often.
+func (g *Gate) Expire(now time.Duration) []Refusal {
+	refusals := g.expired
+	g.expired = nil
+	for _, q := range g.queues {
+		for _, w := range q.all() {
+			if now < w.expires {
+				continue
+			}
+			q.remove(w)
+			delete(g.waiting, w.ticket)
+			refusals = append(refusals, Refusal{Ticket: w.ticket, Reason: w.reason})
+		}
+	}
+	return refusals
+}
+
+// NextExpiry returns the time at which Expire has work, and false when it has none.
+func (g *Gate) NextExpiry() (time.Duration, bool) {
+	if len(g.expired) > 0 {
+		return 0, true
+	}
+	next, ok := time.Duration(0), false
+	for _, w := range g.waiting {
+		if !ok || w.expires < next {
+			next, ok = w.expires, true
+		}
+	}
+	return next, ok
+}
+
+// SetState changes whether the backend server takes work. Leaving Serving refuses every queued request. Returning from
+// Ejected or Lost starts the ramp again.
+func (g *Gate) SetState(_ time.Duration, state State) []Refusal {
+	previous := g.state
+	g.state = state
+	if state == Serving {
+		if previous == Ejected || previous == Lost {
+			g.ramp.reset(true)
+		}
+		return nil
+	}
+	refusals := g.expired
+	g.expired = nil
+	for level, q := range g.queues {
+		for _, w := range q.all() {
+			delete(g.waiting, w.ticket)
+			refusals = append(refusals, Refusal{Ticket: w.ticket, Reason: state.reason()})
+		}
+		g.queues[level] = newFairQueue()
+	}
+	return refusals
+}
+
+// SetInstance records the backend server's instance id. A new id is a cold start.
+func (g *Gate) SetInstance(instance string) {
+	if instance == g.instance {
+		return
+	}
+	g.instance = instance
+	g.ramp.reset(false)
+}
+
+// Load returns the current load.
+func (g *Gate) Load() Load {
+	return Load{
+		InFlight:  len(g.running),
+		Effective: g.ramp.effective,
+		Queued:    len(g.waiting),
+		Slots:     g.cfg.Slots,
+		State:     g.state,
+	}
+}
+
+// grant starts queued requests while slots are free, deeper calls first.
+func (g *Gate) grant(now time.Duration) []Grant {
+	var grants []Grant
+	for level := g.cfg.NestedLevels; level >= 0; level-- {
+		q := g.queues[level]
+		for q.size > 0 && g.free(level) {
+			w := q.pop()
+			delete(g.waiting, w.ticket)
+			if now >= w.expires {
+				g.expired = append(g.expired, Refusal{Ticket: w.ticket, Reason: w.reason})
+				continue
+			}
+			g.start(w.ticket, level)
+			grants = append(grants, Grant{Ticket: w.ticket, Wait: now - w.queuedAt})
+		}
+	}
+	return grants
+}
+
+func (g *Gate) start(ticket Ticket, level int) {
+	g.running[ticket] = run{level: level, epoch: g.ramp.epoch}
+	g.inFlight[level]++
+}
+
+// free reports whether a request of the level may start. Requests up to each level leave one slot for every deeper
+// reserved level, so a nested call never waits for its own ancestors.
+func (g *Gate) free(level int) bool {
+	inFlight := 0
+	for l, n := range g.inFlight {
+		inFlight += n
+		if l >= level && inFlight >= g.capacity(l) {
+			return false
+		}
+	}
+	return true
+}
+
+// capacity is the number of requests of the level and below that may run at once. New work always has one slot, else a
+// cold backend server would never warm up; the reserved slots come on top of it.
+func (g *Gate) capacity(level int) int {
+	newWork := max(g.ramp.effective-g.cfg.NestedLevels, 1)
+	return newWork + level
+}
+
+func (g *Gate) newTicket() Ticket {
+	g.lastTicket++
+	return g.lastTicket
+}
+
+func refuse(reason Reason) Decision {
+	return Decision{Verdict: Refused, Reason: reason}
+}
--- /dev/null
+++ b/idempotency/snapshot.go
@@ -0,0 +1,76 @@
+package idempotency
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// snapshotVersion is the format of snapshots.
+const snapshotVersion = 1
+
+type snapshot struct {
+	Version  int               `msgpack:"v"`
+	Applied  uint64            `msgpack:"i"`
+	Clock    time.Duration     `msgpack:"t"`
+	Records  []recordEntry     `msgpack:"r"`
+	Released []releasedClaimID `msgpack:"x"`
+}
+
+type recordEntry struct {
+	Key    Key    `msgpack:"k"`
+	Record record `msgpack:"r"`
+}
+
+type releasedClaimID struct {
+	ClaimID ClaimID       `msgpack:"c"`
+	Stamp   time.Duration `msgpack:"t"`
+}
+
+// Snapshot returns the state. Equal states give equal bytes.
+func (s *Store) Snapshot() ([]byte, error) {
+	snap := snapshot{Version: snapshotVersion, Applied: s.applied, Clock: s.clock}
+	for key, r := range s.records {
+		snap.Records = append(snap.Records, recordEntry{Key: key, Record: *r})
+	}
+	slices.SortFunc(snap.Records, func(a, b recordEntry) int { return compareKeys(a.Key, b.Key) })
+	for _, id := range slices.Sorted(maps.Keys(s.released)) {
+		snap.Released = append(snap.Released, releasedClaimID{ClaimID: id, Stamp: s.released[id]})
+	}
+	data, err := msgpack.Marshal(snap)
+	return data, errors.Wrap(err, "encode record snapshot")
+}
+
+// Restore replaces the state by a snapshot. On an error the state is unchanged.
+func (s *Store) Restore(data []byte) error {
+	var snap snapshot
+	if err := msgpack.Unmarshal(data, &snap); err != nil {
+		return errors.Wrap(err, "decode record snapshot")
+	}
+	if snap.Version != snapshotVersion {
+		return errors.Errorf("record snapshot has version %d, want %d", snap.Version, snapshotVersion)
+	}
+	restored := NewStore()
+	restored.applied = snap.Applied
+	restored.clock = snap.Clock
+	for i := range snap.Records {
+		restored.records[snap.Records[i].Key] = &snap.Records[i].Record
+	}
+	for _, r := range snap.Released {
+		restored.released[r.ClaimID] = r.Stamp
+	}
+	*s = *restored
+	return nil
+}
+
+func compareKeys(a, b Key) int {
+	return cmp.Or(
+		cmp.Compare(a.Team, b.Team),
+		cmp.Compare(a.Route, b.Route),
+		cmp.Compare(a.Key, b.Key),
+	)
+}
--- /dev/null
+++ b/quota/bucket.go
@@ -0,0 +1,59 @@
+package quota
+
+import "time"
+
+// holderKey identifies one life of a holder.
+type holderKey struct {
+	process     string
+	incarnation uint64
+}
+
+// account is what an owner knows of one holder of a team's tokens.
+type account struct {
+	// outstanding is at least the number of tokens that the holder can still spend.
+	outstanding int
+	// expires is when the holder can no longer spend them.
+	expires time.Duration
+	// reply answers a repeated request.
+	reply GrantReply
+}
+
+// bucket is the state of one active team at its owner.
+type bucket struct {
+	// level is the number of tokens that may be granted.
+	level float64
+	// outstanding is the sum over accounts.
+	outstanding int
+	refilled    time.Duration
+	// nextExpiry is no later than the earliest expiry of an account.
+	nextExpiry time.Duration
+	accounts   map[holderKey]*account
+}
+
+// refill adds the tokens of the time since the last call, at most up to burst - outstanding.
+func (b *bucket) refill(now time.Duration, rate float64, burst int) {
+	if now > b.refilled {
+		b.level += rate * (now - b.refilled).Seconds()
+		b.refilled = now
+	}
+	b.level = max(min(b.level, float64(burst-b.outstanding)), 0)
+}
+
+// expire forgets holders whose tokens can no longer be spent. Their tokens are lost; the room is refilled at the rate.
+func (b *bucket) expire(now time.Duration) {
+	if now < b.nextExpiry || len(b.accounts) == 0 {
+		return
+	}
+	first := true
+	for key, a := range b.accounts {
+		if now >= a.expires {
+			b.outstanding -= a.outstanding
+			delete(b.accounts, key)
+			continue
+		}
+		if first || a.expires < b.nextExpiry {
+			b.nextExpiry = a.expires
+			first = false
+		}
+	}
+}
--- /dev/null
+++ b/quota/config.go
@@ -0,0 +1,52 @@
+package quota
+
+import "time"
+
+// Defaults of Config.
+const (
+	DefaultLifetime = 500 * time.Millisecond
+	DefaultDrift    = 0.01
+	DefaultSpare    = 100 * time.Millisecond
+	DefaultResend   = 50 * time.Millisecond
+)
+
+// Config holds the settings of an Owner or a Holder. Zero values take the documented defaults. Lifetime and Drift must
+// be equal in the whole fleet.
+type Config struct {
+	// Process and Incarnation identify a Holder. A restarted process has a higher incarnation.
+	Process     string
+	Incarnation uint64
+	// Start is the time on the owner's clock since when no other process grants tokens for its teams. An Owner grants
+	// nothing before Start + Lifetime + margin.
+	Start time.Duration
+	// Lifetime is how long a holder may spend a grant after it asked for it. Default 500ms.
+	Lifetime time.Duration
+	// Drift is the largest relative error of a process's clock. Default 0.01. Owners refill that much slower, so that a
+	// fast clock grants no more than the rate.
+	Drift float64
+	// Spare is the time for which a holder keeps tokens at the observed demand. Default 100ms.
+	Spare time.Duration
+	// Resend is the time after which an unanswered request is sent again. Default 50ms.
+	Resend time.Duration
+}
+
+func (c Config) withDefaults() Config {
+	if c.Lifetime <= 0 {
+		c.Lifetime = DefaultLifetime
+	}
+	if c.Drift <= 0 {
+		c.Drift = DefaultDrift
+	}
+	if c.Spare <= 0 {
+		c.Spare = DefaultSpare
+	}
+	if c.Resend <= 0 {
+		c.Resend = DefaultResend
+	}
+	return c
+}
+
+// ownerLifetime is the lifetime on an owner's clock that covers Lifetime on any holder's clock.
+func (c Config) ownerLifetime() time.Duration {
+	return time.Duration(float64(c.Lifetime)*(1+c.Drift)/(1-c.Drift)) + time.Microsecond
+}
--- /dev/null
+++ b/quota/holder.go
@@ -0,0 +1,154 @@
+package quota
+
+import (
+	"time"
+)
+
+const (
+	// sweepInterval is the time between two looks at all active teams, which renew, return and resend.
+	sweepInterval = 25 * time.Millisecond
+	// idleDemand is the rate, in requests a second, below which a team without tokens is forgotten.
+	idleDemand = 0.1
+	// firstRoundTrip is the assumed time of an answer before one was measured.
+	firstRoundTrip = 5 * time.Millisecond
+)
+
+// Holder spends the tokens that this process was granted.
+type Holder struct {
+	cfg    Config
+	teams  map[string]*holding
+	lastID uint64
+	// low lists the teams that need a request before the next sweep.
+	low   []string
+	swept time.Duration
+	// roundTrip is a moving mean of the answer times.
+	roundTrip time.Duration
+}
+
+// holding is the state of one active team at a Holder.
+type holding struct {
+	tokens  int
+	expires time.Duration
+	demand  demand
+	// short counts the requests that found no token since the last grant request.
+	short int
+	// listed is true while the team is in Holder.low.
+	listed bool
+	// blockedUntil is when the owner expects to have tokens again.
+	blockedUntil time.Duration
+
+	// pending is the request in flight; ID 0 means none.
+	pending GrantRequest
+	asked   time.Duration
+	sent    time.Duration
+}
+
+// NewHolder returns a Holder without tokens.
+func NewHolder(cfg Config) *Holder {
+	return &Holder{
+		cfg:       cfg.withDefaults(),
+		teams:     make(map[string]*holding),
+		roundTrip: firstRoundTrip,
+	}
+}
+
+// Take spends one token for a new request. Where it has none, retryAfter is the time until a Retry is worthwhile: about
+// one round trip when a grant is on its way or may be asked for, else the owner's estimate.
+func (h *Holder) Take(now time.Duration, team string) (ok bool, retryAfter time.Duration) {
+	t := h.teams[team]
+	if t == nil {
+		t = &holding{demand: demand{updated: now}}
+		h.teams[team] = t
+	}
+	t.demand.add(now)
+	if h.spend(now, team, t) {
+		return true, 0
+	}
+	return false, h.miss(now, team, t)
+}
+
+// Retry spends one token for a request whose Take or Retry failed. It does not count as new demand. Call it for every
+// waiting request after Receive, and when retryAfter has passed.
+func (h *Holder) Retry(now time.Duration, team string) (ok bool, retryAfter time.Duration) {
+	t := h.teams[team]
+	if t == nil {
+		return h.Take(now, team)
+	}
+	if h.spend(now, team, t) {
+		return true, 0
+	}
+	if t.pending.ID != 0 {
+		return false, h.retryAfter(now, t)
+	}
+	return false, h.miss(now, team, t)
+}
+
+// miss counts a request without a token towards the next grant request, unless the owner has none for now.
+func (h *Holder) miss(now time.Duration, team string, t *holding) time.Duration {
+	if now >= t.blockedUntil {
+		t.short++
+		h.list(team, t)
+	}
+	return h.retryAfter(now, t)
+}
+
+func (h *Holder) spend(now time.Duration, team string, t *holding) bool {
+	t.expire(now)
+	if t.tokens == 0 {
+		return false
+	}
+	t.tokens--
+	if t.pending.ID == 0 && t.tokens < h.target(t)/2 {
+		h.list(team, t)
+	}
+	return true
+}
+
+func (h *Holder) retryAfter(now time.Duration, t *holding) time.Duration {
+	if wait := t.blockedUntil - now; wait > 0 {
+		return wait
+	}
+	if t.pending.ID == 0 {
+		return h.roundTrip
+	}
+	return max(t.sent+h.roundTrip-now, h.roundTrip/4)
+}
+
+// Poll returns the requests to send now. Call it after a Take that failed and at least every 25ms.
+func (h *Holder) Poll(now time.Duration) []GrantRequest {
+	var requests []GrantRequest
+	for _, team := range h.low {
+		t := h.teams[team]
+		if t == nil {
+			continue
+		}
+		t.listed = false
+		requests = h.ask(now, team, t, requests)
+	}
+	h.low = h.low[:0]
+	if now < h.swept+sweepInterval {
+		return requests
+	}
+	h.swept = now
+	return h.sweep(now, requests)
+}
+
+// list marks a team for the next Poll.
+func (h *Holder) list(team string, t *holding) {
+	if t.listed {
+		return
+	}
+	t.listed = true
+	h.low = append(h.low, team)
+}
+
+// target is the number of tokens to keep for the observed demand.
+func (h *Holder) target(t *holding) int {
+	return int(t.demand.perSecond*h.cfg.Spare.Seconds() + 0.5)
+}
+
+func (t *holding) expire(now time.Duration) {
+	if now >= t.expires {
+		t.tokens = 0
+	}
+}
