--- /dev/null
+++ b/node/directory.go
@@ -0,0 +1,75 @@
+package node
+
+import (
+	"sort"
+	"sync/atomic"
+	"time"
+
+	"rosemaryline.dev/membership"
+	"rosemaryline.dev/proxy"
+	"rosemaryline.dev/routing"
+)
+
+// directoryInterval is the time between two rebuilds of the directory from gossip.
+const directoryInterval = 100 * time.Millisecond
+
+// directory is an immutable table of the VMs that host each service, rebuilt from gossip.
+type directory struct {
+	clock proxy.Clock
+	table atomic.Pointer[map[string][]host]
+}
+
+// host is a VM with the time at which its figures were measured.
+type host struct {
+	proxy.Peer
+	measured time.Duration
+}
+
+func newDirectory(clock proxy.Clock) *directory {
+	d := &directory{clock: clock}
+	d.table.Store(&map[string][]host{})
+	return d
+}
+
+// Hosts returns the VMs that host a service.
+func (d *directory) Hosts(service string) []proxy.Peer {
+	hosts := (*d.table.Load())[service]
+	peers := make([]proxy.Peer, len(hosts))
+	now := d.clock()
+	for i, h := range hosts {
+		peers[i] = h.Peer
+		peers[i].Age = now - h.measured
+	}
+	return peers
+}
+
+// rebuild replaces the table.
+func (d *directory) rebuild(members []peerInfo) {
+	sort.Slice(members, func(i, j int) bool { return members[i].Name < members[j].Name })
+	table := map[string][]host{}
+	for i := range members {
+		for _, row := range members[i].meta.Rows {
+			table[row.Service] = append(table[row.Service], newHost(&members[i], row))
+		}
+	}
+	d.table.Store(&table)
+}
+
+func newHost(m *peerInfo, row membership.Row) host {
+	state, ok := routing.ParseState(row.State)
+	if !ok || m.Status == membership.StatusLeaving {
+		state = routing.StateDraining
+	}
+	return host{
+		Peer: proxy.Peer{
+			VM:       m.Name,
+			Domain:   m.Domain,
+			Address:  m.Address,
+			State:    state,
+			Slots:    row.Effective,
+			InFlight: row.InFlight,
+			Queued:   row.Queued,
+		},
+		measured: m.at - row.Age,
+	}
+}
--- /dev/null
+++ b/node/ejections.go
@@ -0,0 +1,356 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/phuslu/log"
+	"gopkg.in/tomb.v2"
+
+	"rosemaryline.dev/admission"
+	"rosemaryline.dev/fleet/state"
+	"rosemaryline.dev/membership"
+	"rosemaryline.dev/outlier"
+	"rosemaryline.dev/proxy"
+	"rosemaryline.dev/routing"
+	"rosemaryline.dev/rpc"
+)
+
+const (
+	methodPermit = "permit.request"
+	// evaluateInterval is the time between two evaluations of the backend servers.
+	evaluateInterval = 100 * time.Millisecond
+	// permitTimeout bounds one permit request. The holder asks again later.
+	permitTimeout = time.Second
+	// probeTimeout bounds a probe of a backend server.
+	probeTimeout = time.Second
+	// probePath is what a probe requests.
+	probePath = "/"
+)
+
+// ejections drives the detector and the ejection state machine of this VM, and the arbiters of the shards that this
+// process owns.
+type ejections struct {
+	vm      string
+	clock   proxy.Clock
+	fleet   *proxy.Fleet
+	gate    *proxy.Gate // set before start
+	client  *rpc.Client
+	gossip  *gossip
+	owners  owners
+	log     *log.Logger
+	tomb    *tomb.Tomb
+	probing *http.Client
+
+	mu       sync.Mutex // guards the fields below
+	detector *outlier.Detector
+	holder   *outlier.Holder
+	ejector  *outlier.Ejector
+	nextID   uint64
+	services map[string]string // service by backend server
+	arbiters map[string]*arbiter
+	seen     map[string]uint64 // metadata version by member
+}
+
+// arbiter is the permit arbiter of one service.
+type arbiter struct {
+	*outlier.Arbiter
+	shard int
+}
+
+func newEjections(vm string, run uint64, clock proxy.Clock, fleet *proxy.Fleet, client *rpc.Client, g *gossip, o owners, logger *log.Logger, t *tomb.Tomb) *ejections {
+	holder := outlier.NewHolder(vm, run)
+	return &ejections{
+		vm: vm, clock: clock, fleet: fleet, client: client, gossip: g, owners: o, log: logger, tomb: t,
+		probing:  &http.Client{Timeout: probeTimeout, Transport: &http.Transport{DisableKeepAlives: true}},
+		detector: outlier.NewDetector(outlier.Config{Interval: evaluateInterval}),
+		holder:   holder,
+		ejector:  outlier.NewEjector(outlier.EjectorConfig{}, holder),
+		services: map[string]string{},
+		arbiters: map[string]*arbiter{},
+		seen:     map[string]uint64{},
+	}
+}
+
+func (e *ejections) start() {
+	e.tomb.Go(func() error { return every(e.tomb, evaluateInterval, e.evaluate) })
+}
+
+// global names a backend server uniquely in the fleet.
+func (e *ejections) global(name string) string { return e.vm + "/" + name }
+
+// Added implements proxy.Observer.
+func (e *ejections) Added(name, service string, slots int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.services[name] = service
+	e.detector.AddServer(e.global(name), service, true)
+	e.ejector.AddServer(e.global(name), service, slots, e.clock())
+}
+
+// Removed implements proxy.Observer.
+func (e *ejections) Removed(name string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	delete(e.services, name)
+	e.detector.RemoveServer(e.global(name))
+	e.ejector.RemoveServer(e.global(name))
+}
+
+// Begin implements proxy.Observer.
+func (e *ejections) Begin(name string) func(result admission.Result) {
+	server := e.global(name)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.nextID++
+	id := e.nextID
+	e.detector.Start(server, id, e.clock())
+	return func(result admission.Result) {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		switch result {
+		case admission.Succeeded:
+			e.detector.Finish(server, id, e.clock(), false)
+		case admission.Failed:
+			e.detector.Finish(server, id, e.clock(), true)
+		default:
+			// A request that was shed or given up tells nothing about a fault.
+			e.detector.Cancel(server, id)
+		}
+	}
+}
+
+// evaluate judges the backend servers, acts on the verdicts and asks for permits.
+func (e *ejections) evaluate() {
+	e.takeDigests()
+	warming := e.gate.Warming()
+	now := e.clock()
+	e.mu.Lock()
+	for name, w := range warming {
+		e.detector.SetWarming(e.global(name), w)
+	}
+	actions := e.ejector.Step(now, e.detector.Evaluate(now))
+	requests := e.holder.Poll(now)
+	ejected := map[string]bool{}
+	for name := range e.services {
+		ejected[name] = e.ejector.Ejected(e.global(name), now)
+	}
+	e.mu.Unlock()
+	for name, out := range ejected {
+		e.gate.SetEjected(name, out)
+	}
+	for _, a := range actions {
+		e.act(a)
+	}
+	for _, r := range requests {
+		e.ask(r)
+	}
+}
+
+func (e *ejections) act(a outlier.Action) {
+	switch a.Kind {
+	case outlier.ActionEject:
+		e.log.Warn().Str("server", a.Server).Str("service", a.Service).Str("cause", string(a.Cause)).
+			Dur("backoff", a.Backoff).Msg("outlier: ejected backend server.")
+	case outlier.ActionReadmit:
+		e.log.Info().Str("server", a.Server).Str("service", a.Service).Str("reason", a.Reason).
+			Msg("outlier: readmitted backend server.")
+	case outlier.ActionProbe:
+		e.tomb.Go(func() error {
+			e.probe(a.Server)
+			return nil
+		})
+	}
+}
+
+// probe sends one request to a backend server, outside its slots.
+func (e *ejections) probe(server string) {
+	name := server[len(e.vm)+1:]
+	address, ok := e.gate.Address(name)
+	if !ok {
+		return
+	}
+	began := e.clock()
+	ok = e.sendProbe(address)
+	now := e.clock()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.detector.Observe(server, now, now-began, !ok)
+	e.ejector.ProbeResult(server, ok && e.detector.UsualLatency(server, now, now-began), now)
+}
+
+func (e *ejections) sendProbe(address string) bool {
+	ctx, cancel := context.WithTimeout(e.tomb.Context(context.Background()), probeTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+probePath, nil)
+	if err != nil {
+		return false
+	}
+	resp, err := e.probing.Do(req)
+	if err != nil {
+		return false
+	}
+	resp.Body.Close()
+	return resp.StatusCode < http.StatusInternalServerError
+}
+
+// ask sends a permit request to the arbiter, which may be in this process.
+func (e *ejections) ask(r outlier.PermitRequest) {
+	if since, ok := e.owners.owns(state.ShardOf(r.Service)); ok {
+		e.receive(e.decide(r, since))
+		return
+	}
+	e.tomb.Go(func() error {
+		address, ok := e.owners.ownerOf(r.Service)
+		if !ok {
+			return nil
+		}
+		ctx, cancel := context.WithTimeout(e.tomb.Context(context.Background()), permitTimeout)
+		defer cancel()
+		var reply outlier.PermitReply
+		// Without an answer the holder asks again; without a permit nothing is ejected.
+		if err := e.client.Call(ctx, address, methodPermit, r, &reply); err == nil {
+			e.receive(reply)
+		}
+		return nil
+	})
+}
+
+func (e *ejections) receive(reply outlier.PermitReply) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !reply.Granted {
+		e.log.Info().Str("server", reply.Server).Str("reason", string(reply.Reason)).Msg("outlier: permit refused.")
+	}
+	e.holder.Receive(e.clock(), reply)
+}
+
+// servePermit answers a peer's request where this process owns the service's shard.
+func (e *ejections) servePermit(_ context.Context, _ string, r outlier.PermitRequest) (outlier.PermitReply, error) {
+	since, ok := e.owners.owns(state.ShardOf(r.Service))
+	if !ok {
+		return outlier.PermitReply{}, &rpc.RemoteError{Code: rpc.CodeUnavailable, Message: "not the arbiter of service " + r.Service}
+	}
+	return e.decide(r, since), nil
+}
+
+func (e *ejections) decide(r outlier.PermitRequest, since time.Duration) outlier.PermitReply {
+	settings, _ := e.fleet.Service(r.Service)
+	rows := e.capacity(r.Service)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	a, ok := e.arbiters[r.Service]
+	if !ok {
+		cfg := outlier.ArbiterConfig{Service: r.Service, Start: since}
+		a = &arbiter{Arbiter: outlier.NewArbiter(cfg), shard: state.ShardOf(r.Service)}
+		e.arbiters[r.Service] = a
+	}
+	a.SetFloor(settings.FloorPercent)
+	a.SetCapacity(rows)
+	return a.Request(e.clock(), r)
+}
+
+// capacity returns what all VMs announced for a service.
+func (e *ejections) capacity(service string) []outlier.Capacity {
+	var rows []outlier.Capacity
+	for _, m := range e.gossip.list() {
+		for _, row := range m.meta.Rows {
+			if row.Service != service {
+				continue
+			}
+			c := outlier.Capacity{VM: m.Name, Slots: row.Slots, Out: row.Out}
+			if m.Status != membership.StatusAlive || e.fleet.DomainOut(m.Domain) {
+				c.Out = row.Slots
+			}
+			rows = append(rows, c)
+		}
+	}
+	return rows
+}
+
+// dropArbiters forgets the arbiters of shards that this process lost.
+func (e *ejections) dropArbiters() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for service, a := range e.arbiters {
+		if _, ok := e.owners.owns(a.shard); !ok {
+			delete(e.arbiters, service)
+		}
+	}
+}
+
+// takeDigests passes new digests of other gates to the detector.
+func (e *ejections) takeDigests() {
+	members := e.gossip.list()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, m := range members {
+		if m.Name == e.vm || e.seen[m.Name] == m.MetaVersion {
+			continue
+		}
+		e.seen[m.Name] = m.MetaVersion
+		for _, row := range m.meta.Rows {
+			e.takeRow(row)
+		}
+	}
+}
+
+func (e *ejections) takeRow(row membership.Row) {
+	var digests []outlier.Digest
+	if len(row.Digest) == 0 || json.Unmarshal(row.Digest, &digests) != nil {
+		return
+	}
+	for _, d := range digests {
+		e.detector.PeerDigest(row.Service, d, e.clock())
+	}
+}
+
+// rows returns the metadata rows of this VM.
+func (e *ejections) rows() []membership.Row {
+	var rows []membership.Row
+	for _, s := range e.gate.Summary() {
+		rows = append(rows, membership.Row{
+			Service:   s.Service,
+			Slots:     s.Slots,
+			Out:       s.Out,
+			Effective: float64(s.Load.Slots),
+			State:     rowState(s).String(),
+			InFlight:  float64(s.Load.InFlight),
+			Queued:    float64(s.Load.Queued),
+			Digest:    e.digests(s.Servers),
+		})
+	}
+	return rows
+}
+
+func rowState(s proxy.ServiceSummary) routing.State {
+	switch {
+	case s.Serving > 0:
+		return routing.StateServing
+	case s.Draining > 0:
+		return routing.StateDraining
+	case s.Ejected > 0:
+		return routing.StateEjected
+	default:
+		return routing.StateLapsed
+	}
+}
+
+func (e *ejections) digests(names []string) json.RawMessage {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	var digests []outlier.Digest
+	for _, name := range names {
+		if d, ok := e.detector.Digest(e.global(name), e.clock()); ok && d.Count > 0 {
+			digests = append(digests, d)
+		}
+	}
+	data, err := json.Marshal(digests)
+	if err != nil {
+		return nil
+	}
+	return data
+}
--- /dev/null
+++ b/node/gossip.go
@@ -0,0 +1,255 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/phuslu/log"
+	"gopkg.in/tomb.v2"
+
+	"rosemaryline.dev/membership"
+	"rosemaryline.dev/proxy"
+	"rosemaryline.dev/raft"
+	"rosemaryline.dev/rpc"
+)
+
+const (
+	methodGossip = "gossip.packet"
+	// gossipTick is the time between two calls of membership.Node.Tick.
+	gossipTick = 25 * time.Millisecond
+	// gossipWorkers is the number of packets that are sent at once; a packet to a dead address occupies one.
+	gossipWorkers = 16
+	// gossipQueue bounds the packets that wait for a worker; more are dropped, as a network would.
+	gossipQueue = 1024
+	// gossipSendTimeout bounds sending one packet.
+	gossipSendTimeout = 500 * time.Millisecond
+)
+
+// metadata is what this process gossips about itself.
+type metadata struct {
+	membership.Metadata
+	// Control and Records are this process's member ids in the two groups; 0 without the control role.
+	Control raft.ID `json:"control,omitempty"`
+	Records raft.ID `json:"records,omitempty"`
+	// Admin is the admin listener's address; only processes with the control role tell it.
+	Admin string `json:"admin,omitempty"`
+}
+
+// envelope carries a packet and the address at which its sender takes packets.
+type envelope struct {
+	From   string            `json:"from"`
+	Packet membership.Packet `json:"packet"`
+}
+
+// gossip drives a membership.Node.
+type gossip struct {
+	clock  proxy.Clock
+	client *rpc.Client
+	log    *log.Logger
+	queue  chan membership.Outgoing
+
+	mu      sync.Mutex // guards the fields below
+	node    *membership.Node
+	members map[string]peerInfo
+}
+
+// peerInfo is a member with its decoded metadata.
+type peerInfo struct {
+	membership.Member
+	meta metadata
+	// at is when the metadata was received.
+	at time.Duration
+}
+
+func newGossip(self membership.Member, clock proxy.Clock, client *rpc.Client, logger *log.Logger) *gossip {
+	rnd := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	return &gossip{
+		clock:   clock,
+		client:  client,
+		log:     logger,
+		queue:   make(chan membership.Outgoing, gossipQueue),
+		node:    membership.New(self, membership.Config{}, rnd),
+		members: map[string]peerInfo{},
+	}
+}
+
+// start runs the ticker and the senders until the tomb dies.
+func (g *gossip) start(t *tomb.Tomb, join []string) {
+	g.mu.Lock()
+	g.send(g.node.Join(g.clock(), join))
+	g.mu.Unlock()
+	t.Go(func() error { return every(t, gossipTick, g.tick) })
+	for range gossipWorkers {
+		t.Go(func() error { return g.sendLoop(t) })
+	}
+}
+
+func (g *gossip) tick() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.send(g.node.Tick(g.clock()))
+	g.takeEvents()
+}
+
+// receive handles a packet of a peer.
+func (g *gossip) receive(_ context.Context, _ string, e envelope) (struct{}, error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.send(g.node.Receive(g.clock(), e.From, e.Packet))
+	g.takeEvents()
+	return struct{}{}, nil
+}
+
+// send queues packets. The caller holds mu.
+func (g *gossip) send(out []membership.Outgoing) {
+	for _, o := range out {
+		select {
+		case g.queue <- o:
+		default:
+		}
+	}
+}
+
+func (g *gossip) sendLoop(t *tomb.Tomb) error {
+	self := g.self().Address
+	for {
+		select {
+		case o := <-g.queue:
+			ctx, cancel := context.WithTimeout(context.Background(), gossipSendTimeout)
+			// Delivery is best effort; the membership module notices the missing answer.
+			_ = g.client.Notify(ctx, o.To, methodGossip, envelope{From: self, Packet: o.Packet})
+			cancel()
+		case <-t.Dying():
+			return nil
+		}
+	}
+}
+
+func (g *gossip) self() membership.Member {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.node.Self()
+}
+
+// takeEvents updates the table of members. The caller holds mu.
+func (g *gossip) takeEvents() {
+	for _, e := range g.node.Events() {
+		if e.Kind == membership.EventRemoved {
+			delete(g.members, e.Member.Name)
+			continue
+		}
+		if e.Kind != membership.EventMeta {
+			g.log.Info().Str("member", e.Member.Name).Str("address", e.Member.Address).
+				Str("status", e.Member.Status.String()).Uint64("incarnation", e.Member.Incarnation).
+				Msg("membership: member changed.")
+		}
+		g.update(e.Member)
+	}
+}
+
+// update takes over a member. Metadata that cannot be decoded leaves the former rows in use. The caller holds mu.
+func (g *gossip) update(m membership.Member) {
+	info := g.members[m.Name]
+	changed := info.MetaVersion != m.MetaVersion || info.Incarnation != m.Incarnation
+	info.Member = m
+	if changed {
+		var meta metadata
+		if err := json.Unmarshal(m.Meta, &meta); err == nil {
+			info.meta = meta
+			info.at = g.clock()
+		}
+	}
+	g.members[m.Name] = info
+}
+
+// list returns the other members that are not dead, and this process.
+func (g *gossip) list() []peerInfo {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var all []peerInfo
+	for _, m := range g.members {
+		if m.Status != membership.StatusDead {
+			all = append(all, m)
+		}
+	}
+	return all
+}
+
+// member returns one member by name.
+func (g *gossip) member(name string) (peerInfo, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	m, ok := g.members[name]
+	return m, ok
+}
+
+// setMeta replaces the own metadata.
+func (g *gossip) setMeta(meta metadata) error {
+	data, err := json.Marshal(meta)
+	if err != nil {
+		return err
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.node.SetMeta(data)
+	return nil
+}
+
+// setRoster passes on the roster of the fleet state.
+func (g *gossip) setRoster(entries []membership.RosterEntry) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.node.SetRoster(entries)
+}
+
+// setVersion tells which version this process runs.
+func (g *gossip) setVersion(version uint64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.node.SetConfigVersion(version, g.clock())
+}
+
+// observeBeat takes over a beat from an answer of control to a question sent at asked.
+func (g *gossip) observeBeat(b membership.Beat, asked time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.node.ObserveBeat(b, asked, g.clock())
+}
+
+// denial tells why this process may not admit requests on open routes while it runs version.
+func (g *gossip) denial(version uint64) membership.Denial {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.node.Denial(g.clock(), version)
+}
+
+// latestVersion returns the highest version that this process knows to exist.
+func (g *gossip) latestVersion() uint64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.node.LatestVersion()
+}
+
+// leave tells the peers that this process stops.
+func (g *gossip) leave() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.send(g.node.Leave(g.clock()))
+}
+
+// every calls f at an interval until the tomb dies.
+func every(t *tomb.Tomb, interval time.Duration, f func()) error {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			f()
+		case <-t.Dying():
+			return nil
+		}
+	}
+}
--- /dev/null
+++ b/node/shards.go
@@ -0,0 +1,73 @@
+package node
+
+import (
+	"sync"
+	"time"
+
+	"rosemaryline.dev/fleet/state"
+	"rosemaryline.dev/proxy"
+)
+
+// handoverWait is the time after which a former owner of a shard has certainly stopped: it applied the version that
+// names the new owner or lost its right to act. It is the time of the in-force rule with some reserve.
+const handoverWait = 6 * time.Second
+
+// shards tells who owns each shard.
+type shards struct {
+	vm    string
+	clock proxy.Clock
+	fleet *proxy.Fleet
+	// mayAct tells whether this process has the right to act for the fleet.
+	mayAct func() bool
+
+	mu     sync.Mutex // guards the fields below
+	known  bool
+	owners [state.Shards]string
+	since  [state.Shards]time.Duration
+}
+
+func newShards(vm string, clock proxy.Clock, fleet *proxy.Fleet, mayAct func() bool) *shards {
+	return &shards{vm: vm, clock: clock, fleet: fleet, mayAct: mayAct}
+}
+
+// update takes over the owners of the fleet state. A shard that had no owner before can be used at once; for any other
+// one, and for all that this process finds at its start, the former owner may still be acting.
+func (s *shards) update() {
+	var owners [state.Shards]string
+	s.fleet.Read(func(st *state.State) { owners = st.ShardOwners() })
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.clock()
+	for i, owner := range owners {
+		if owner == s.owners[i] {
+			continue
+		}
+		s.since[i] = now + handoverWait
+		if s.known && s.owners[i] == "" {
+			s.since[i] = now
+		}
+	}
+	s.owners = owners
+	s.known = s.known || s.fleet.Version() > 0
+}
+
+// owns implements owners.
+func (s *shards) owns(shard int) (since time.Duration, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.owners[shard] != s.vm || !s.mayAct() {
+		return 0, false
+	}
+	return s.since[shard], true
+}
+
+// ownerOf implements owners.
+func (s *shards) ownerOf(name string) (address string, ok bool) {
+	shard := state.ShardOf(name)
+	s.fleet.Read(func(st *state.State) {
+		var p state.Process
+		p, ok = st.Process(st.ShardOwner(shard))
+		address = p.Address
+	})
+	return address, ok
+}
--- a/proxy/gate.go
+++ b/proxy/gate.go
@@ -25,16 +25,20 @@
 type Claim interface {
 	// Release reports that the request did not run.
 	Release()
-	// Keep returns an answer that records resp while it is read.
-	Keep(resp *Response) *Response
+	// Keep records the answer and returns it in a form that can still be read. Errors are of type *Refusal.
+	Keep(resp *Response) (*Response, error)
+	// Lose reports that the request may have run and that its answer is lost.
+	Lose()
 }
 
 // Observer learns how backend servers behave.
 type Observer interface {
+	// Added is called for a new backend server and for each new instance of it.
+	Added(name, service string, slots int)
+	// Removed is called when a backend server is gone.
+	Removed(name string)
 	// Begin is called when a request is sent. The returned function is called once with its result.
-	Begin(service, server string) func(latency time.Duration, result admission.Result)
-	// Forget drops a backend server that is gone.
-	Forget(server string)
+	Begin(name string) func(result admission.Result)
 }
 
 // GateOptions are the settings and collaborators of a Gate.
@@ -95,7 +99,9 @@
 		g.opts.Log.Info().Str("server", a.Name).Str("service", a.Service).Str("instance", a.Instance).
 			Msg("gate: backend server announced.")
 	}
-	s.update(a)
+	if s.update(a) {
+		g.opts.Observer.Added(s.name, s.service, s.slots)
+	}
 	return nil
 }
 
@@ -109,7 +115,7 @@
 		return
 	}
 	s.remove()
-	g.opts.Observer.Forget(name)
+	g.opts.Observer.Removed(name)
 	g.opts.Log.Info().Str("server", name).Str("service", s.service).Msg("gate: backend server withdrawn.")
 }
 
--- a/proxy/run.go
+++ b/proxy/run.go
@@ -23,10 +23,12 @@
 	}
 	resp, err := g.send(ctx, req, held)
 	if err == nil {
-		return claim.Keep(resp), nil
+		return claim.Keep(resp)
 	}
 	if asRefusal(err).Outcome == OutcomeNotRun {
 		claim.Release()
+	} else {
+		claim.Lose()
 	}
 	return nil, err
 }
@@ -36,7 +38,7 @@
 	ctx, cancel := g.runContext(ctx, req)
 	timer := time.AfterFunc(time.Until(req.Deadline), cancel)
 	untrack := g.track(req)
-	observe := g.opts.Observer.Begin(req.Service, held.server.name)
+	observe := g.opts.Observer.Begin(held.server.name)
 	began := g.opts.Clock()
 	resp, err := g.roundTrip(ctx, req, held)
 	latency := g.opts.Clock() - began
@@ -45,12 +47,12 @@
 		cancel()
 		untrack()
 		result := failureResult(err, inTime, ctx)
-		observe(latency, result)
+		observe(result)
 		held.release(latency, result)
 		return nil, sendRefusal(err, inTime)
 	}
 	result := statusResult(resp.StatusCode)
-	observe(latency, result)
+	observe(result)
 	release := func(whole bool) {
 		untrack()
 		if !whole {
--- a/proxy/server.go
+++ b/proxy/server.go
@@ -75,11 +75,12 @@
 	return cfg
 }
 
-// update takes over an announcement or its renewal.
-func (s *server) update(a Announcement) {
+// update takes over an announcement or its renewal. It tells whether the instance is new.
+func (s *server) update(a Announcement) (fresh bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if a.Instance != s.instance {
+	fresh = a.Instance != s.instance
+	if fresh {
 		s.instance = a.Instance
 		s.gate.SetInstance(a.Instance)
 	}
@@ -88,6 +89,7 @@
 	s.lost = false
 	s.lapsesAt = s.clock() + announcementTTL
 	s.applyState()
+	return fresh
 }
 
 // expire marks the backend server as lost when its announcement lapsed.
--- a/rpc/client.go
+++ b/rpc/client.go
@@ -17,15 +17,22 @@
 type Client struct {
 	tls *tls.Config
 
-	mu    sync.Mutex // guards peers; never held while connecting
+	mu    sync.Mutex // guards the fields below and all peers; never held while connecting
 	peers map[string]*peer
 	tick  uint64
 }
 
+// peer is the connection to one address, or the attempt to open it that concurrent calls share.
 type peer struct {
-	dial sync.Mutex // held while connecting, so that concurrent calls share one attempt
+	conn    *jsonrpc2.Conn
+	attempt *attempt
+	used    uint64
+}
+
+type attempt struct {
+	done chan struct{} // closed when conn or err is set
 	conn *jsonrpc2.Conn
-	used uint64
+	err  error
 }
 
 // NewClient returns a Client. tlsConfig is nil for plain connections.
@@ -73,56 +80,68 @@
 }
 
 func (c *Client) connect(ctx context.Context, address string) (*jsonrpc2.Conn, error) {
-	p, conn := c.lookup(address)
+	conn, pending := c.lookup(address)
 	if conn != nil {
 		return conn, nil
 	}
-	p.dial.Lock()
-	defer p.dial.Unlock()
-	if _, conn := c.lookup(address); conn != nil {
-		return conn, nil
-	}
-	conn, err := dial(ctx, address, c.tls)
-	if err != nil {
-		return nil, err
+	select {
+	case <-pending.done:
+		return pending.conn, pending.err
+	case <-ctx.Done():
+		return nil, ctx.Err()
 	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	p.conn = conn
-	c.peers[address] = p
-	c.evict()
-	return conn, nil
 }
 
-// lookup returns the peer's entry and its connection, which is nil where none is open.
-func (c *Client) lookup(address string) (*peer, *jsonrpc2.Conn) {
+// lookup returns the open connection, or the attempt to open one, which it starts where none runs.
+func (c *Client) lookup(address string) (*jsonrpc2.Conn, *attempt) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	p, ok := c.peers[address]
 	if !ok {
 		p = &peer{}
 		c.peers[address] = p
+		c.evict(address)
 	}
 	c.tick++
 	p.used = c.tick
-	if p.conn == nil {
-		return p, nil
+	if p.conn != nil && connected(p.conn) {
+		return p.conn, nil
+	}
+	p.conn = nil
+	if p.attempt == nil {
+		p.attempt = &attempt{done: make(chan struct{})}
+		go c.open(address, p, p.attempt)
+	}
+	return nil, p.attempt
+}
+
+// open runs one attempt to connect.
+func (c *Client) open(address string, p *peer, a *attempt) {
+	a.conn, a.err = dial(address, c.tls)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p.attempt = nil
+	if a.err == nil && c.peers[address] == p {
+		p.conn = a.conn
 	}
+	close(a.done)
+}
+
+func connected(conn *jsonrpc2.Conn) bool {
 	select {
-	case <-p.conn.DisconnectNotify():
-		p.conn = nil
-		return p, nil
+	case <-conn.DisconnectNotify():
+		return false
 	default:
-		return p, p.conn
+		return true
 	}
 }
 
-// evict closes the least recently used connections above maxIdlePeers.
-func (c *Client) evict() {
+// evict closes the least recently used connections above maxIdlePeers, except the one to keep.
+func (c *Client) evict(keep string) {
 	for len(c.peers) > maxIdlePeers {
 		oldest := ""
 		for address, p := range c.peers {
-			if oldest == "" || p.used < c.peers[oldest].used {
+			if address != keep && (oldest == "" || p.used < c.peers[oldest].used) {
 				oldest = address
 			}
 		}
@@ -134,10 +153,8 @@
 }
 
 func (c *Client) dropClosed(address string, conn *jsonrpc2.Conn) {
-	select {
-	case <-conn.DisconnectNotify():
+	if !connected(conn) {
 		c.drop(address, conn)
-	default:
 	}
 }
 
@@ -150,8 +167,8 @@
 	}
 }
 
-func dial(ctx context.Context, address string, tlsConfig *tls.Config) (*jsonrpc2.Conn, error) {
-	ctx, cancel := context.WithTimeout(ctx, handshakeTimeout)
+func dial(address string, tlsConfig *tls.Config) (*jsonrpc2.Conn, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), handshakeTimeout)
 	defer cancel()
 	conn, err := dialConn(ctx, address, tlsConfig)
 	if err != nil {
