--- a/routing/path.go
+++ b/routing/path.go
@@ -11,6 +11,8 @@
 	pathErrorWeight = 0.4
 	// pathSuccessWeight is the share by which one good exchange moves the penalty towards 0.
 	pathSuccessWeight = 0.3
+	// slowPenalty is the penalty that a path with only slow exchanges reaches.
+	slowPenalty = 0.6
 	// pathHalfLife is the time in which a penalty halves without traffic, so that a path is tried again.
 	pathHalfLife = 5 * time.Second
 	// pathSlowFactor is the ratio to the usual path time from which an exchange counts as slow.
@@ -19,6 +21,9 @@
 	pathSlowMin = 20 * time.Millisecond
 	// pathUsualWeight is the weight of one exchange in the usual path time.
 	pathUsualWeight = 0.05
+	// pathUsualSlowWeight is the weight of a slow exchange. With the full weight, six slow exchanges in a row become
+	// the usual time and the fault is not seen any more.
+	pathUsualSlowWeight = 0.002
 )
 
 // PathHealth is an entry's own view of the paths to other VMs. A path fault lowers the rank of a VM for this entry
@@ -42,17 +47,13 @@
 func (h *PathHealth) Success(vm string, now, pathTime time.Duration) {
 	p := h.get(vm)
 	p.decay(now)
-	seconds := pathTime.Seconds()
 	if p.slow(pathTime) {
-		p.penalty += (0.5 - p.penalty) * pathSuccessWeight
-	} else {
-		p.penalty -= p.penalty * pathSuccessWeight
-	}
-	if p.usual == 0 {
-		p.usual = seconds
+		p.penalty += (slowPenalty - p.penalty) * pathSuccessWeight
+		p.learn(pathTime, pathUsualSlowWeight)
 		return
 	}
-	p.usual += (seconds - p.usual) * pathUsualWeight
+	p.penalty -= p.penalty * pathSuccessWeight
+	p.learn(pathTime, pathUsualWeight)
 }
 
 // Failure records an exchange that the path broke: a failed connection, a connection lost without an answer, or an
@@ -95,6 +96,14 @@
 	p.at = now
 }
 
+func (p *path) learn(pathTime time.Duration, weight float64) {
+	if p.usual == 0 {
+		p.usual = pathTime.Seconds()
+		return
+	}
+	p.usual += (pathTime.Seconds() - p.usual) * weight
+}
+
 func (p *path) slow(pathTime time.Duration) bool {
 	return p.usual > 0 && pathTime >= pathSlowMin && pathTime.Seconds() > pathSlowFactor*p.usual
 }
--- a/routing/policy_two_choices.go
+++ b/routing/policy_two_choices.go
@@ -9,17 +9,27 @@
 
 var tierReasons = [...]Reason{ReasonOwnVM, ReasonOwnDomain, ReasonOwnRegion, ReasonFarRegion}
 
-// Choose implements Policy.
+// Choose implements Policy in one pass over the candidates.
 func (TwoChoices) Choose(cands []Candidate, local Local, exclude map[string]bool, rnd *rand.Rand) (int, Reason) {
-	for t, reason := range tierReasons {
-		inTier := func(c *Candidate) bool { return tier(c, &local) == t }
-		if i := betterOfTwo(cands, exclude, rnd, inTier); i >= 0 && hasRoom(&cands[i]) {
-			return i, reason
+	var withRoom [len(tierReasons)]pair
+	var all pair
+	for i := range cands {
+		c := &cands[i]
+		if !eligible(c, exclude) {
+			continue
+		}
+		all.sample(i, rnd)
+		if hasRoom(c) {
+			withRoom[tier(c, &local)].sample(i, rnd)
 		}
 	}
-	all := func(*Candidate) bool { return true }
-	if i := betterOfTwo(cands, exclude, rnd, all); i >= 0 {
-		return i, ReasonLeastLoaded
+	for t := range withRoom {
+		if withRoom[t].seen > 0 {
+			return withRoom[t].better(cands, rnd), tierReasons[t]
+		}
+	}
+	if all.seen > 0 {
+		return all.better(cands, rnd), ReasonLeastLoaded
 	}
 	return -1, ReasonNone
 }
@@ -37,37 +47,37 @@
 	return 3
 }
 
-// betterOfTwo samples two different candidates evenly in one pass and returns the one with the lower rank, or -1.
-func betterOfTwo(cands []Candidate, exclude map[string]bool, rnd *rand.Rand, accept func(*Candidate) bool) int {
-	first, second, seen := -1, -1, 0
-	for i := range cands {
-		if !eligible(&cands[i], exclude) || !accept(&cands[i]) {
-			continue
-		}
-		seen++
-		switch {
-		case first < 0:
-			first = i
-		case second < 0:
-			second = i
-		default:
-			if j := rnd.IntN(seen); j == 0 {
-				first = i
-			} else if j == 1 {
-				second = i
-			}
+// pair is an even random sample of up to two different candidates of a stream.
+type pair struct {
+	first, second int
+	seen          int
+}
+
+func (p *pair) sample(i int, rnd *rand.Rand) {
+	p.seen++
+	switch p.seen {
+	case 1:
+		p.first = i
+	case 2:
+		p.second = i
+	default:
+		switch rnd.IntN(p.seen) {
+		case 0:
+			p.first = i
+		case 1:
+			p.second = i
 		}
 	}
-	if second >= 0 && better(&cands[second], &cands[first], rnd) {
-		return second
-	}
-	return first
 }
 
-func better(a, b *Candidate, rnd *rand.Rand) bool {
-	ra, rb := rank(a), rank(b)
-	if ra == rb {
-		return rnd.IntN(2) == 0
+// better returns the index with the lower rank; equal ranks are decided at random.
+func (p *pair) better(cands []Candidate, rnd *rand.Rand) int {
+	if p.seen == 1 {
+		return p.first
+	}
+	a, b := rank(&cands[p.first]), rank(&cands[p.second])
+	if b < a || a == b && rnd.IntN(2) == 1 {
+		return p.second
 	}
-	return ra < rb
+	return p.first
 }
--- /dev/null
+++ b/routing/retry_test.go
@@ -0,0 +1,58 @@
+package routing
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+// Guards against a second run of a request that may not be repeated.
+func TestMayRetry(t *testing.T) {
+	cases := []struct {
+		desc    string
+		attempt Attempt
+		want    bool
+	}{
+		{"not run", Attempt{Outcome: OutcomeNotRun}, true},
+		{"unknown, not repeatable", Attempt{Outcome: OutcomeUnknown}, false},
+		{"unknown, repeatable", Attempt{Outcome: OutcomeUnknown, Repeatable: true}, true},
+		{"answered", Attempt{Outcome: OutcomeAnswered, Repeatable: true}, false},
+		{"answer begun", Attempt{Outcome: OutcomeUnknown, Repeatable: true, Streaming: true}, false},
+		{"body spent", Attempt{Outcome: OutcomeNotRun, BodySpent: true}, false},
+		{"deadline near", Attempt{Outcome: OutcomeNotRun, Remaining: time.Millisecond}, false},
+		{"too many attempts", Attempt{Outcome: OutcomeNotRun, Number: MaxAttempts}, false},
+	}
+	for _, c := range cases {
+		t.Run(c.desc, func(t *testing.T) {
+			a := c.attempt
+			if a.Number == 0 {
+				a.Number = 1
+			}
+			if a.Remaining == 0 {
+				a.Remaining = time.Second
+			}
+			assert.Equal(t, MayRetry(a), c.want)
+		})
+	}
+}
+
+// Guards against retries beyond 20% of the requests plus the reserve over any part of a run.
+func TestRetryBudgetBoundsEveryWindow(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := NewRetryBudget()
+		worst := 0.0 // largest retries - 0.2*requests of any window that ends now
+		for _, retry := range rapid.SliceOfN(rapid.Bool(), 0, 300).Draw(t, "retries") {
+			if !retry {
+				b.Request()
+				worst = max(0, worst-0.2)
+				continue
+			}
+			if b.Retry() {
+				worst++
+			}
+			assert.Assert(t, worst <= 10+1e-9, "a window has %v retries beyond 20%%", worst)
+		}
+	})
+}
--- /dev/null
+++ b/routing/table_test.go
@@ -0,0 +1,61 @@
+package routing
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+	"rosemaryline.dev/fleet/config"
+)
+
+// naiveMatch looks at all routes: host routes before routes for every host, then the longest prefix.
+func naiveMatch(doc *config.Document, host, path string) string {
+	best, bestLength := "", -1
+	for name, r := range doc.Routes {
+		prefix := strings.TrimRight(r.Path, "/")
+		if r.Host != "" && r.Host != host || path != prefix && !strings.HasPrefix(path, prefix+"/") {
+			continue
+		}
+		length := len(prefix)
+		if r.Host != "" {
+			length += 1000
+		}
+		if length > bestLength || length == bestLength && name < best {
+			best, bestLength = name, length
+		}
+	}
+	return best
+}
+
+// Guards against a request that reaches another route than the longest prefix at a segment boundary.
+func TestMatchAgainstScan(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		segments := rapid.SliceOfN(rapid.SampledFrom([]string{"a", "b", "ab"}), 0, 4)
+		path := func(name string) string { return "/" + strings.Join(segments.Draw(t, name), "/") }
+		host := rapid.SampledFrom([]string{"", "x.example", "y.example"})
+		doc := &config.Document{Routes: map[string]config.Route{}}
+		for i := range rapid.IntRange(0, 8).Draw(t, "routes") {
+			doc.Routes[fmt.Sprintf("r%d", i)] = config.Route{Host: host.Draw(t, "host"), Path: path("prefix")}
+		}
+		table := NewTable(doc)
+		h, p := host.Draw(t, "requestHost"), path("path")
+		got, ok := table.Match(strings.ToUpper(h)+":8080", p)
+		want := naiveMatch(doc, h, p)
+		assert.Equal(t, ok, want != "")
+		if ok {
+			assert.Equal(t, got.Name, want)
+		}
+	})
+}
+
+// Guards against routes without the documented defaults.
+func TestRouteDefaults(t *testing.T) {
+	table := NewTable(&config.Document{Routes: map[string]config.Route{"r": {Path: "/", Teams: []string{"a"}}}})
+	r, ok := table.Match("any", "/x")
+	assert.Assert(t, ok)
+	assert.Equal(t, r.Deadline, DefaultDeadline)
+	assert.Assert(t, r.Repeatable("GET") && !r.Repeatable("POST"))
+	assert.Assert(t, r.AllowsTeam("a") && !r.AllowsTeam("b"))
+}
