Add the node module and the daemon's settings

Cause: the decision modules need clocks, sockets and goroutines around them. Change: drivers for gossip, quota, ejection, at-most-once claims, the control role and the fleet state; flags with environment variables for the daemon.

--- a/cmd/rosemarylined/main.go
+++ b/cmd/rosemarylined/main.go
@@ -1,4 +1,86 @@
-// Command rosemarylined is the daemon of the proxy fleet.
+// Command rosemarylined is the daemon of the proxy fleet. It has the proxy role, and the control role where it is given
+// a data folder.
 package main
 
-func main() {}
+import (
+	"errors"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"rosemaryline.dev/node"
+)
+
+// Exit codes.
+const (
+	exitOK       = 0
+	exitFailed   = 1
+	exitSettings = 2
+)
+
+func main() { os.Exit(run(os.Args[1:])) }
+
+func run(args []string) int {
+	s, err := parseSettings(args, os.Stderr)
+	if errors.Is(err, flag.ErrHelp) {
+		return exitOK
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "rosemarylined:", err)
+		return exitSettings
+	}
+	switch {
+	case s.version:
+		fmt.Println("rosemarylined", version())
+		return exitOK
+	case s.dev:
+		return runDev(s)
+	default:
+		return runNode(s)
+	}
+}
+
+func version() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok || info.Main.Version == "" {
+		return "(devel)"
+	}
+	return info.Main.Version
+}
+
+// runNode runs one process until a signal or an error stops it.
+func runNode(s *settings) int {
+	options, err := s.options()
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "rosemarylined:", err)
+		return exitSettings
+	}
+	n, err := node.Start(options)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "rosemarylined:", err)
+		return exitFailed
+	}
+	options.Log.Info().Str("name", s.name).Str("caller", n.CallerAddress()).Str("peer", n.PeerAddress()).
+		Str("local", n.LocalAddress()).Str("admin", n.AdminAddress()).Msg("daemon: started.")
+	select {
+	case <-stopSignals():
+	case <-n.Dead():
+	}
+	if err := n.Stop(); err != nil {
+		options.Log.Error().Err(err).Msg("daemon: stopped with an error.")
+		return exitFailed
+	}
+	fmt.Fprintf(os.Stderr, "rosemarylined: %s stopped, %s\n", s.name, n.Summary())
+	return exitOK
+}
+
+// stopSignals returns a channel that gets the first signal to stop. Further ones are taken and ignored, so that they
+// cannot cut a graceful stop short.
+func stopSignals() <-chan os.Signal {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	return signals
+}
--- a/node/directory.go
+++ b/node/directory.go
@@ -48,28 +48,26 @@
 	sort.Slice(members, func(i, j int) bool { return members[i].Name < members[j].Name })
 	table := map[string][]host{}
 	for i := range members {
-		for _, row := range members[i].meta.Rows {
-			table[row.Service] = append(table[row.Service], newHost(&members[i], row))
+		for _, r := range members[i].meta.Rows {
+			table[r.Service] = append(table[r.Service], newHost(&members[i], r))
 		}
 	}
 	d.table.Store(&table)
 }
 
-func newHost(m *peerInfo, row membership.Row) host {
-	state, ok := routing.ParseState(row.State)
+func newHost(m *peerInfo, r row) host {
+	state, ok := routing.ParseState(r.State)
 	if !ok || m.Status == membership.StatusLeaving {
 		state = routing.StateDraining
 	}
 	return host{
 		Peer: proxy.Peer{
-			VM:       m.Name,
-			Domain:   m.Domain,
-			Address:  m.Address,
-			State:    state,
-			Slots:    row.Effective,
-			InFlight: row.InFlight,
-			Queued:   row.Queued,
+			VM:      m.Name,
+			Domain:  m.Domain,
+			Address: m.Address,
+			State:   state,
+			Slots:   float64(r.Effective),
 		},
-		measured: m.at - row.Age,
+		measured: m.at,
 	}
 }
--- a/node/ejections.go
+++ b/node/ejections.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net/http"
 	"sync"
 	"time"
@@ -25,25 +24,22 @@
 	evaluateInterval = 100 * time.Millisecond
 	// permitTimeout bounds one permit request. The holder asks again later.
 	permitTimeout = time.Second
-	// probeTimeout bounds a probe of a backend server.
-	probeTimeout = time.Second
-	// probePath is what a probe requests.
-	probePath = "/"
 )
 
 // ejections drives the detector and the ejection state machine of this VM, and the arbiters of the shards that this
 // process owns.
 type ejections struct {
-	vm      string
-	clock   proxy.Clock
-	fleet   *proxy.Fleet
-	gate    *proxy.Gate // set before start
-	client  *rpc.Client
-	gossip  *gossip
-	owners  owners
-	log     *log.Logger
-	tomb    *tomb.Tomb
-	probing *http.Client
+	vm        string
+	clock     proxy.Clock
+	fleet     *proxy.Fleet
+	gate      *proxy.Gate // set before start
+	client    *rpc.Client
+	gossip    *gossip
+	directory *directory
+	owners    owners
+	log       *log.Logger
+	tomb      *tomb.Tomb
+	probing   *http.Client
 
 	mu       sync.Mutex // guards the fields below
 	detector *outlier.Detector
@@ -52,7 +48,7 @@
 	nextID   uint64
 	services map[string]string // service by backend server
 	arbiters map[string]*arbiter
-	seen     map[string]uint64 // metadata version by member
+	usual    map[string]time.Duration // usual latency by service, from peers' digests
 }
 
 // arbiter is the permit arbiter of one service.
@@ -61,22 +57,24 @@
 	shard int
 }
 
-func newEjections(vm string, run uint64, clock proxy.Clock, fleet *proxy.Fleet, client *rpc.Client, g *gossip, o owners, logger *log.Logger, t *tomb.Tomb) *ejections {
+func newEjections(vm string, run uint64, clock proxy.Clock, fleet *proxy.Fleet, client *rpc.Client, g *gossip, d *directory, o owners, logger *log.Logger, t *tomb.Tomb) *ejections {
 	holder := outlier.NewHolder(vm, run)
 	return &ejections{
-		vm: vm, clock: clock, fleet: fleet, client: client, gossip: g, owners: o, log: logger, tomb: t,
+		vm: vm, clock: clock, fleet: fleet, client: client, gossip: g, directory: d, owners: o, log: logger, tomb: t,
 		probing:  &http.Client{Timeout: probeTimeout, Transport: &http.Transport{DisableKeepAlives: true}},
 		detector: outlier.NewDetector(outlier.Config{Interval: evaluateInterval}),
 		holder:   holder,
 		ejector:  outlier.NewEjector(outlier.EjectorConfig{}, holder),
 		services: map[string]string{},
 		arbiters: map[string]*arbiter{},
-		seen:     map[string]uint64{},
+		usual:    map[string]time.Duration{},
 	}
 }
 
 func (e *ejections) start() {
 	e.tomb.Go(func() error { return every(e.tomb, evaluateInterval, e.evaluate) })
+	e.tomb.Go(func() error { return every(e.tomb, digestInterval, e.pushDigests) })
+	e.tomb.Go(func() error { return every(e.tomb, time.Second, e.dropArbiters) })
 }
 
 // global names a backend server uniquely in the fleet.
@@ -125,7 +123,6 @@
 
 // evaluate judges the backend servers, acts on the verdicts and asks for permits.
 func (e *ejections) evaluate() {
-	e.takeDigests()
 	warming := e.gate.Warming()
 	now := e.clock()
 	e.mu.Lock()
@@ -166,37 +163,6 @@
 	}
 }
 
-// probe sends one request to a backend server, outside its slots.
-func (e *ejections) probe(server string) {
-	name := server[len(e.vm)+1:]
-	address, ok := e.gate.Address(name)
-	if !ok {
-		return
-	}
-	began := e.clock()
-	ok = e.sendProbe(address)
-	now := e.clock()
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.detector.Observe(server, now, now-began, !ok)
-	e.ejector.ProbeResult(server, ok && e.detector.UsualLatency(server, now, now-began), now)
-}
-
-func (e *ejections) sendProbe(address string) bool {
-	ctx, cancel := context.WithTimeout(e.tomb.Context(context.Background()), probeTimeout)
-	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+probePath, nil)
-	if err != nil {
-		return false
-	}
-	resp, err := e.probing.Do(req)
-	if err != nil {
-		return false
-	}
-	resp.Body.Close()
-	return resp.StatusCode < http.StatusInternalServerError
-}
-
 // ask sends a permit request to the arbiter, which may be in this process.
 func (e *ejections) ask(r outlier.PermitRequest) {
 	if since, ok := e.owners.owns(state.ShardOf(r.Service)); ok {
@@ -271,56 +237,33 @@
 	return rows
 }
 
-// dropArbiters forgets the arbiters of shards that this process lost.
+// dropArbiters forgets the arbiters of shards that another process owns now. An arbiter stays while this process only
+// lost the right to act for a while, because its permits may still be in use.
 func (e *ejections) dropArbiters() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	for service, a := range e.arbiters {
-		if _, ok := e.owners.owns(a.shard); !ok {
+		if !e.ownsShard(a.shard) {
 			delete(e.arbiters, service)
 		}
 	}
 }
 
-// takeDigests passes new digests of other gates to the detector.
-func (e *ejections) takeDigests() {
-	members := e.gossip.list()
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	for _, m := range members {
-		if m.Name == e.vm || e.seen[m.Name] == m.MetaVersion {
-			continue
-		}
-		e.seen[m.Name] = m.MetaVersion
-		for _, row := range m.meta.Rows {
-			e.takeRow(row)
-		}
-	}
-}
-
-func (e *ejections) takeRow(row membership.Row) {
-	var digests []outlier.Digest
-	if len(row.Digest) == 0 || json.Unmarshal(row.Digest, &digests) != nil {
-		return
-	}
-	for _, d := range digests {
-		e.detector.PeerDigest(row.Service, d, e.clock())
-	}
+func (e *ejections) ownsShard(shard int) (owns bool) {
+	e.fleet.Read(func(s *state.State) { owns = s.ShardOwner(shard) == e.vm })
+	return owns
 }
 
 // rows returns the metadata rows of this VM.
-func (e *ejections) rows() []membership.Row {
-	var rows []membership.Row
+func (e *ejections) rows() []row {
+	var rows []row
 	for _, s := range e.gate.Summary() {
-		rows = append(rows, membership.Row{
+		rows = append(rows, row{
 			Service:   s.Service,
 			Slots:     s.Slots,
 			Out:       s.Out,
-			Effective: float64(s.Load.Slots),
+			Effective: s.Load.Slots,
 			State:     rowState(s).String(),
-			InFlight:  float64(s.Load.InFlight),
-			Queued:    float64(s.Load.Queued),
-			Digest:    e.digests(s.Servers),
 		})
 	}
 	return rows
@@ -338,19 +281,3 @@
 		return routing.StateLapsed
 	}
 }
-
-func (e *ejections) digests(names []string) json.RawMessage {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	var digests []outlier.Digest
-	for _, name := range names {
-		if d, ok := e.detector.Digest(e.global(name), e.clock()); ok && d.Count > 0 {
-			digests = append(digests, d)
-		}
-	}
-	data, err := json.Marshal(digests)
-	if err != nil {
-		return nil
-	}
-	return data
-}
--- a/node/gossip.go
+++ b/node/gossip.go
@@ -28,9 +28,10 @@
 	gossipSendTimeout = 500 * time.Millisecond
 )
 
-// metadata is what this process gossips about itself.
+// metadata is what this process gossips about itself. It holds only what changes rarely: load travels with answers and
+// digests go to the gates of the same service, so that gossip stays small in a large fleet.
 type metadata struct {
-	membership.Metadata
+	Rows []row `json:"rows,omitempty"`
 	// Control and Records are this process's member ids in the two groups; 0 without the control role.
 	Control raft.ID `json:"control,omitempty"`
 	Records raft.ID `json:"records,omitempty"`
@@ -38,6 +39,19 @@
 	Admin string `json:"admin,omitempty"`
 }
 
+// row describes the backend servers of one service on one VM.
+type row struct {
+	Service string `json:"service"`
+	// Slots is the sum of the slots of all announced backend servers.
+	Slots int `json:"slots"`
+	// Out is the part of Slots that is lost or draining; ejected slots are not counted in it.
+	Out int `json:"out,omitempty"`
+	// Effective is the capacity in use now, after ramp, drain and ejection.
+	Effective int `json:"effective"`
+	// State is the text of a routing.State.
+	State string `json:"state"`
+}
+
 // envelope carries a packet and the address at which its sender takes packets.
 type envelope struct {
 	From   string            `json:"from"`
--- a/node/limiter.go
+++ b/node/limiter.go
@@ -116,7 +116,6 @@
 	return c
 }
 
-
 // poll sends the requests that are due.
 func (l *limiter) poll() {
 	l.mu.Lock()
--- /dev/null
+++ b/node/listeners.go
@@ -0,0 +1,167 @@
+package node
+
+import (
+	"crypto/tls"
+	"expvar"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/uptrace/bunrouter"
+
+	"rosemaryline.dev/proxy"
+	"rosemaryline.dev/rpc"
+)
+
+const (
+	// readHeaderTimeout bounds the headers of a slow sender.
+	readHeaderTimeout = 5 * time.Second
+	// readTimeout bounds headers and body of a caller's request.
+	readTimeout = 2 * time.Minute
+	// keepAliveTimeout closes idle callers' connections.
+	keepAliveTimeout = 2 * time.Minute
+)
+
+// server is one listener with its HTTP server.
+type server struct {
+	*http.Server
+	name     string
+	listener net.Listener
+}
+
+func (s *server) serve() error {
+	err := s.Serve(s.listener)
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return errors.Wrapf(err, "serve %s listener", s.name)
+}
+
+// listen opens the listeners. They are shut down in this order: callers first, and the local one after the peers',
+// because running requests may make nested calls.
+func (n *Node) listen(peer net.Listener) error {
+	o := &n.opts
+	if o.CallerListen != "" {
+		if err := n.add("caller", o.CallerListen, n.entry, o.CallerTLS); err != nil {
+			peer.Close()
+			return err
+		}
+	}
+	n.addListener("peer", peer, n.peerHandler(), o.PeerServerTLS)
+	if o.LocalListen != "" {
+		if err := n.add("local", o.LocalListen, n.localHandler(), nil); err != nil {
+			return err
+		}
+	}
+	if o.AdminListen == "" {
+		return nil
+	}
+	return n.add("admin", o.AdminListen, n.adminHandler(), nil)
+}
+
+func (n *Node) add(name, address string, h http.Handler, tlsConfig *tls.Config) error {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return errors.Wrapf(err, "listen for %s", name)
+	}
+	n.addListener(name, listener, h, tlsConfig)
+	return nil
+}
+
+func (n *Node) addListener(name string, listener net.Listener, h http.Handler, tlsConfig *tls.Config) {
+	protocols := &http.Protocols{}
+	protocols.SetHTTP1(true)
+	if name == "caller" {
+		protocols.SetHTTP2(true)
+		protocols.SetUnencryptedHTTP2(true)
+	}
+	s := &http.Server{
+		Handler:           h,
+		TLSConfig:         tlsConfig,
+		ReadHeaderTimeout: readHeaderTimeout,
+		IdleTimeout:       keepAliveTimeout,
+		MaxHeaderBytes:    n.opts.MaxHeaderBytes,
+		Protocols:         protocols,
+		ErrorLog:          n.opts.Log.Std("", 0),
+	}
+	if name == "caller" {
+		s.ReadTimeout = readTimeout
+	}
+	if tlsConfig != nil {
+		listener = tls.NewListener(listener, withProtocols(tlsConfig, name == "caller"))
+	}
+	n.servers = append(n.servers, &server{Server: s, name: name, listener: listener})
+}
+
+// withProtocols offers HTTP/2 where it is spoken.
+func withProtocols(cfg *tls.Config, http2 bool) *tls.Config {
+	cfg = cfg.Clone()
+	cfg.NextProtos = []string{"http/1.1"}
+	if http2 {
+		cfg.NextProtos = []string{"h2", "http/1.1"}
+	}
+	return cfg
+}
+
+// address returns where a listener listens, or "".
+func (n *Node) address(name string) string {
+	for _, s := range n.servers {
+		if s.name == name {
+			return s.listener.Addr().String()
+		}
+	}
+	return ""
+}
+
+// CallerAddress, PeerAddress, LocalAddress and AdminAddress return where the process listens.
+func (n *Node) CallerAddress() string { return n.address("caller") }
+
+// PeerAddress returns the address that peers use.
+func (n *Node) PeerAddress() string { return n.opts.PeerAddress }
+
+// LocalAddress returns the address for backend servers on this VM.
+func (n *Node) LocalAddress() string { return n.address("local") }
+
+// AdminAddress returns the address for operators and monitoring.
+func (n *Node) AdminAddress() string { return n.address("admin") }
+
+func (n *Node) peerHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(rpc.Path, n.rpc)
+	mux.Handle(proxy.GatePath, &proxy.GateHandler{Gate: n.gate, HoldBody: n.opts.HoldBody})
+	return mux
+}
+
+func (n *Node) localHandler() http.Handler {
+	router := bunrouter.New(bunrouter.WithNotFoundHandler(bunrouter.HTTPHandlerFunc(n.entry.ServeNested)),
+		bunrouter.WithMethodNotAllowedHandler(bunrouter.HTTPHandlerFunc(n.entry.ServeNested)))
+	proxy.RegisterAnnouncements(router, n.gate)
+	return router
+}
+
+func (n *Node) adminHandler() http.Handler {
+	router := bunrouter.New()
+	router.GET("/debug/vars", bunrouter.HTTPHandler(expvar.Handler()))
+	router.GET("/livez", func(w http.ResponseWriter, _ bunrouter.Request) error {
+		_, err := w.Write([]byte("ok\n"))
+		return err
+	})
+	router.GET("/readyz", func(w http.ResponseWriter, _ bunrouter.Request) error {
+		if !n.Ready() {
+			http.Error(w, "not ready: "+n.notReadyReason(), http.StatusServiceUnavailable)
+			return nil
+		}
+		_, err := w.Write([]byte("ok\n"))
+		return err
+	})
+	n.registerOperators(router)
+	return router
+}
+
+func (n *Node) notReadyReason() string {
+	if n.fleet.Version() == 0 {
+		return "no fleet state yet"
+	}
+	return string(n.gossip.denial(n.fleet.Version()))
+}
--- /dev/null
+++ b/node/node.go
@@ -0,0 +1,267 @@
+package node
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"gopkg.in/tomb.v2"
+
+	"rosemaryline.dev/fleet/state"
+	"rosemaryline.dev/idempotency"
+	"rosemaryline.dev/membership"
+	"rosemaryline.dev/proxy"
+	"rosemaryline.dev/quota"
+	"rosemaryline.dev/rpc"
+)
+
+// Node is one running process of the fleet.
+type Node struct {
+	opts  Options
+	clock proxy.Clock
+	tomb  tomb.Tomb
+
+	fleet      *proxy.Fleet
+	client     *rpc.Client
+	rpc        *rpc.Server
+	gossip     *gossip
+	directory  *directory
+	shards     *shards
+	limiter    *limiter
+	ejections  *ejections
+	claims     *claims
+	gate       *proxy.Gate
+	entry      *proxy.Entry
+	peers      *proxy.PeerClient
+	control    *controlRole // nil without the control role
+	groups     *groupClient
+	follower   *follower
+	servers    []*server
+	// admitUntil is the time until which the last look at the right to admit holds, on the node's clock.
+	admitUntil atomic.Int64
+	admitted   bool // used by refreshRight only, guarded by rightMu
+	rightMu    sync.Mutex
+	stopOnce   sync.Once
+	stopErr    error
+	incarnation uint64
+}
+
+// Start starts a process. Errors name the step and the address or folder at which it failed.
+func Start(opts Options) (*Node, error) {
+	opts.setDefaults()
+	n := &Node{opts: opts, clock: proxy.NewClock(), incarnation: uint64(time.Now().UnixMilli())}
+	peerListener, err := net.Listen("tcp", opts.PeerListen)
+	if err != nil {
+		return nil, errors.Wrap(err, "listen for peers")
+	}
+	if n.opts.PeerAddress == "" {
+		n.opts.PeerAddress = peerListener.Addr().String()
+	}
+	n.build()
+	if err := n.startControl(); err != nil {
+		peerListener.Close()
+		return nil, err
+	}
+	if err := n.listen(peerListener); err != nil {
+		n.abort()
+		return nil, err
+	}
+	n.run()
+	return n, nil
+}
+
+// build creates the drivers without starting them.
+func (n *Node) build() {
+	o := &n.opts
+	n.fleet = proxy.NewFleet()
+	n.client = rpc.NewClient(o.PeerClientTLS)
+	n.rpc = rpc.NewServer()
+	self := membership.Member{Name: o.Name, Address: o.PeerAddress, Domain: o.Domain, Incarnation: n.incarnation}
+	n.gossip = newGossip(self, n.clock, n.client, o.Log)
+	n.directory = newDirectory(n.clock)
+	n.shards = newShards(o.Name, n.clock, n.fleet, n.MayAdmit)
+	holder := quota.Config{Process: o.Name, Incarnation: n.incarnation}
+	n.limiter = newLimiter(holder, n.clock, n.fleet, n.client, n.shards, &n.tomb)
+	n.ejections = newEjections(o.Name, n.incarnation, n.clock, n.fleet, n.client, n.gossip, n.directory, n.shards, o.Log, &n.tomb)
+	n.groups = &groupClient{node: n}
+	claimer := idempotency.Claimer{Process: o.Name, Incarnation: n.incarnation}
+	n.claims = newClaims(claimer, n.clock, n.groups, n.gossip, o.Log, &n.tomb)
+	n.gate = proxy.NewGate(proxy.GateOptions{
+		VM: o.Name, Domain: o.Domain, Fleet: n.fleet, Clock: n.clock, Log: o.Log,
+		Claimer: n.claims, Observer: n.ejections,
+	})
+	n.ejections.gate = n.gate
+	n.peers = proxy.NewPeerClient(o.PeerClientTLS)
+	n.entry = proxy.NewEntry(proxy.EntryOptions{
+		VM: o.Name, Domain: o.Domain, Fleet: n.fleet, Clock: n.clock, Log: o.Log,
+		Limiter: n.limiter, Admitter: n, Directory: n.directory, Gate: n.gate, Peers: n.peers,
+		HoldBody: o.HoldBody, KeyedBody: o.KeyedBody,
+	})
+	n.follower = newFollower(n)
+	n.register()
+}
+
+// register adds the methods that peers may call.
+func (n *Node) register() {
+	rpc.Register(n.rpc, methodGossip, n.gossip.receive)
+	rpc.Register(n.rpc, methodGrant, n.limiter.serveGrant)
+	rpc.Register(n.rpc, methodPermit, n.ejections.servePermit)
+	rpc.Register(n.rpc, methodDigest, n.ejections.takeDigests)
+	rpc.Register(n.rpc, methodFetch, n.follower.serve)
+}
+
+// run starts the drivers.
+func (n *Node) run() {
+	n.gossip.start(&n.tomb, n.opts.Join)
+	n.limiter.start()
+	n.ejections.start()
+	n.follower.start()
+	n.tomb.Go(func() error { return every(&n.tomb, gossipTick, n.refreshRight) })
+	n.tomb.Go(func() error { return every(&n.tomb, directoryInterval, n.refreshDirectory) })
+	n.tomb.Go(func() error { return every(&n.tomb, time.Second, n.sweep) })
+	n.tomb.Go(n.watchFleet)
+	for _, s := range n.servers {
+		n.tomb.Go(s.serve)
+	}
+}
+
+// rightLifetime is how long a look at the right to admit holds. It is short because a process that was frozen must not
+// go on with what it knew before.
+const rightLifetime = 4 * gossipTick
+
+// MayAdmit tells whether this process has the right to admit requests on open routes and to act for shards.
+func (n *Node) MayAdmit() bool { return int64(n.clock()) < n.admitUntil.Load() }
+
+// refreshRight keeps the right to admit where requests read it without a lock.
+func (n *Node) refreshRight() {
+	n.rightMu.Lock()
+	defer n.rightMu.Unlock()
+	now := n.clock()
+	denial := n.gossip.denial(n.fleet.Version())
+	may := denial == membership.DenialNone
+	if may {
+		n.admitUntil.Store(int64(now + rightLifetime))
+	} else {
+		n.admitUntil.Store(0)
+	}
+	if may != n.admitted {
+		n.opts.Log.Warn().Bool("admit", may).Str("reason", string(denial)).Msg("membership: right to admit changed.")
+	}
+	n.admitted = may
+}
+
+func (n *Node) refreshDirectory() {
+	n.gate.Sweep()
+	n.publishMeta()
+	n.directory.rebuild(n.gossip.list())
+}
+
+func (n *Node) publishMeta() {
+	meta := metadata{Rows: n.ejections.rows()}
+	if n.control != nil {
+		meta.Control = n.control.controlID
+		meta.Records = n.control.recordsID
+		meta.Admin = n.AdminAddress()
+	}
+	if err := n.gossip.setMeta(meta); err != nil {
+		n.opts.Log.Error().Err(err).Msg("membership: metadata cannot be encoded.")
+	}
+}
+
+func (n *Node) sweep() {
+	n.entry.Sweep()
+}
+
+// watchFleet passes changes of the fleet state to the drivers.
+func (n *Node) watchFleet() error {
+	for {
+		n.takeState()
+		select {
+		case <-n.fleet.Changed():
+		case <-n.tomb.Dying():
+			return nil
+		}
+	}
+}
+
+func (n *Node) takeState() {
+	var roster []membership.RosterEntry
+	n.fleet.Read(func(s *state.State) {
+		for _, p := range s.Roster() {
+			roster = append(roster, membership.RosterEntry{Name: p.Name, Address: p.Address})
+		}
+	})
+	n.gossip.setRoster(roster)
+	n.gossip.setVersion(n.fleet.Version())
+	n.shards.update()
+	n.refreshRight()
+}
+
+// Ready tells whether the process can serve: it has fleet state and the right to admit.
+func (n *Node) Ready() bool { return n.fleet.Version() > 0 && n.MayAdmit() }
+
+// Version returns the version of the process's copy of the fleet state.
+func (n *Node) Version() uint64 { return n.fleet.Version() }
+
+// Dead is closed when the process stopped, also by itself after an error.
+func (n *Node) Dead() <-chan struct{} { return n.tomb.Dead() }
+
+// Stop stops gracefully: new work is refused as not run, accepted requests finish. Calls after the first one wait for
+// it and return its result.
+func (n *Node) Stop() error {
+	n.stopOnce.Do(func() { n.stopErr = n.stop() })
+	return n.stopErr
+}
+
+func (n *Node) stop() error {
+	ctx, cancel := context.WithTimeout(context.Background(), n.opts.StopTimeout)
+	defer cancel()
+	n.gate.Leave()
+	n.gossip.leave()
+	var failed error
+	for _, s := range n.servers {
+		if err := s.Shutdown(ctx); err != nil && failed == nil {
+			failed = errors.Wrapf(err, "stop %s listener", s.name)
+		}
+	}
+	n.claims.drain(ctx)
+	n.abort()
+	if err := n.tomb.Wait(); err != nil && failed == nil {
+		failed = err
+	}
+	if err := n.stopControl(); err != nil && failed == nil {
+		failed = err
+	}
+	return failed
+}
+
+// abort stops everything at once.
+func (n *Node) abort() {
+	n.tomb.Kill(nil)
+	for _, s := range n.servers {
+		s.Close()
+	}
+	n.rpc.Close()
+	n.client.Close()
+	n.peers.Close()
+}
+
+// Kill stops at once without a word to the peers, as a crash would.
+func (n *Node) Kill() {
+	n.stopOnce.Do(func() {
+		n.abort()
+		n.stopErr = n.tomb.Wait()
+		if err := n.stopControl(); err != nil && n.stopErr == nil {
+			n.stopErr = err
+		}
+	})
+}
+
+var _ http.Handler = (*proxy.Entry)(nil)
+
+// Summary tells in one line what the process did.
+func (n *Node) Summary() string { return proxy.Summary() }
--- a/node/shards.go
+++ b/node/shards.go
@@ -24,6 +24,9 @@
 	known  bool
 	owners [state.Shards]string
 	since  [state.Shards]time.Duration
+	// named is the version of this copy in which the owner was first seen.
+	named   [state.Shards]uint64
+	inForce uint64
 }
 
 func newShards(vm string, clock proxy.Clock, fleet *proxy.Fleet, mayAct func() bool) *shards {
@@ -43,6 +46,7 @@
 			continue
 		}
 		s.since[i] = now + handoverWait
+		s.named[i] = s.fleet.Version()
 		if s.known && s.owners[i] == "" {
 			s.since[i] = now
 		}
@@ -51,11 +55,28 @@
 	s.known = s.known || s.fleet.Version() > 0
 }
 
+// setInForce ends the wait for former owners of shards whose new owner is in force: they confirmed the version or lost
+// the right to act.
+func (s *shards) setInForce(version uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if version <= s.inForce {
+		return
+	}
+	s.inForce = version
+	now := s.clock()
+	for i := range s.since {
+		if s.named[i] <= version {
+			s.since[i] = min(s.since[i], now)
+		}
+	}
+}
+
 // owns implements owners.
 func (s *shards) owns(shard int) (since time.Duration, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.owners[shard] != s.vm || !s.mayAct() {
+	if s.owners[shard] != s.vm || s.clock() < s.since[shard] || !s.mayAct() {
 		return 0, false
 	}
 	return s.since[shard], true
--- /dev/null
+++ b/node/transport.go
@@ -0,0 +1,92 @@
+package node
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"gopkg.in/tomb.v2"
+
+	"rosemaryline.dev/raft"
+	"rosemaryline.dev/rpc"
+)
+
+const (
+	methodRaft = "raft.message"
+	// raftQueue bounds the messages that wait for one member; more are dropped, and raft sends them again.
+	raftQueue = 256
+	// raftSendTimeout bounds sending one message.
+	raftSendTimeout = time.Second
+)
+
+// groupName names a replicated log.
+type groupName string
+
+// The replicated logs of the control VMs.
+const (
+	groupControl groupName = "control"
+	groupRecords groupName = "records"
+)
+
+// raftEnvelope carries a message of one group.
+type raftEnvelope struct {
+	Group   groupName    `json:"group"`
+	Message raft.Message `json:"message"`
+}
+
+// raftTransport sends the messages of one group. Each member has its own queue, so that a dead one delays nobody.
+type raftTransport struct {
+	group   groupName
+	client  *rpc.Client
+	resolve func(group groupName, id raft.ID) (address string, ok bool)
+	tomb    *tomb.Tomb
+
+	mu     sync.Mutex // guards queues
+	queues map[raft.ID]chan raft.Message
+}
+
+func newRaftTransport(group groupName, client *rpc.Client, resolve func(groupName, raft.ID) (string, bool), t *tomb.Tomb) *raftTransport {
+	return &raftTransport{group: group, client: client, resolve: resolve, tomb: t, queues: map[raft.ID]chan raft.Message{}}
+}
+
+// Send implements replica.Transport.
+func (t *raftTransport) Send(to raft.ID, m raft.Message) {
+	select {
+	case t.queue(to) <- m:
+	default:
+	}
+}
+
+func (t *raftTransport) queue(to raft.ID) chan raft.Message {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	q, ok := t.queues[to]
+	if !ok {
+		q = make(chan raft.Message, raftQueue)
+		t.queues[to] = q
+		t.tomb.Go(func() error { return t.sendLoop(to, q) })
+	}
+	return q
+}
+
+func (t *raftTransport) sendLoop(to raft.ID, q chan raft.Message) error {
+	for {
+		select {
+		case m := <-q:
+			t.send(to, m)
+		case <-t.tomb.Dying():
+			return nil
+		}
+	}
+}
+
+func (t *raftTransport) send(to raft.ID, m raft.Message) {
+	address, ok := t.resolve(t.group, to)
+	if !ok {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), raftSendTimeout)
+	defer cancel()
+	// Delivery is best effort.
+	_ = t.client.Notify(ctx, address, methodRaft, raftEnvelope{Group: t.group, Message: m})
+}
--- a/proxy/announce.go
+++ b/proxy/announce.go
@@ -49,8 +49,8 @@
 	return nil
 }
 
-// announcer accepts announcements.
-type announcer interface {
+// Announcer accepts announcements.
+type Announcer interface {
 	Announce(a Announcement, now time.Time) error
 	Withdraw(name string)
 }
@@ -60,8 +60,8 @@
 	TTLMs int64 `json:"ttlMs"`
 }
 
-// registerAnnouncements adds the announcement paths to the router of the local listener.
-func registerAnnouncements(router *bunrouter.Router, to announcer) {
+// RegisterAnnouncements adds the announcement paths to the router of the local listener.
+func RegisterAnnouncements(router *bunrouter.Router, to Announcer) {
 	const path = "/v1/backend-servers/:name"
 	router.PUT(path, func(w http.ResponseWriter, r bunrouter.Request) error {
 		a, err := readAnnouncement(w, r)
--- a/proxy/metrics.go
+++ b/proxy/metrics.go
@@ -2,6 +2,7 @@
 
 import (
 	"expvar"
+	"fmt"
 	"io"
 	"sync"
 	"time"
@@ -37,3 +38,14 @@
 	b.once.Do(b.end)
 	return err
 }
+
+// Summary tells in one line what this process served since its start.
+func Summary() string {
+	refused := int64(0)
+	refusalsTotal.Do(func(kv expvar.KeyValue) {
+		if n, ok := kv.Value.(*expvar.Int); ok {
+			refused += n.Value()
+		}
+	})
+	return fmt.Sprintf("%d requests answered, %d refused", requestsTotal.Value(), refused)
+}
--- a/proxy/remote.go
+++ b/proxy/remote.go
@@ -13,8 +13,8 @@
 )
 
 const (
-	// gatePath is where the peer listener accepts requests from entries.
-	gatePath = "/v1/run"
+	// GatePath is where the peer listener accepts requests from entries.
+	GatePath = "/v1/run"
 	// maxPeerConns bounds the connections to one peer's gate.
 	maxPeerConns = 512
 	// maxIdlePeerConns bounds the idle connections to one peer's gate.
@@ -71,7 +71,7 @@
 }
 
 func (g *remoteGate) send(ctx context.Context, req *Request) (*http.Response, error) {
-	out, err := http.NewRequestWithContext(ctx, req.Method, g.client.scheme+"://"+g.address+gatePath, nil)
+	out, err := http.NewRequestWithContext(ctx, req.Method, g.client.scheme+"://"+g.address+GatePath, nil)
 	if err != nil {
 		return nil, &sendError{err: err}
 	}
--- a/proxy/router.go
+++ b/proxy/router.go
@@ -97,7 +97,7 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.budget(req.Service).Retry(t.opts.Clock())
+	return t.budget(req.Service).Retry()
 }
 
 // final tells whether another VM would answer the same.
@@ -113,14 +113,14 @@
 func (t *router) countRequest(service string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.budget(service).Request(t.opts.Clock())
+	t.budget(service).Request()
 }
 
 // budget returns the service's retry budget. The caller holds mu.
 func (t *router) budget(service string) *routing.RetryBudget {
 	b, ok := t.budgets[service]
 	if !ok {
-		b = routing.NewRetryBudget(t.opts.Clock())
+		b = routing.NewRetryBudget()
 		t.budgets[service] = b
 	}
 	return b
--- a/proxy/server.go
+++ b/proxy/server.go
@@ -24,6 +24,9 @@
 	draining bool
 	ejected  bool
 	lost     bool
+	// warmBy is when the ramp of the current instance should be over.
+	warmBy   time.Duration
+	warm     bool
 	lapsesAt time.Duration
 	gate     *admission.Gate
 	waiting  map[admission.Ticket]chan waitResult
@@ -81,6 +84,8 @@
 	defer s.mu.Unlock()
 	fresh = a.Instance != s.instance
 	if fresh {
+		s.warm = false
+		s.warmBy = s.clock() + rampTime
 		s.instance = a.Instance
 		s.gate.SetInstance(a.Instance)
 	}
@@ -131,6 +136,18 @@
 	}
 }
 
+// rampTime bounds the time for which a new instance may be slow without being judged.
+const rampTime = 10 * time.Second
+
+// warming tells whether the current instance is still in its first ramp. A later ramp, after slowness, is no excuse.
+func (s *server) warming() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l := s.gate.Load()
+	s.warm = s.warm || l.Effective >= l.Slots || s.clock() >= s.warmBy
+	return !s.warm
+}
+
 func (s *server) load() admission.Load {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/proxy/summary.go
+++ b/proxy/summary.go
@@ -56,12 +56,11 @@
 	}
 }
 
-// Warming tells for each backend server whether it is in its ramp.
+// Warming tells for each backend server whether its instance is in its first ramp.
 func (g *Gate) Warming() map[string]bool {
 	warming := map[string]bool{}
 	for _, s := range g.list("") {
-		l := s.load()
-		warming[s.name] = l.Effective < l.Slots
+		warming[s.name] = s.warming()
 	}
 	return warming
 }
