--- a/fleet/state/apply_config.go
+++ b/fleet/state/apply_config.go
@@ -10,9 +10,6 @@
 	if hash := a.Change.Hash(); hash != a.ContentHash {
 		return nil, refuse(CodeInvalid, nil, "content hash %q does not match the change, which has %q", a.ContentHash, hash)
 	}
-	if a.Change.IsZero() {
-		return nil, refuse(CodeUnchanged, nil, "the change is empty")
-	}
 	if refusal := s.checkListedKeys(a.Change.Teams); refusal != nil {
 		return nil, refusal
 	}
@@ -20,6 +17,9 @@
 		return nil, refusal
 	}
 	fields := s.doc.ChangedFields(a.Change)
+	if len(fields) == 0 {
+		return nil, refuse(CodeUnchanged, nil, "the document has this content already")
+	}
 	listed := s.listedKeys(a.Change.Teams)
 	if errs := s.doc.PatchChecked(a.Change, s.listedKeyOwner); len(errs) > 0 {
 		return nil, refuseFields(errs)
--- a/fleet/state/state_test.go
+++ b/fleet/state/state_test.go
@@ -23,8 +23,7 @@
 	return &ApplyChange{Change: c, ContentHash: c.Hash()}
 }
 
-func propose(t testing.TB, s *State, c Command) Result {
-	t.Helper()
+func propose(t assert.TestingT, s *State, c Command) Result {
 	if c.Operator == "" {
 		c.Operator = "ann"
 	}
@@ -35,8 +34,7 @@
 	return result
 }
 
-func newTestState(t testing.TB) *State {
-	t.Helper()
+func newTestState(t assert.TestingT) *State {
 	s := New()
 	change := config.Diff(s.Config(), testDocument())
 	result := propose(t, s, Command{ChangeID: "first", Apply: applyCommand(change)})
--- /dev/null
+++ b/fleet/state/stateful_test.go
@@ -0,0 +1,290 @@
+package state
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"flag"
+	"fmt"
+	"reflect"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"rosemaryline.dev/fleet/config"
+)
+
+func init() { flag.Set("rapid.seed", "1") }
+
+// oracle is the obvious implementation of what operators rely on: answers by change id, rates, key owners and failure
+// domain status. It keeps everything forever.
+type oracle struct {
+	version, operatorVersion uint64
+	answers                  map[string]Result
+	rates                    map[string]float64
+	keys                     map[string]string // key to team
+	withdrawn                map[string]bool
+	out                      map[string]bool
+}
+
+func newOracle() *oracle {
+	return &oracle{
+		version: 1, operatorVersion: 1,
+		answers:   map[string]Result{},
+		rates:     map[string]float64{"red": 10, "blue": 5},
+		keys:      map[string]string{"listed": "red"},
+		withdrawn: map[string]bool{}, out: map[string]bool{},
+	}
+}
+
+// expect returns the code of the refusal, or "" where the command must be accepted, and notes an accepted command.
+func (o *oracle) expect(c *Command, key string) Code {
+	code := o.check(c, key)
+	if code != "" {
+		return code
+	}
+	o.version++
+	if c.Kind().byOperator() {
+		o.operatorVersion = o.version
+	}
+	switch {
+	case c.Apply != nil:
+		for name, team := range c.Apply.Change.Teams.Set {
+			o.rates[name] = team.Rate
+		}
+	case c.IssueKey != nil:
+		o.keys[key] = c.IssueKey.Team
+	case c.WithdrawKey != nil:
+		delete(o.keys, key)
+		o.withdrawn[key] = key == "listed"
+	case c.SetDomain != nil:
+		o.out[c.SetDomain.Domain] = c.SetDomain.Out
+	}
+	return ""
+}
+
+func (o *oracle) check(c *Command, key string) Code {
+	if c.Kind().byOperator() && (c.BaseVersion < o.operatorVersion || c.BaseVersion > o.version) {
+		return CodeConflict
+	}
+	_, taken := o.keys[key]
+	switch {
+	case c.Apply != nil && !o.changesRate(c.Apply.Change):
+		return CodeUnchanged
+	case c.IssueKey != nil && (taken || o.withdrawn[key]):
+		return CodeInvalid
+	case c.WithdrawKey != nil && !taken:
+		return CodeNotFound
+	case c.SetDomain != nil && o.out[c.SetDomain.Domain] == c.SetDomain.Out:
+		return CodeUnchanged
+	case c.SetDomain != nil && c.SetDomain.Out && len(o.domainsOut()) > 0:
+		return CodeNeedsForce // the floor is 60 percent of three failure domains
+	}
+	return ""
+}
+
+func (o *oracle) changesRate(c config.Change) bool {
+	for name, team := range c.Teams.Set {
+		if o.rates[name] != team.Rate {
+			return true
+		}
+	}
+	return false
+}
+
+func (o *oracle) domainsOut() []string {
+	var names []string
+	for name, out := range o.out {
+		if out {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+// fleetRun drives one State, a follower that copies it by deltas, and the oracle.
+type fleetRun struct {
+	state, follower *State
+	oracle          *oracle
+	sent            []sentCommand
+	nextID          int
+}
+
+type sentCommand struct {
+	command Command
+	result  Result
+}
+
+func (f *fleetRun) newID() string {
+	f.nextID++
+	return fmt.Sprintf("change-%d", f.nextID)
+}
+
+func (f *fleetRun) send(t *rapid.T, c Command, key string) Result {
+	c.ChangeID = f.newID()
+	before := f.state.Version()
+	result := propose(t, f.state, c)
+	code := f.oracle.expect(&c, key)
+	got := Code("")
+	if result.Err != nil {
+		got = result.Err.Code
+	}
+	assert.Equal(t, got, code, "%s: %v", c.Kind(), result.Err)
+	assert.Equal(t, result.Version, f.oracle.version)
+	assert.Assert(t, f.state.Version() >= before)
+	if got != CodeUnchanged {
+		f.sent = append(f.sent, sentCommand{c, result})
+	}
+	return result
+}
+
+func (f *fleetRun) drawCommand(t *rapid.T, base uint64) (Command, string) {
+	c := Command{Operator: rapid.SampledFrom([]string{"ann", "bob"}).Draw(t, "operator"), BaseVersion: base}
+	key := rapid.SampledFrom([]string{"listed", "k1", "k2", "k3"}).Draw(t, "key")
+	switch rapid.IntRange(0, 4).Draw(t, "kind") {
+	case 0, 1:
+		c.Apply = f.drawTeam(t)
+	case 2:
+		c.IssueKey = &IssueKey{Team: rapid.SampledFrom([]string{"red", "blue"}).Draw(t, "team"), KeyHash: config.HashKey(key)}
+	case 3:
+		c.WithdrawKey = &WithdrawKey{KeyHash: config.HashKey(key)}
+	case 4:
+		domain := rapid.SampledFrom([]string{"d1", "d2", "d3"}).Draw(t, "domain")
+		c.SetDomain = &SetDomain{Domain: domain, Out: rapid.Bool().Draw(t, "out")}
+	}
+	return c, key
+}
+
+// drawTeam changes only the rate, so that listed keys stay.
+func (f *fleetRun) drawTeam(t *rapid.T) *ApplyChange {
+	return f.setRate(t, float64(rapid.IntRange(1, 9).Draw(t, "rate")))
+}
+
+func (f *fleetRun) setRate(t *rapid.T, rate float64) *ApplyChange {
+	name := rapid.SampledFrom([]string{"red", "blue"}).Draw(t, "team")
+	team := f.state.Config().Teams[name]
+	team.Rate = rate
+	return applyCommand(config.Change{Teams: config.Entries[config.Team]{Set: map[string]config.Team{name: team}}})
+}
+
+func (f *fleetRun) change(t *rapid.T) {
+	version := f.state.Version()
+	base := rapid.SampledFrom([]uint64{version, version, version, version - 1, version + 1}).Draw(t, "base")
+	c, key := f.drawCommand(t, base)
+	f.send(t, c, key)
+}
+
+// race lets several operators decide on equal versions: exactly one apply wins.
+func (f *fleetRun) race(t *rapid.T) {
+	base, winners := f.state.Version(), 0
+	for range rapid.IntRange(2, 4).Draw(t, "racers") {
+		result := f.send(t, Command{Operator: "racer", BaseVersion: base, Apply: f.setRate(t, float64(1000+f.nextID))}, "")
+		if result.Err == nil {
+			winners++
+			continue
+		}
+		assert.Assert(t, len(result.Err.Fields) > 0)
+	}
+	assert.Equal(t, winners, 1)
+}
+
+// roster commands come from processes without a base version and must not make operators lose.
+func (f *fleetRun) join(t *rapid.T) {
+	p := Process{Name: f.newID(), Address: "10.0.0.1:7000", Domain: "d1"}
+	f.send(t, Command{Operator: p.Name, Join: &p}, "")
+	if rapid.Bool().Draw(t, "leaves") {
+		f.send(t, Command{Operator: p.Name, Leave: &Leave{Name: p.Name}}, "")
+	}
+}
+
+// resend repeats any earlier command: the answer is the first one and nothing changes.
+func (f *fleetRun) resend(t *rapid.T) {
+	if len(f.sent) == 0 {
+		t.Skip("nothing sent")
+	}
+	first := rapid.SampledFrom(f.sent).Draw(t, "resend")
+	first.command.Time = time.Unix(int64(rapid.IntRange(1, 1000).Draw(t, "time")), 0)
+	version := f.state.Version()
+	assert.DeepEqual(t, propose(t, f.state, first.command), first.result)
+	assert.Equal(t, f.state.Version(), version)
+	first.command.Operator = "mallory"
+	assert.Equal(t, propose(t, f.state, first.command).Err.Code, CodeChangeIDReused)
+}
+
+func (f *fleetRun) restart(t *rapid.T) {
+	f.state = restoreCopy(t, f.state)
+}
+
+func (f *fleetRun) restartFollower(t *rapid.T) {
+	f.follower = restoreCopy(t, f.follower)
+}
+
+func restoreCopy(t *rapid.T, s *State) *State {
+	data, err := s.Snapshot()
+	assert.NilError(t, err)
+	restored, err := Restore(data)
+	assert.NilError(t, err)
+	again, err := restored.Snapshot()
+	assert.NilError(t, err)
+	assert.Assert(t, bytes.Equal(data, again))
+	return restored
+}
+
+// follow applies some of the deltas, with repeated and early ones between them, which must change nothing.
+func (f *fleetRun) follow(t *rapid.T) {
+	deltas, ok := f.state.Since(f.follower.Version())
+	assert.Assert(t, ok)
+	for _, d := range deltas[:rapid.IntRange(0, len(deltas)).Draw(t, "deltas")] {
+		assert.NilError(t, f.follower.ApplyDelta(d))
+		var gap *GapError
+		assert.Assert(t, asGap(f.follower.ApplyDelta(d), &gap))
+		assert.Assert(t, asGap(f.follower.ApplyDelta(Delta{From: d.From + 2, Command: d.Command}), &gap))
+		assert.Equal(t, f.follower.Version(), d.From+1)
+	}
+}
+
+func asGap(err error, target **GapError) bool {
+	gap, ok := err.(*GapError)
+	*target = gap
+	return ok
+}
+
+func (f *fleetRun) check(t *rapid.T) {
+	assert.Equal(t, f.state.Version(), f.oracle.version)
+	for name, rate := range f.oracle.rates {
+		assert.Equal(t, f.state.Config().Teams[name].Rate, rate)
+	}
+	for _, key := range []string{"listed", "k1", "k2", "k3"} {
+		team, ok := f.state.TeamByKey(sha256.Sum256([]byte(key)))
+		want, wantOK := f.oracle.keys[key]
+		assert.Equal(t, team, want)
+		assert.Equal(t, ok, wantOK)
+	}
+	for _, domain := range []string{"d1", "d2", "d3"} {
+		assert.Equal(t, f.state.DomainOut(domain), f.oracle.out[domain])
+	}
+	if f.follower.Version() == f.state.Version() {
+		assert.Equal(t, f.follower.Config().Hash(), f.state.Config().Hash())
+		assert.Assert(t, reflect.DeepEqual(f.follower.keys.first, f.state.keys.first))
+	}
+}
+
+// Guards against two winners of one race, an accepted change that a restart or a resend loses or repeats, versions that
+// go back, a withdrawn key that works again, and copies that differ at equal versions.
+func TestStateAgainstOracle(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := newTestState(t)
+		f := &fleetRun{state: s, follower: restoreCopy(t, s), oracle: newOracle()}
+		t.Repeat(map[string]func(*rapid.T){
+			"":                f.check,
+			"change":          f.change,
+			"race":            f.race,
+			"join":            f.join,
+			"resend":          f.resend,
+			"restart":         f.restart,
+			"restartFollower": f.restartFollower,
+			"follow":          f.follow,
+		})
+	})
+}
