fleet/state: remember rosters until their successors are in force

Cause: a process that control cannot reach judges its majority by the roster that it holds, so the rule for 'in force' needs every roster still in use, also after the control leader changed. Change: the state keeps roster changes with their versions and drops them by a RosterInForce command; RosterChain returns the rosters that may be in use. Conclusion: state tests pass with -race.

--- a/fleet/state/apply.go
+++ b/fleet/state/apply.go
@@ -94,6 +94,8 @@
 		return s.runJoin(*c.Join)
 	case c.Leave != nil:
 		return s.runLeave(c.Leave.Name)
+	case c.RosterInForce != nil:
+		return s.runRosterInForce(c.RosterInForce)
 	}
 	return s.runAssignShards(c.AssignShards)
 }
--- a/fleet/state/apply_roster.go
+++ b/fleet/state/apply_roster.go
@@ -18,6 +18,9 @@
 	if s.roster[p.Name] == p {
 		return nil, refuse(CodeUnchanged, nil, "process %s is in the roster", p.Name)
 	}
+	if _, known := s.roster[p.Name]; !known {
+		s.addRosterChange(p.Name, true)
+	}
 	s.roster[p.Name] = p
 	return []string{"roster." + p.Name}, nil
 }
@@ -28,6 +31,7 @@
 		return nil, refuse(CodeUnchanged, nil, "process %q is not in the roster", name)
 	}
 	delete(s.roster, name)
+	s.addRosterChange(name, false)
 	for shard, owner := range s.shards {
 		if owner == name {
 			s.shards[shard] = ""
--- a/fleet/state/command.go
+++ b/fleet/state/command.go
@@ -31,6 +31,8 @@
 	Join         *Process      `json:"join,omitempty"`
 	Leave        *Leave        `json:"leave,omitempty"`
 	AssignShards *AssignShards `json:"assignShards,omitempty"`
+	// RosterInForce is proposed by the control leader.
+	RosterInForce *RosterInForce `json:"rosterInForce,omitempty"`
 }
 
 // ApplyChange changes the configuration document.
@@ -86,14 +88,15 @@
 
 // Kinds of commands.
 const (
-	KindApply        Kind = "apply"
-	KindIssueKey     Kind = "key issue"
-	KindWithdrawKey  Kind = "key withdraw"
-	KindDomainOut    Kind = "domain out"
-	KindDomainIn     Kind = "domain in"
-	KindJoin         Kind = "join"
-	KindLeave        Kind = "leave"
-	KindAssignShards Kind = "assign shards"
+	KindApply         Kind = "apply"
+	KindIssueKey      Kind = "key issue"
+	KindWithdrawKey   Kind = "key withdraw"
+	KindDomainOut     Kind = "domain out"
+	KindDomainIn      Kind = "domain in"
+	KindJoin          Kind = "join"
+	KindLeave         Kind = "leave"
+	KindAssignShards  Kind = "assign shards"
+	KindRosterInForce Kind = "roster in force"
 )
 
 // Kind returns what the command does, or "" unless exactly one of the pointers is set.
@@ -112,6 +115,7 @@
 	add(c.Join != nil, KindJoin)
 	add(c.Leave != nil, KindLeave)
 	add(c.AssignShards != nil, KindAssignShards)
+	add(c.RosterInForce != nil, KindRosterInForce)
 	if len(kinds) != 1 {
 		return ""
 	}
--- a/fleet/state/limits_test.go
+++ b/fleet/state/limits_test.go
@@ -64,6 +64,14 @@
 			assert.Equal(t, s.Version(), version)
 		})
 	}
+	// The rosters that a cut-off process may hold are known until the version that replaced them is in force.
+	base, changes := s.RosterChain()
+	assert.DeepEqual(t, base, []string{})
+	assert.DeepEqual(t, changes, []RosterChange{{Version: 6, Name: "vm1", Joined: true}})
+	assert.Assert(t, propose(t, s, Command{ChangeID: "trim", RosterInForce: &RosterInForce{Version: 7}}).Err == nil)
+	base, changes = s.RosterChain()
+	assert.DeepEqual(t, base, []string{"vm1"})
+	assert.Equal(t, len(changes), 0)
 	// A team that goes takes its issued keys with it; a process that goes leaves its shards without owner.
 	remove := applyCommand(config.Change{Teams: config.Entries[config.Team]{Remove: []string{"red"}}})
 	assert.Assert(t, propose(t, s, Command{ChangeID: "remove", BaseVersion: s.Version(), Apply: remove}).Err == nil)
--- /dev/null
+++ b/fleet/state/roster_chain.go
@@ -0,0 +1,59 @@
+package state
+
+import (
+	"slices"
+)
+
+// maxRosterChanges bounds the remembered roster changes. It is reached only when none came into force for that long.
+const maxRosterChanges = 10_000
+
+// RosterChange is one change of the set of names in the roster.
+type RosterChange struct {
+	// Version is the version that made the change.
+	Version uint64 `json:"version"`
+	Name    string `json:"name"`
+	// Joined is false where the process left.
+	Joined bool `json:"joined,omitempty"`
+}
+
+// RosterInForce tells that a version is in force, so that no process acts on a roster before it.
+type RosterInForce struct {
+	Version uint64 `json:"version"`
+}
+
+// RosterChain returns the rosters that processes may still act on: the names of the oldest one, sorted, and the changes
+// that lead from it to the current one. A process that control cannot reach judges its majority by the roster that it
+// has, so a version is in force only when a majority of each of these rosters confirmed it.
+func (s *State) RosterChain() (base []string, changes []RosterChange) {
+	names := make(map[string]bool, len(s.roster))
+	for name := range s.roster {
+		names[name] = true
+	}
+	for _, c := range slices.Backward(s.rosterChanges) {
+		if c.Joined {
+			delete(names, c.Name)
+		} else {
+			names[c.Name] = true
+		}
+	}
+	return sortedNames(names), slices.Clone(s.rosterChanges)
+}
+
+func (s *State) addRosterChange(name string, joined bool) {
+	s.rosterChanges = append(s.rosterChanges, RosterChange{Version: s.version + 1, Name: name, Joined: joined})
+	if len(s.rosterChanges) > maxRosterChanges {
+		s.rosterChanges = s.rosterChanges[1:]
+	}
+}
+
+func (s *State) runRosterInForce(r *RosterInForce) ([]string, *Refusal) {
+	if r.Version > s.version {
+		return nil, refuse(CodeInvalid, nil, "version %d is ahead of version %d", r.Version, s.version)
+	}
+	rest := slices.DeleteFunc(slices.Clone(s.rosterChanges), func(c RosterChange) bool { return c.Version <= r.Version })
+	if len(rest) == len(s.rosterChanges) {
+		return nil, refuse(CodeUnchanged, nil, "no roster change up to version %d is pending", r.Version)
+	}
+	s.rosterChanges = rest
+	return []string{"roster"}, nil
+}
--- a/fleet/state/snapshot.go
+++ b/fleet/state/snapshot.go
@@ -20,6 +20,7 @@
 	Withdrawn       []string               `json:"withdrawn,omitempty"`
 	Out             []string               `json:"out,omitempty"`
 	Roster          []Process              `json:"roster,omitempty"`
+	RosterChanges   []RosterChange         `json:"rosterChanges,omitempty"`
 	Shards          [Shards]string         `json:"shards"`
 	Accepted        []Record               `json:"accepted,omitempty"`
 	Refused         []Record               `json:"refused,omitempty"`
@@ -38,6 +39,7 @@
 		Withdrawn:       s.withdrawn.order,
 		Out:             s.DomainsOut(),
 		Roster:          s.Roster(),
+		RosterChanges:   s.rosterChanges,
 		Shards:          s.shards,
 		Accepted:        s.accepted.records,
 		Refused:         s.refused.records,
@@ -80,6 +82,7 @@
 	for _, p := range snap.Roster {
 		s.roster[p.Name] = p
 	}
+	s.rosterChanges = snap.RosterChanges
 	for _, r := range snap.Accepted {
 		s.accepted.add(r)
 	}
--- a/fleet/state/state.go
+++ b/fleet/state/state.go
@@ -26,6 +26,7 @@
 	withdrawn       withdrawnKeys
 	out             map[string]bool
 	roster          map[string]Process
+	rosterChanges   []RosterChange
 	shards          [Shards]string
 	accepted        *window
 	refused         *window
