--- a/control/doc.go
+++ b/control/doc.go
@@ -1,2 +1,3 @@
-// Package control serves operators and distributes fleet state to proxies.
+// Package control serves operators over HTTP, distributes fleet state to processes by version, and decides which
+// versions are in force.
 package control
