membership: pull metadata after short notices, bound its rate, and test gossip under faults

Cause: passing metadata on with each packet cost 36 KB/s for a process at 40 members, and 3 notices without a push left a third of the pairs without new metadata after 3 s (11.5 s until all had it). Change: short notices, the receiver asks the sender; the publisher pushes to 3 peers; the interval grows with the fleet. Also: a restarted process admits only when it is established again; contacts are kept by roster index.

--- a/membership/config.go
+++ b/membership/config.go
@@ -23,8 +23,12 @@
 	// MaxPacketBytes bounds the updates and digests put into one packet, by their estimated JSON size. Default 12 KiB,
 	// which leaves room for the other fields below the packet limit of 16 KiB.
 	MaxPacketBytes int
-	// MetaInterval is the least time between two versions of the own metadata. Default 500ms.
+	// MetaInterval is the least time between two versions of the own metadata. Default 1s.
 	MetaInterval time.Duration
+	// MetaIntervalPerMember is the least time between two versions for each known member: each version goes to all
+	// processes, so with a fixed interval the traffic of a process would grow with the fleet. Default 200ms, which
+	// keeps metadata of about 1 KB below 16 KB/s for a process.
+	MetaIntervalPerMember time.Duration
 	// ContactPulls is the number of pings in a period while no beat is fresh. Default 3.
 	ContactPulls int
 }
@@ -34,7 +38,8 @@
 	setDuration(&c.PingTimeout, 150*time.Millisecond)
 	setDuration(&c.SyncInterval, 5*time.Second)
 	setDuration(&c.DeadRetention, 10*time.Minute)
-	setDuration(&c.MetaInterval, 500*time.Millisecond)
+	setDuration(&c.MetaInterval, time.Second)
+	setDuration(&c.MetaIntervalPerMember, 200*time.Millisecond)
 	setInt(&c.Helpers, 3)
 	setInt(&c.Confirmations, 2)
 	setInt(&c.SuspicionPeriods, 5)
--- a/membership/evidence.go
+++ b/membership/evidence.go
@@ -20,8 +20,8 @@
 // Contact is transitive: an answer carries the ages of the sender's own contacts, so a process needs only a few pings
 // to have contact with a majority of 2,000 processes.
 //
-// A process that restarts forgets what it confirmed. It counts as contact only when it is established again: when it
-// had evidence that is no older than its own start, or for a majority no older than ConfirmWindow after its start.
+// A process that restarts forgets what it confirmed. It admits and counts as contact only when it is established again:
+// when it had evidence that is no older than its own start, or for a majority no older than ConfirmWindow after its start.
 // Control counts a confirmation towards a majority for at most ConfirmWindow, so a confirmation from before the
 // restart no longer counts when the process is established again.
 const (
@@ -49,8 +49,9 @@
 
 	roster     []string // sorted
 	rosterHash uint64
-	contact    map[string]time.Duration // time as of which the peer's knowledge is known here
-	majorityAt time.Duration            // cached; see majority
+	selfIndex  int             // in the roster, or -1
+	contact    []time.Duration // by roster index: time as of which the peer's knowledge is known here, or never
+	majorityAt time.Duration   // cached; see majority
 	dirty      bool
 
 	beat   Beat          // highest number and version seen; Age is unused
@@ -68,7 +69,7 @@
 }
 
 func newEvidence(self string) *evidence {
-	return &evidence{self: self, contact: make(map[string]time.Duration), beatAt: never, majorityAt: never, start: never}
+	return &evidence{self: self, selfIndex: -1, beatAt: never, majorityAt: never, start: never}
 }
 
 func (e *evidence) begin(now time.Duration) {
@@ -78,23 +79,38 @@
 }
 
 func (e *evidence) setRoster(names []string) {
+	old, oldContact := e.roster, e.contact
 	e.roster = slices.Clone(names)
 	slices.Sort(e.roster)
 	e.roster = slices.Compact(e.roster)
+	e.rosterHash = hashNames(e.roster)
+	e.selfIndex = e.index(e.self)
+	e.contact = make([]time.Duration, len(e.roster))
+	for i := range e.contact {
+		e.contact[i] = never
+	}
+	for i, name := range old {
+		e.touch(e.index(name), oldContact[i])
+	}
+	e.dirty = true
+}
+
+func hashNames(names []string) uint64 {
 	h := fnv.New64a()
-	for _, name := range e.roster {
+	for _, name := range names {
 		h.Write([]byte(name))
 		h.Write([]byte{0})
 	}
-	e.rosterHash = h.Sum64()
-	contact := make(map[string]time.Duration, len(e.roster))
-	for _, name := range e.roster {
-		if at, ok := e.contact[name]; ok {
-			contact[name] = at
-		}
+	return h.Sum64()
+}
+
+// index returns the place of a name in the roster, or -1.
+func (e *evidence) index(name string) int {
+	i, found := slices.BinarySearch(e.roster, name)
+	if !found {
+		return -1
 	}
-	e.contact = contact
-	e.dirty = true
+	return i
 }
 
 // asOf returns the time as of which this process knows the newest version, or never.
@@ -104,6 +120,9 @@
 
 // fresh tells whether the evidence is young enough to admit requests.
 func (e *evidence) fresh(now time.Duration) bool {
+	if !e.established {
+		return false
+	}
 	return now-e.beatAt <= ContactWindow || now-e.majority(now) <= ContactWindow
 }
 
@@ -114,7 +133,7 @@
 		return never
 	}
 	others := len(e.roster)/2 + 1
-	if e.established && e.inRoster(e.self) {
+	if e.established && e.selfIndex >= 0 {
 		others--
 	}
 	if others == 0 {
@@ -127,21 +146,13 @@
 	return e.majorityAt
 }
 
-func nthNewest(contact map[string]time.Duration, n int) time.Duration {
-	if len(contact) < n {
+func nthNewest(times []time.Duration, n int) time.Duration {
+	if len(times) < n {
 		return never
 	}
-	times := make([]time.Duration, 0, len(contact))
-	for _, at := range contact {
-		times = append(times, at)
-	}
-	slices.Sort(times)
-	return times[len(times)-n]
-}
-
-func (e *evidence) inRoster(name string) bool {
-	_, found := slices.BinarySearch(e.roster, name)
-	return found
+	sorted := slices.Clone(times)
+	slices.Sort(sorted)
+	return sorted[len(sorted)-n]
 }
 
 // learn records that a version exists. The time to fetch it starts now, but it ends no later than it would for a
@@ -192,7 +203,7 @@
 		e.takeBeat(*p.Beat, asked)
 	}
 	if p.Established {
-		e.touch(p.From, asked)
+		e.touch(e.index(p.From), asked)
 	}
 	e.takeContacts(p.Contacts, asked)
 	e.establish(now)
@@ -214,19 +225,17 @@
 	}
 	for i, age := range c.Ages {
 		if age != noContact {
-			e.touch(e.roster[i], asked-time.Duration(age)*ageUnit)
+			e.touch(i, asked-time.Duration(age)*ageUnit)
 		}
 	}
 }
 
-func (e *evidence) touch(name string, at time.Duration) {
-	if name == e.self || !e.inRoster(name) {
+func (e *evidence) touch(i int, at time.Duration) {
+	if i < 0 || i == e.selfIndex || at <= e.contact[i] {
 		return
 	}
-	if old, ok := e.contact[name]; !ok || at > old {
-		e.contact[name] = at
-		e.dirty = true
-	}
+	e.contact[i] = at
+	e.dirty = true
 }
 
 func (e *evidence) establish(now time.Duration) {
@@ -245,24 +254,21 @@
 		return nil
 	}
 	ages := make([]byte, len(e.roster))
-	for i, name := range e.roster {
-		ages[i] = e.contactAge(name, now)
+	for i := range ages {
+		ages[i] = e.contactAge(i, now)
 	}
 	return &Contacts{Roster: e.rosterHash, Ages: ages}
 }
 
-func (e *evidence) contactAge(name string, now time.Duration) byte {
-	if name == e.self {
-		if e.established {
-			return 0
-		}
-		return noContact
+func (e *evidence) contactAge(i int, now time.Duration) byte {
+	if i == e.selfIndex && e.established {
+		return 0
 	}
-	at, ok := e.contact[name]
-	if !ok || now-at > ContactWindow {
+	age := now - e.contact[i]
+	if age > ContactWindow {
 		return noContact
 	}
-	return byte((now - at + ageUnit - 1) / ageUnit)
+	return byte((age + ageUnit - 1) / ageUnit)
 }
 
 // stale tells whether the newest beat is so old that contact with other processes is needed.
--- a/membership/gossip.go
+++ b/membership/gossip.go
@@ -14,7 +14,7 @@
 	name     string
 	accusers []string // accusations to pass on
 	status   int      // times left to send the member's status
-	meta     int      // times left to send the member's metadata
+	notice   int      // times left to tell that there is new metadata
 }
 
 func (g *gossip) drop(name string) { delete(g.items, name) }
@@ -28,19 +28,22 @@
 	return item
 }
 
-// sends is the number of times an update is passed on from here; with it, an update reaches all processes with high
-// probability.
+// noticeSends is the number of times a notice of new metadata is passed on. A few processes miss it; syncs repair that.
+const noticeSends = 5
+
+// sends is the number of times a status is passed on from here; with it, a status reaches nearly all processes.
 func (n *Node) sends() int {
-	return 3 * int(math.Ceil(math.Log2(float64(len(n.names)+1))))
+	return 4 * int(math.Ceil(math.Log10(float64(len(n.names)+1))))
 }
 
-func (n *Node) announce(r *record, withMeta bool) {
+func (n *Node) announce(r *record) {
 	item := n.gossip.item(r.Name)
 	item.accusers = nil
 	item.status = n.sends()
-	if withMeta {
-		item.meta = n.sends()
-	}
+}
+
+func (n *Node) announceMeta(r *record) {
+	n.gossip.item(r.Name).notice = noticeSends
 }
 
 func (n *Node) announceAccuser(r *record, accuser string) {
@@ -49,33 +52,58 @@
 	item.status = n.sends()
 }
 
-// piggyback returns the updates for a packet to the receiver, least sent first, within the size. When the receiver
-// itself is under suspicion or counted as dead, the claim comes first, so that it can refute it.
-func (n *Node) piggyback(receiver *record, room int) []Update {
-	var updates []Update
+// piggyback adds the updates and notices that fit into the room, least sent first. When the receiver itself is under
+// suspicion or counted as dead, the claim comes first, so that it can refute it.
+func (n *Node) piggyback(p *Packet, receiver *record, room int) {
 	if receiver != nil && (receiver.Status == StatusSuspect || receiver.Status == StatusDead) {
-		updates = append(updates, Update{Member: receiver.withoutMeta()})
-		room -= updateBytes(&updates[0])
+		u := Update{Member: receiver.withoutMeta()}
+		p.Updates = append(p.Updates, u)
+		room -= updateBytes(&u)
 	}
 	for _, item := range n.gossip.sorted() {
 		r := n.members[item.name]
-		for _, u := range item.updates(r) {
-			size := updateBytes(&u)
-			if size > room {
-				continue
-			}
-			room -= size
-			updates = append(updates, u)
-			if u.HasMeta {
-				item.meta--
-			}
-		}
-		item.status--
-		if item.status <= 0 && item.meta <= 0 {
+		room -= item.addStatus(p, r, room)
+		room -= item.addNotice(p, r, room)
+		if item.left() <= 0 {
 			n.gossip.drop(item.name)
 		}
 	}
-	return updates
+}
+
+// addStatus adds one update, or one for each accusation to pass on, and returns the bytes that it took.
+func (i *gossipItem) addStatus(p *Packet, r *record, room int) int {
+	if i.status <= 0 {
+		return 0
+	}
+	updates := i.updates(r)
+	size := 0
+	for u := range updates {
+		size += updateBytes(&updates[u])
+	}
+	if size > room {
+		return 0
+	}
+	i.status--
+	p.Updates = append(p.Updates, updates...)
+	return size
+}
+
+func (i *gossipItem) addNotice(p *Packet, r *record, room int) int {
+	if i.notice <= 0 {
+		return 0
+	}
+	k := r.known()
+	size := knownBytes(&k)
+	if size > room {
+		return 0
+	}
+	i.notice--
+	p.Notices = append(p.Notices, k)
+	return size
+}
+
+func (r *record) known() Known {
+	return Known{Name: r.Name, Incarnation: r.Incarnation, Status: r.Status, MetaVersion: r.MetaVersion}
 }
 
 func (g *gossip) sorted() []*gossipItem {
@@ -95,28 +123,20 @@
 	return all
 }
 
-func (i *gossipItem) left() int { return max(i.status, i.meta) }
+func (i *gossipItem) left() int { return max(i.status, i.notice) }
 
-// updates returns one update for the member, or one for each accusation to pass on.
 func (i *gossipItem) updates(r *record) []Update {
-	first := Update{Member: r.Member, HasMeta: i.meta > 0}
-	if !first.HasMeta {
-		first.Member = r.withoutMeta()
-	}
 	if r.Status != StatusSuspect || len(i.accusers) == 0 {
-		return []Update{first}
+		return []Update{{Member: r.withoutMeta()}}
 	}
 	var all []Update
 	for _, accuser := range i.accusers {
-		first.Accuser = accuser
-		all = append(all, first)
-		first = Update{Member: r.withoutMeta()}
+		all = append(all, Update{Member: r.withoutMeta(), Accuser: accuser})
 	}
 	return all
 }
 
-func (r *record) withoutMeta() Member {
-	m := r.Member
+func (m Member) withoutMeta() Member {
 	m.Meta = nil
 	return m
 }
@@ -139,6 +159,9 @@
 	for i := range p.Digest {
 		size += knownBytes(&p.Digest[i])
 	}
+	for i := range p.Notices {
+		size += knownBytes(&p.Notices[i])
+	}
 	return size
 }
 
--- a/membership/merge.go
+++ b/membership/merge.go
@@ -32,7 +32,10 @@
 	if u.MetaVersion > n.self.MetaVersion {
 		n.self.MetaVersion = u.MetaVersion + 1
 	}
-	n.announce(n.self, formerRun)
+	n.announce(n.self)
+	if formerRun {
+		n.announceMeta(n.self)
+	}
 }
 
 // mergeNew adds an unknown member. Claims about unknown dead members are dropped, since they could otherwise circulate
@@ -41,7 +44,7 @@
 	if u.Status == StatusDead {
 		return
 	}
-	r := &record{Member: u.Member, answeredAt: never}
+	r := newRecord(u.Member)
 	if !u.HasMeta {
 		r.Meta, r.MetaVersion = nil, 0
 	}
@@ -49,7 +52,10 @@
 	n.insert(r)
 	n.admitToRound(r.Name)
 	n.event(EventJoined, r)
-	n.announce(r, u.HasMeta)
+	n.announce(r)
+	if u.HasMeta {
+		n.announceMeta(r)
+	}
 	if u.Status != StatusAlive {
 		n.setStatus(r, u, now)
 	}
@@ -92,7 +98,7 @@
 	case changed:
 		n.event(EventStatus, r)
 	}
-	n.announce(r, false)
+	n.announce(r)
 }
 
 func (n *Node) mergeMeta(r *record, u *Update) {
@@ -101,5 +107,36 @@
 	}
 	r.Meta, r.MetaVersion = u.Meta, u.MetaVersion
 	n.event(EventMeta, r)
-	n.announce(r, true)
+	n.announceMeta(r)
+}
+
+// askForMeta asks the sender for metadata that it has and this process lacks, about each member at most once a second.
+func (n *Node) askForMeta(now time.Duration, from string, p *Packet) []Outgoing {
+	const askInterval = time.Second
+	ask := Packet{Kind: KindUpdates}
+	for _, k := range p.newerMeta() {
+		r := n.members[k.Name]
+		switch {
+		case r == n.self:
+			n.mergeSelf(&Update{Member: Member{Incarnation: k.Incarnation, MetaVersion: k.MetaVersion}})
+		case r != nil && k.MetaVersion > r.MetaVersion && now-r.askedAt >= askInterval:
+			r.askedAt = now
+			ask.Digest = append(ask.Digest, Known{Name: k.Name})
+		}
+	}
+	if len(ask.Digest) == 0 {
+		return nil
+	}
+	return []Outgoing{n.packet(from, n.members[p.From], now, ask)}
+}
+
+// newerMeta lists the metadata versions that the sender has and did not send along.
+func (p *Packet) newerMeta() []Known {
+	known := slices.Clone(p.Notices)
+	for i := range p.Updates {
+		if u := &p.Updates[i]; !u.HasMeta {
+			known = append(known, Known{Name: u.Name, Incarnation: u.Incarnation, MetaVersion: u.MetaVersion})
+		}
+	}
+	return known
 }
--- a/membership/node.go
+++ b/membership/node.go
@@ -4,6 +4,8 @@
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"github.com/pkg/errors"
 )
 
 // Node is the membership state of one process.
@@ -25,10 +27,13 @@
 	sync   syncState
 
 	lastTick  time.Duration
+	statusAt  time.Duration // next check of suspects and dead members
 	started   bool
 	meta      []byte // newest metadata from SetMeta that is not published yet
 	metaDirty bool
-	metaAt    time.Duration
+	// metaUrgent makes metaDirty metadata go out before the interval is over.
+	metaUrgent bool
+	metaAt     time.Duration
 }
 
 // record is a member with the local state around it.
@@ -37,9 +42,14 @@
 	accusers    map[string]bool // processes that could not reach the member in this incarnation
 	suspectedAt time.Duration
 	deadAt      time.Duration
+	askedAt     time.Duration // last request for newer metadata
 	answeredAt  time.Duration // send time of the newest ping that the member answered directly
 }
 
+func newRecord(m Member) *record {
+	return &record{Member: m, answeredAt: never, askedAt: never}
+}
+
 // New returns a node that knows only itself. The name, address and domain of self are fixed; Incarnation should grow
 // with each start of the process, for example by taking the wall clock's seconds.
 func New(self Member, cfg Config, rnd *rand.Rand) *Node {
@@ -47,7 +57,7 @@
 	n := &Node{
 		cfg:      cfg.withDefaults(),
 		rnd:      rnd,
-		self:     &record{Member: self, answeredAt: never},
+		self:     newRecord(self),
 		members:  make(map[string]*record),
 		evidence: newEvidence(self.Name),
 		gossip:   gossip{items: make(map[string]*gossipItem)},
@@ -55,7 +65,7 @@
 	// A random start keeps answers to a former run of the process from matching questions of this run.
 	n.prober.seq = rnd.Uint64() >> 1
 	n.insert(n.self)
-	n.announce(n.self, true)
+	n.announce(n.self)
 	return n
 }
 
@@ -88,12 +98,24 @@
 	return events
 }
 
-// SetMeta replaces the own metadata. It is published at most once per Config.MetaInterval.
-func (n *Node) SetMeta(meta []byte) {
+// SetMeta replaces the own metadata. It is published at most once per Config.MetaInterval. Metadata that does not fit
+// into a packet is refused, and the former metadata stays.
+func (n *Node) SetMeta(meta []byte) error {
+	probe := Update{Member: n.self.withoutMeta()}
+	probe.Meta = meta
+	if size := updateBytes(&probe); size > n.cfg.MaxPacketBytes {
+		return errors.Errorf("metadata of %d bytes needs %d bytes in a packet; the limit is %d",
+			len(meta), size, n.cfg.MaxPacketBytes)
+	}
 	n.meta = slices.Clone(meta)
 	n.metaDirty = true
+	return nil
 }
 
+// PublishMeta makes the next Tick publish the metadata from SetMeta without waiting for the interval. It is meant for
+// rare changes such as a drain, not for load reports.
+func (n *Node) PublishMeta() { n.metaUrgent = true }
+
 // Join contacts the addresses of processes that are already in the fleet. Node repeats this until one answers.
 func (n *Node) Join(now time.Duration, addresses []string) []Outgoing {
 	n.begin(now)
@@ -105,7 +127,7 @@
 func (n *Node) Leave(now time.Duration) []Outgoing {
 	n.begin(now)
 	n.self.Status = StatusLeaving
-	n.announce(n.self, false)
+	n.announce(n.self)
 	const fanout = 8
 	var out []Outgoing
 	for _, r := range n.pick(fanout, func(r *record) bool { return r.Status != StatusDead }) {
@@ -119,12 +141,10 @@
 func (n *Node) Tick(now time.Duration) []Outgoing {
 	n.begin(now)
 	n.skipPause(now)
-	n.publishMeta(now)
-	out := n.tickProbes(now)
-	n.tickSuspicions(now)
-	out = append(out, n.tickSync(now)...)
-	n.forgetDead(now)
-	return out
+	out := n.publishMeta(now)
+	out = append(out, n.tickProbes(now)...)
+	n.tickStatus(now)
+	return append(out, n.tickSync(now)...)
 }
 
 // Receive handles a packet. from is the address at which the sender takes packets.
@@ -134,17 +154,21 @@
 	for i := range p.Updates {
 		n.merge(&p.Updates[i], now)
 	}
+	return append(n.handle(now, from, &p), n.askForMeta(now, from, &p)...)
+}
+
+func (n *Node) handle(now time.Duration, from string, p *Packet) []Outgoing {
 	switch p.Kind {
 	case KindPing:
-		return n.answerPing(now, from, &p)
+		return n.answerPing(now, from, p)
 	case KindPingRequest:
-		return n.relayPing(now, from, &p)
+		return n.relayPing(now, from, p)
 	case KindAck:
-		return n.receiveAck(now, &p)
+		return n.receiveAck(now, p)
 	case KindSync:
-		return n.answerSync(now, from, &p)
+		return n.answerSync(now, from, p)
 	case KindUpdates:
-		return n.continueSync(now, from, &p)
+		return n.continueSync(now, from, p)
 	}
 	return nil
 }
@@ -175,15 +199,27 @@
 	}
 }
 
-func (n *Node) publishMeta(now time.Duration) {
-	if !n.metaDirty || now-n.metaAt < n.cfg.MetaInterval {
-		return
+// publishMeta makes new metadata known and sends it to a few peers, from which others fetch it.
+func (n *Node) publishMeta(now time.Duration) []Outgoing {
+	if !n.metaDirty || !n.metaUrgent && now-n.metaAt < n.metaInterval() {
+		return nil
 	}
-	n.metaDirty = false
+	n.metaDirty, n.metaUrgent = false, false
 	n.metaAt = now
 	n.self.Meta = n.meta
 	n.self.MetaVersion++
-	n.announce(n.self, true)
+	n.announceMeta(n.self)
+	const fanout = 3
+	var out []Outgoing
+	for _, r := range n.pick(fanout, func(r *record) bool { return r.Status != StatusDead }) {
+		u := Update{Member: n.self.Member, HasMeta: true}
+		out = append(out, n.packetTo(r, now, Packet{Kind: KindUpdates, Updates: []Update{u}}))
+	}
+	return out
+}
+
+func (n *Node) metaInterval() time.Duration {
+	return max(n.cfg.MetaInterval, time.Duration(len(n.names))*n.cfg.MetaIntervalPerMember)
 }
 
 func (n *Node) insert(r *record) {
@@ -204,23 +240,31 @@
 	n.events = append(n.events, Event{Kind: kind, Member: r.Member})
 }
 
-// pick returns up to count different random members other than this process.
+// pick returns up to count different random members other than this process. It draws names at random, and looks at
+// all members only when that finds too few.
 func (n *Node) pick(count int, accept func(*record) bool) []*record {
 	var picked []*record
-	seen := 0
-	for _, name := range n.names {
-		r := n.members[name]
-		if r == n.self || !accept(r) {
-			continue
-		}
-		seen++
-		if len(picked) < count {
+	for range 4 * count {
+		r := n.members[n.names[n.rnd.IntN(len(n.names))]]
+		if r != n.self && accept(r) && !slices.Contains(picked, r) {
 			picked = append(picked, r)
-		} else if i := n.rnd.IntN(seen); i < count {
-			picked[i] = r
+		}
+		if len(picked) == count {
+			return picked
+		}
+	}
+	return n.pickFromAll(count, accept)
+}
+
+func (n *Node) pickFromAll(count int, accept func(*record) bool) []*record {
+	var all []*record
+	for _, name := range n.names {
+		if r := n.members[name]; r != n.self && accept(r) {
+			all = append(all, r)
 		}
 	}
-	return picked
+	n.rnd.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+	return all[:min(count, len(all))]
 }
 
 // packetTo fills in what every packet carries and the updates that fit.
@@ -233,7 +277,7 @@
 	p.Beat = n.evidence.sendBeat(now)
 	p.Version = n.evidence.version
 	p.Established = n.evidence.established
-	p.Updates = append(p.Updates, n.piggyback(r, n.cfg.MaxPacketBytes-packetBytes(&p))...)
+	n.piggyback(&p, r, n.cfg.MaxPacketBytes-packetBytes(&p))
 	return Outgoing{To: address, Packet: p}
 }
 
--- a/membership/packet.go
+++ b/membership/packet.go
@@ -37,7 +37,10 @@
 	// no beat is fresh.
 	Contacts *Contacts `json:"contacts,omitempty"`
 	Updates  []Update  `json:"updates,omitempty"`
-	Digest   []Known   `json:"digest,omitempty"`
+	// Digest lists what the sender of a KindSync knows, or in KindUpdates the names that the sender asks for.
+	Digest []Known `json:"digest,omitempty"`
+	// Notices tell of new metadata; a receiver that lacks it asks the sender for it.
+	Notices []Known `json:"notices,omitempty"`
 	// RangeFrom and RangeTo bound the names that a sync is about; see sync.go.
 	RangeFrom string `json:"rangeFrom,omitempty"`
 	RangeTo   string `json:"rangeTo,omitempty"`
@@ -72,9 +75,9 @@
 // Known tells what the sender knows of a member, without metadata.
 type Known struct {
 	Name        string `json:"name"`
-	Incarnation uint64 `json:"incarnation"`
-	Status      Status `json:"status"`
-	MetaVersion uint64 `json:"metaVersion"`
+	Incarnation uint64 `json:"incarnation,omitempty"`
+	Status      Status `json:"status,omitempty"`
+	MetaVersion uint64 `json:"metaVersion,omitempty"`
 }
 
 // Outgoing is a packet to send. Delivery is best effort.
--- a/membership/suspicion.go
+++ b/membership/suspicion.go
@@ -56,6 +56,17 @@
 	return time.Duration(scale * float64(n.cfg.SuspicionPeriods) * float64(n.cfg.Period))
 }
 
+// tickStatus looks at all members a few times a second; each look costs time in proportion to the fleet.
+func (n *Node) tickStatus(now time.Duration) {
+	const interval = 200 * time.Millisecond
+	if now < n.statusAt {
+		return
+	}
+	n.statusAt = now + interval
+	n.tickSuspicions(now)
+	n.forgetDead(now)
+}
+
 // tickSuspicions declares suspects dead. A process that is itself cut off from control and from the majority of the
 // roster cannot tell who failed, and declares nobody dead.
 func (n *Node) tickSuspicions(now time.Duration) {
@@ -79,7 +90,7 @@
 	r.deadAt = now
 	r.accusers = nil
 	n.event(EventStatus, r)
-	n.announce(r, false)
+	n.announce(r)
 }
 
 func (n *Node) forgetDead(now time.Duration) {
--- /dev/null
+++ b/membership/suspicion_test.go
@@ -0,0 +1,84 @@
+package membership
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+// Guards against the death of a healthy process because some one-way paths to or from it are cut, packets are lost and
+// duplicated, or its accusers themselves pause. Each process keeps two-way paths to more than half of its peers. Also
+// guards against a flood of messages during such faults.
+func TestOneWayPartitionExpelsNobody(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(5, 14).Draw(t, "n")
+		s := newSim(n, rapid.Uint64().Draw(t, "seed"))
+		s.runWithControl(3 * time.Second)
+		s.loss = 0.03
+		broken := make([]int, n)
+		for range rapid.IntRange(0, 2*n).Draw(t, "cuts") {
+			from, to := rapid.IntRange(0, n-1).Draw(t, "from"), rapid.IntRange(0, n-1).Draw(t, "to")
+			if from == to || s.cut[[2]int{from, to}] || s.cut[[2]int{to, from}] {
+				continue
+			}
+			if 2*(broken[from]+1) < n-1 && 2*(broken[to]+1) < n-1 {
+				s.cut[[2]int{from, to}] = true
+				broken[from]++
+				broken[to]++
+			}
+		}
+		before := append([]int(nil), s.sent...)
+		pauser := rapid.IntRange(0, n-1).Draw(t, "pauser")
+		s.runWithControl(10 * time.Second)
+		s.paused[pauser] = true
+		s.runWithControl(time.Second)
+		s.paused[pauser] = false
+		s.runWithControl(10 * time.Second)
+		assert.Equal(t, len(s.died), 0, "%v", s.died)
+		for i := range s.sent {
+			checkPackets(t, s.sent[i]-before[i], 21*time.Second)
+		}
+	})
+}
+
+// checkPackets bounds the packets of one process: in each period it sends a ping, up to three requests for help and,
+// while no beat is fresh, three more pings; the answers to as many from others; relayed pings and answers to them; and
+// some for syncs. The bound does not depend on the fleet size.
+func checkPackets(t assert.TestingT, packets int, d time.Duration) {
+	const perPeriod = 1 + 3 + 3 + 4 + 6 + 2
+	bound := perPeriod * (int(d/(500*time.Millisecond)) + 2)
+	assert.Assert(t, packets <= bound, "%d packets in %v, bound %d", packets, d, bound)
+}
+
+// Guards against a crashed process that stays a member, and against a restarted one that stays dead.
+func TestCrashAndRestart(t *testing.T) {
+	s := newSim(27, 1)
+	s.runWithControl(5 * time.Second)
+	s.paused[3] = true
+	begin := s.now
+	for s.count(simName(3), StatusDead) < 26 && s.now < begin+time.Minute {
+		s.runWithControl(simStep)
+	}
+	t.Logf("crash known to all after %v", s.now-begin)
+	assert.Equal(t, s.count(simName(3), StatusDead), 26)
+	s.paused[3] = false
+	assert.NilError(t, s.nodes[3].SetMeta([]byte("x")))
+	s.start(3, 1) // the same incarnation as before: it has to raise it by itself
+	s.runWithControl(10 * time.Second)
+	assert.Equal(t, s.count(simName(3), StatusAlive), 26)
+	assert.Assert(t, s.nodes[3].Self().Incarnation > 1)
+}
+
+// Guards against a leaving process that is suspected instead of counted as leaving.
+func TestLeave(t *testing.T) {
+	s := newSim(12, 1)
+	s.runWithControl(5 * time.Second)
+	s.send(3, s.nodes[3].Leave(s.now))
+	s.runWithControl(5 * time.Second)
+	assert.Equal(t, s.count(simName(3), StatusLeaving), 11)
+	s.paused[3] = true
+	s.runWithControl(20 * time.Second)
+	assert.Equal(t, s.count(simName(3), StatusDead), 11)
+}
--- a/membership/sync.go
+++ b/membership/sync.go
@@ -65,8 +65,7 @@
 	room := n.cfg.MaxPacketBytes / 2
 	start, _ := slices.BinarySearch(n.names, cursor)
 	for _, name := range n.names[start:] {
-		r := n.members[name]
-		k := Known{Name: r.Name, Incarnation: r.Incarnation, Status: r.Status, MetaVersion: r.MetaVersion}
+		k := n.members[name].known()
 		room -= knownBytes(&k)
 		if room < 0 {
 			p.RangeTo = name
