--- a/idempotency/attempt.go
+++ b/idempotency/attempt.go
@@ -75,6 +75,8 @@
 	phase phase
 	// final is the command that records how the attempt ended.
 	final *Command
+	// owed is the reply that waits for final. A "not run" waits, so that a retry elsewhere finds the key free.
+	owed Reply
 	retry time.Duration
 	pause time.Duration
 	// inFlight is true while a proposal has no result.
@@ -112,12 +114,19 @@
 			return Step{} // a late answer to the claim
 		}
 		a.phase = phaseFinished
-		return Step{Finished: true}
+		return Step{Reply: a.pay(), Finished: true}
 	default:
 		return Step{}
 	}
 }
 
+// pay returns the reply that is still due.
+func (a *Attempt) pay() Reply {
+	reply := a.owed
+	a.owed = NoReply
+	return reply
+}
+
 // claimed acts on the answer to the claim.
 func (a *Attempt) claimed(now time.Duration, r Result) Step {
 	switch r.Outcome {
@@ -155,8 +164,10 @@
 		return step
 	case phaseRecording:
 		a.schedule(now)
+		return Step{Reply: a.pay()}
+	default:
+		return Step{}
 	}
-	return Step{}
 }
 
 // RunEnded reports the end of the run. answer is kept where how is EndedAnswered.
@@ -168,7 +179,8 @@
 	a.pause = firstRetry
 	switch how {
 	case EndedNotRun:
-		return a.record(ReplyNotRun, Command{Release: &Release{Key: a.claim.Key, ClaimID: a.claim.ClaimID}})
+		a.owed = ReplyNotRun
+		return a.record(NoReply, Command{Release: &Release{Key: a.claim.Key, ClaimID: a.claim.ClaimID}})
 	case EndedAnswered:
 		complete := &Complete{Key: a.claim.Key, ClaimID: a.claim.ClaimID, Answer: answer.bounded()}
 		return a.record(ReplyBackend, Command{Complete: complete})
@@ -190,6 +202,8 @@
 	switch {
 	case a.phase == phaseClaiming && now >= a.deadline:
 		return a.giveUp()
+	case a.phase == phaseRecording && a.owed != NoReply && now >= a.deadline:
+		return Step{Reply: a.pay()}
 	case a.phase == phaseRecording && !a.inFlight && now >= a.retry:
 		return a.propose(*a.final)
 	default:
--- a/quota/bucket.go
+++ b/quota/bucket.go
@@ -39,11 +39,30 @@
 	b.level = max(min(b.level, float64(burst-b.outstanding)), 0)
 }
 
-// expire forgets holders whose tokens can no longer be spent. Their tokens are lost; the room is refilled at the rate.
-func (b *bucket) expire(now time.Duration) {
-	if now < b.nextExpiry || len(b.accounts) == 0 {
-		return
+// advance brings the bucket to the present: it refills and forgets holders whose tokens can no longer be spent. Their
+// tokens are lost. Their room is refilled only from the last of these expiries on, because until then the tokens could
+// be spent.
+func (b *bucket) advance(now time.Duration, rate float64, burst int) {
+	if len(b.accounts) > 0 && now >= b.nextExpiry {
+		b.refill(b.lastExpired(now), rate, burst)
+		b.expire(now)
 	}
+	b.refill(now, rate, burst)
+}
+
+// lastExpired is the latest expiry that has passed.
+func (b *bucket) lastExpired(now time.Duration) time.Duration {
+	var last time.Duration
+	for _, a := range b.accounts {
+		if now >= a.expires {
+			last = max(last, a.expires)
+		}
+	}
+	return last
+}
+
+// expire removes the accounts that have expired and finds the next expiry.
+func (b *bucket) expire(now time.Duration) {
 	first := true
 	for key, a := range b.accounts {
 		if now >= a.expires {
--- a/quota/owner.go
+++ b/quota/owner.go
@@ -42,8 +42,7 @@
 		return reply
 	}
 	b := o.bucket(now, r.Team, limit)
-	b.expire(now)
-	b.refill(now, o.rate(limit), limit.Burst)
+	b.advance(now, o.rate(limit), limit.Burst)
 	key := holderKey{r.Process, r.Incarnation}
 	a := b.accounts[key]
 	switch {
@@ -126,8 +125,7 @@
 	o.swept = now
 	for team, b := range o.buckets {
 		limit := o.limits[team]
-		b.expire(now)
-		b.refill(now, o.rate(limit), limit.Burst)
+		b.advance(now, o.rate(limit), limit.Burst)
 		if len(b.accounts) == 0 && b.level >= float64(limit.Burst) {
 			delete(o.buckets, team)
 		}
