--- a/node/controlrole.go
+++ b/node/controlrole.go
@@ -22,6 +22,8 @@
 	// machine is the state machine of the control group.
 	machine *controlMachine
 	groups  map[groupName]*replica.Group
+	// transports send the groups' messages.
+	transports map[groupName]*raftTransport
 
 	controlID raft.ID
 	recordsID raft.ID
@@ -35,7 +37,12 @@
 	if n.opts.DataDir == "" {
 		return nil
 	}
-	c := &controlRole{node: n, machine: newControlMachine(), groups: map[groupName]*replica.Group{}}
+	c := &controlRole{
+		node:       n,
+		machine:    newControlMachine(),
+		groups:     map[groupName]*replica.Group{},
+		transports: map[groupName]*raftTransport{},
+	}
 	c.beats = newBeats(c)
 	c.expirer = idempotency.NewExpirer(0)
 	n.control = c
@@ -67,11 +74,12 @@
 			return 0, errors.Wrapf(err, "found group in %s", dir)
 		}
 	}
+	transport := newRaftTransport(name, c.node.opts.PeerAddress, c.node.client, c.node.memberAddress, &c.node.tomb)
 	group, err := replica.Join(replica.Options{
 		Store:        store,
 		Recovered:    recovered,
 		StateMachine: machine,
-		Transport:    newRaftTransport(name, c.node.client, c.node.memberAddress, &c.node.tomb),
+		Transport:    transport,
 		Logger:       c.node.opts.Log,
 	})
 	if err != nil {
@@ -79,6 +87,7 @@
 		return 0, errors.Wrapf(err, "start group in %s", dir)
 	}
 	c.groups[name] = group
+	c.transports[name] = transport
 	return recovered.ID, nil
 }
 
@@ -145,6 +154,7 @@
 
 func (c *controlRole) receive(_ context.Context, _ string, e raftEnvelope) (struct{}, error) {
 	if group, ok := c.groups[e.Group]; ok {
+		c.transports[e.Group].hear(e.Message.From, e.From)
 		group.Deliver(e.Message)
 	}
 	return struct{}{}, nil
--- a/node/gossip.go
+++ b/node/gossip.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"math/rand/v2"
@@ -65,9 +66,12 @@
 	log    *log.Logger
 	queue  chan membership.Outgoing
 
-	mu      sync.Mutex // guards the fields below
-	node    *membership.Node
-	members map[string]peerInfo
+	mu   sync.Mutex // guards the fields below
+	node *membership.Node
+	own  metadata
+	// published is the encoded form of own.
+	published []byte
+	members   map[string]peerInfo // the other members
 }
 
 // peerInfo is a member with its decoded metadata.
@@ -155,7 +159,8 @@
 			delete(g.members, e.Member.Name)
 			continue
 		}
-		if e.Kind != membership.EventMeta {
+		former, known := g.members[e.Member.Name]
+		if !known || former.Status != e.Member.Status || former.Incarnation != e.Member.Incarnation {
 			g.log.Info().Str("member", e.Member.Name).Str("address", e.Member.Address).
 				Str("status", e.Member.Status.String()).Uint64("incarnation", e.Member.Incarnation).
 				Msg("membership: member changed.")
@@ -179,13 +184,14 @@
 	g.members[m.Name] = info
 }
 
-// list returns the other members that are not dead, and this process.
+// list returns this process and the other members that are not dead.
 func (g *gossip) list() []peerInfo {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	var all []peerInfo
+	own := peerInfo{Member: g.node.Self(), meta: g.own, at: g.clock()}
+	all := []peerInfo{own}
 	for _, m := range g.members {
-		if m.Status != membership.StatusDead {
+		if m.Name != own.Name && m.Status != membership.StatusDead {
 			all = append(all, m)
 		}
 	}
@@ -196,6 +202,9 @@
 func (g *gossip) member(name string) (peerInfo, bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if self := g.node.Self(); self.Name == name {
+		return peerInfo{Member: self, meta: g.own, at: g.clock()}, true
+	}
 	m, ok := g.members[name]
 	return m, ok
 }
@@ -208,7 +217,11 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.node.SetMeta(data)
+	g.own = meta
+	if !bytes.Equal(data, g.published) {
+		g.published = data
+		g.node.SetMeta(data)
+	}
 	return nil
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -25,28 +25,28 @@
 	clock proxy.Clock
 	tomb  tomb.Tomb
 
-	fleet      *proxy.Fleet
-	client     *rpc.Client
-	rpc        *rpc.Server
-	gossip     *gossip
-	directory  *directory
-	shards     *shards
-	limiter    *limiter
-	ejections  *ejections
-	claims     *claims
-	gate       *proxy.Gate
-	entry      *proxy.Entry
-	peers      *proxy.PeerClient
-	control    *controlRole // nil without the control role
-	groups     *groupClient
-	follower   *follower
-	servers    []*server
+	fleet     *proxy.Fleet
+	client    *rpc.Client
+	rpc       *rpc.Server
+	gossip    *gossip
+	directory *directory
+	shards    *shards
+	limiter   *limiter
+	ejections *ejections
+	claims    *claims
+	gate      *proxy.Gate
+	entry     *proxy.Entry
+	peers     *proxy.PeerClient
+	control   *controlRole // nil without the control role
+	groups    *groupClient
+	follower  *follower
+	servers   []*server
 	// admitUntil is the time until which the last look at the right to admit holds, on the node's clock.
-	admitUntil atomic.Int64
-	admitted   bool // used by refreshRight only, guarded by rightMu
-	rightMu    sync.Mutex
-	stopOnce   sync.Once
-	stopErr    error
+	admitUntil  atomic.Int64
+	admitted    bool // used by refreshRight only, guarded by rightMu
+	rightMu     sync.Mutex
+	stopOnce    sync.Once
+	stopErr     error
 	incarnation uint64
 }
 
@@ -265,3 +265,16 @@
 
 // Summary tells in one line what the process did.
 func (n *Node) Summary() string { return proxy.Summary() }
+
+// Propose proposes a command to the control group and returns the version that it made. A refusal is returned as an
+// error of type *state.Refusal.
+func (n *Node) Propose(ctx context.Context, command state.Command) (version uint64, err error) {
+	result, err := n.groups.command(ctx, command)
+	if err != nil {
+		return 0, err
+	}
+	if result.Err != nil {
+		return result.Version, result.Err
+	}
+	return result.Version, nil
+}
--- a/node/roster.go
+++ b/node/roster.go
@@ -181,6 +181,9 @@
 		c.node.opts.Log.Warn().Err(err).Str("kind", string(command.Kind())).Msg("control: proposal failed.")
 		return
 	}
+	if result.Err != nil && result.Err.Code == state.CodeUnchanged {
+		return
+	}
 	if result.Err != nil {
 		c.node.opts.Log.Warn().Str("kind", string(command.Kind())).Str("reason", result.Err.Error()).
 			Msg("control: proposal refused.")
--- a/node/transport.go
+++ b/node/transport.go
@@ -28,25 +28,50 @@
 	groupRecords groupName = "records"
 )
 
-// raftEnvelope carries a message of one group.
+// raftEnvelope carries a message of one group and the address at which its sender takes messages, so that an answer
+// does not depend on gossip.
 type raftEnvelope struct {
 	Group   groupName    `json:"group"`
+	From    string       `json:"from"`
 	Message raft.Message `json:"message"`
 }
 
 // raftTransport sends the messages of one group. Each member has its own queue, so that a dead one delays nobody.
 type raftTransport struct {
 	group   groupName
+	self    string // peer address of this process
 	client  *rpc.Client
 	resolve func(group groupName, id raft.ID) (address string, ok bool)
 	tomb    *tomb.Tomb
 
-	mu     sync.Mutex // guards queues
+	mu     sync.Mutex // guards the fields below
 	queues map[raft.ID]chan raft.Message
+	heard  map[raft.ID]string // addresses that messages came from
 }
 
-func newRaftTransport(group groupName, client *rpc.Client, resolve func(groupName, raft.ID) (string, bool), t *tomb.Tomb) *raftTransport {
-	return &raftTransport{group: group, client: client, resolve: resolve, tomb: t, queues: map[raft.ID]chan raft.Message{}}
+func newRaftTransport(group groupName, self string, client *rpc.Client, resolve func(groupName, raft.ID) (string, bool), t *tomb.Tomb) *raftTransport {
+	return &raftTransport{
+		group: group, self: self, client: client, resolve: resolve, tomb: t,
+		queues: map[raft.ID]chan raft.Message{}, heard: map[raft.ID]string{},
+	}
+}
+
+// hear notes where a member's messages come from.
+func (t *raftTransport) hear(id raft.ID, address string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.heard[id] = address
+}
+
+// address returns where a member takes messages: what gossip tells, or else where its messages came from.
+func (t *raftTransport) address(id raft.ID) (string, bool) {
+	if address, ok := t.resolve(t.group, id); ok {
+		return address, true
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	address, ok := t.heard[id]
+	return address, ok
 }
 
 // Send implements replica.Transport.
@@ -81,12 +106,12 @@
 }
 
 func (t *raftTransport) send(to raft.ID, m raft.Message) {
-	address, ok := t.resolve(t.group, to)
+	address, ok := t.address(to)
 	if !ok {
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), raftSendTimeout)
 	defer cancel()
 	// Delivery is best effort.
-	_ = t.client.Notify(ctx, address, methodRaft, raftEnvelope{Group: t.group, Message: m})
+	_ = t.client.Notify(ctx, address, methodRaft, raftEnvelope{Group: t.group, From: t.self, Message: m})
 }
--- a/proxy/run.go
+++ b/proxy/run.go
@@ -36,7 +36,7 @@
 // send sends the request to the backend server once.
 func (g *Gate) send(ctx context.Context, req *Request, held *slot) (*Response, error) {
 	ctx, cancel := g.runContext(ctx, req)
-	timer := time.AfterFunc(time.Until(req.Deadline), cancel)
+	timer := time.AfterFunc(g.responseTime(req), cancel)
 	untrack := g.track(req)
 	observe := g.opts.Observer.Begin(held.server.name)
 	began := g.opts.Clock()
@@ -71,6 +71,16 @@
 	}, nil
 }
 
+// responseTime is the time that the backend server has for the answer's headers.
+func (g *Gate) responseTime(req *Request) time.Duration {
+	remaining := time.Until(req.Deadline)
+	settings, ok := g.opts.Fleet.Service(req.Service)
+	if !ok || settings.ResponseTimeout == 0 {
+		return remaining
+	}
+	return min(remaining, settings.ResponseTimeout.Std())
+}
+
 // runContext returns the context of the running request. A request that may not be repeated goes on when its caller
 // leaves, because stopping it half-way would leave its effect unknown.
 func (g *Gate) runContext(ctx context.Context, req *Request) (context.Context, context.CancelFunc) {
--- a/raft/replicate.go
+++ b/raft/replicate.go
@@ -18,6 +18,10 @@
 
 // replicate sends what a member lacks, as far as its window allows.
 func (n *Node) replicate(id ID, p *progress) {
+	if p.state == progressProbe {
+		// A member added by the last entry would otherwise get nothing until the next proposal.
+		p.next = min(p.next, n.log.last())
+	}
 	for p.match < n.log.last() && p.next <= n.log.last() && !p.lostState && !p.full(n.cfg.MaxInflight) {
 		if p.next <= n.log.base {
 			n.sendSnapshot(id, p)
