control: add the operators' API, its client and delta distribution

Cause: operators need an API with roles, and processes need fleet state by version from control or from a peer.

--- /dev/null
+++ b/control/confirmations.go
@@ -0,0 +1,83 @@
+package control
+
+import (
+	"sync"
+	"time"
+
+	"rosemaryline.dev/fleet/state"
+)
+
+// Confirmations is a Tracker with a clock and a lock. It is safe for concurrent use.
+type Confirmations struct {
+	now func() time.Duration
+
+	mu      sync.Mutex // guards tracker
+	tracker *Tracker
+}
+
+// NewConfirmations returns Confirmations with an empty roster. now is a monotonic clock.
+func NewConfirmations(now func() time.Duration) *Confirmations {
+	return &Confirmations{now: now, tracker: NewTracker()}
+}
+
+// Confirm notes that a process runs a version.
+func (c *Confirmations) Confirm(process string, incarnation, version uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.tracker.Confirm(c.now(), process, incarnation, version)
+}
+
+// SetRoster takes the rosters of a state. It must be called after each change of the roster.
+func (c *Confirmations) SetRoster(s *state.State) {
+	base, changes := s.RosterChain()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.tracker.SetRoster(base, changes)
+}
+
+// InForce returns the highest version in force. It must be called at least once a second.
+func (c *Confirmations) InForce() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.tracker.InForce(c.now())
+}
+
+// Status answers for one version.
+func (c *Confirmations) Status(version uint64) VersionStatus {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.tracker.Status(c.now(), version)
+}
+
+// PendingRosterChange tells whether the leader should propose state.RosterInForce with the returned version.
+func (c *Confirmations) PendingRosterChange() (version uint64, ok bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.tracker.PendingRosterChange(c.now())
+}
+
+// Processes returns what each process of the roster runs and for how long control has known it.
+func (c *Confirmations) Processes() []ProcessVersion {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.now()
+	var list []ProcessVersion
+	for _, p := range c.tracker.Confirmations() {
+		entry := ProcessVersion{Process: p.Process, Version: p.Version, Known: p.Known}
+		if p.Known {
+			entry.AgeMillis = (now - p.At).Milliseconds()
+		}
+		list = append(list, entry)
+	}
+	return list
+}
+
+// ProcessVersion tells which version a process runs.
+type ProcessVersion struct {
+	Process string `json:"process"`
+	Version uint64 `json:"version"`
+	// AgeMillis is how long control has known it, in milliseconds.
+	AgeMillis int64 `json:"ageMillis"`
+	// Known is false where the process has not confirmed any version to this control process.
+	Known bool `json:"known"`
+}
--- /dev/null
+++ b/control/distribution_test.go
@@ -0,0 +1,177 @@
+package control
+
+import (
+	"context"
+	"fmt"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"rosemaryline.dev/fleet/config"
+	"rosemaryline.dev/fleet/state"
+	"rosemaryline.dev/rpc"
+)
+
+type recordedConfirmations chan ProcessConfirmation
+
+func (r recordedConfirmations) Confirm(process string, incarnation, version uint64) {
+	r <- ProcessConfirmation{process, incarnation, version}
+}
+
+// serveSource offers a Source on loopback and returns its address.
+func serveSource(t *testing.T, source *Source) string {
+	t.Helper()
+	server := rpc.NewServer()
+	source.Register(server)
+	listener := httptest.NewServer(server)
+	t.Cleanup(func() {
+		server.Close()
+		listener.Close()
+	})
+	return strings.TrimPrefix(listener.URL, "http://")
+}
+
+func newFollower(t *testing.T, name string) *Follower {
+	t.Helper()
+	client := rpc.NewClient(nil)
+	t.Cleanup(client.Close)
+	return &Follower{Copy: NewCopy(), Caller: client, Process: name, Incarnation: 1, Wait: time.Minute}
+}
+
+func (f *Follower) mustPoll(t *testing.T, address string, beat uint64, want uint64) {
+	t.Helper()
+	_, _, err := f.Poll(context.Background(), address, beat)
+	assert.NilError(t, err)
+	assert.Equal(t, f.Copy.Version(), want)
+}
+
+func join(i int) state.Command {
+	return state.Command{ChangeID: fmt.Sprint("join", i), Join: &state.Process{Name: fmt.Sprint("vm", i), Address: "h:1", Domain: "d1"}}
+}
+
+// Guards against news that wait for the end of a long poll, versions that go back through a peer that is behind, and
+// confirmations that are lost.
+func TestFollowerGetsDeltas(t *testing.T) {
+	fleet := newMemFleet()
+	confirmed := make(recordedConfirmations, 100)
+	source := NewSource(fleet, confirmed)
+	address := serveSource(t, source)
+	mustPropose(t, fleet, state.Command{ChangeID: "document", Apply: applyCommand(config.Diff(&config.Document{}, testDocument()))})
+	follower := newFollower(t, "a")
+	follower.mustPoll(t, address, 0, 1)
+	assert.Equal(t, <-confirmed, ProcessConfirmation{"a", 1, 0})
+
+	behind := newFollower(t, "b")
+	behind.mustPoll(t, address, 0, 1)
+	<-confirmed
+	done := make(chan error)
+	go func() {
+		_, _, err := follower.Poll(context.Background(), address, 0)
+		done <- err
+	}()
+	// The confirmation shows that the poll has begun; it waits up to a minute for news.
+	assert.Equal(t, <-confirmed, ProcessConfirmation{"a", 1, 1})
+	mustPropose(t, fleet, join(1))
+	source.Changed()
+	assert.NilError(t, <-done)
+	assert.Equal(t, follower.Copy.Version(), uint64(2))
+
+	// A beat ends the wait without deltas.
+	source.SetBeat(Beat{Number: 7, Version: 2})
+	_, beat, err := follower.Poll(context.Background(), address, 6)
+	assert.NilError(t, err)
+	assert.Equal(t, beat, Beat{Number: 7, Version: 2})
+
+	// Control is away: a peer that is behind changes nothing, and a peer that is ahead supplies what is missing.
+	follower.Wait, behind.Wait = time.Millisecond, time.Millisecond
+	peerBehind := serveSource(t, NewSource(behind.Copy, nil))
+	peerAhead := serveSource(t, NewSource(follower.Copy, nil))
+	follower.mustPoll(t, peerBehind, 7, 2)
+	behind.mustPoll(t, peerAhead, 7, 2)
+	restarted := newFollower(t, "c")
+	restarted.mustPoll(t, peerAhead, 0, 2)
+}
+
+// Guards against a follower that stays behind when its deltas are compacted away, and against a snapshot in several
+// parts that changes between them.
+func TestFollowerGetsSnapshotInParts(t *testing.T) {
+	fleet := newMemFleet()
+	source := NewSource(fleet, nil)
+	address := serveSource(t, source)
+	mustPropose(t, fleet, state.Command{ChangeID: "document", Apply: applyCommand(config.Diff(&config.Document{}, testDocument()))})
+	for i := range 5000 {
+		mustPropose(t, fleet, join(i))
+	}
+	follower := newFollower(t, "a")
+	follower.mustPoll(t, address, 0, 5001)
+
+	first, err := source.Snapshot(SnapshotRequest{})
+	assert.NilError(t, err)
+	assert.Assert(t, first.Total > len(first.Data), "the snapshot has one part")
+	mustPropose(t, fleet, join(6000))
+	second, err := source.Snapshot(SnapshotRequest{ID: first.ID, Offset: len(first.Data)})
+	assert.NilError(t, err)
+	assert.Equal(t, second.Total, first.Total)
+	follower.mustPoll(t, address, 0, 5002)
+	fleet.View(func(s *state.State) {
+		want, err := s.Snapshot()
+		assert.NilError(t, err)
+		follower.Copy.View(func(copied *state.State) {
+			got, err := copied.Snapshot()
+			assert.NilError(t, err)
+			assert.Equal(t, string(got), string(want))
+		})
+	})
+}
+
+// Guards against a copy that is stuck after it refused a command that the fleet accepted.
+func TestDivergedCopyIsReplaced(t *testing.T) {
+	fleet := newMemFleet()
+	address := serveSource(t, NewSource(fleet, nil))
+	mustPropose(t, fleet, state.Command{ChangeID: "document", Apply: applyCommand(config.Diff(&config.Document{}, testDocument()))})
+	mustPropose(t, fleet, join(1))
+	other := newMemFleet()
+	document := testDocument()
+	document.Domains = map[string]config.Domain{"d9": {Region: "r"}}
+	mustPropose(t, other, state.Command{ChangeID: "other", Apply: applyCommand(config.Diff(&config.Document{}, document))})
+	follower := newFollower(t, "a")
+	assert.Assert(t, follower.Copy.Replace(other.state))
+	follower.mustPoll(t, address, 0, 2)
+	follower.Copy.View(func(s *state.State) {
+		_, ok := s.Config().Domains["d1"]
+		assert.Assert(t, ok)
+	})
+}
+
+func TestConfirmationsWithRelay(t *testing.T) {
+	now := time.Duration(0)
+	leader := NewConfirmations(func() time.Duration { return now })
+	fleet := newMemFleet()
+	mustPropose(t, fleet, state.Command{ChangeID: "document", Apply: applyCommand(config.Diff(&config.Document{}, testDocument()))})
+	mustPropose(t, fleet, join(1))
+	mustPropose(t, fleet, join(2))
+	fleet.View(leader.SetRoster)
+	server := rpc.NewServer()
+	RegisterConfirmations(server, leader)
+	listener := httptest.NewServer(server)
+	defer listener.Close()
+	defer server.Close()
+	client := rpc.NewClient(nil)
+	defer client.Close()
+
+	relay := NewRelay()
+	relay.Confirm("vm1", 1, 3)
+	relay.Confirm("vm1", 1, 2)
+	relay.Confirm("vm2", 1, 3)
+	assert.NilError(t, relay.Flush(context.Background(), client, strings.TrimPrefix(listener.URL, "http://")))
+	assert.Equal(t, leader.InForce(), uint64(3))
+	version, pending := leader.PendingRosterChange()
+	assert.Assert(t, pending)
+	mustPropose(t, fleet, state.Command{ChangeID: "roster", RosterInForce: &state.RosterInForce{Version: version}})
+	fleet.View(leader.SetRoster)
+	_, pending = leader.PendingRosterChange()
+	assert.Assert(t, !pending)
+}
--- a/fleet/state/apply_config.go
+++ b/fleet/state/apply_config.go
@@ -10,16 +10,10 @@
 	if hash := a.Change.Hash(); hash != a.ContentHash {
 		return nil, refuse(CodeInvalid, nil, "content hash %q does not match the change, which has %q", a.ContentHash, hash)
 	}
-	if refusal := s.checkListedKeys(a.Change.Teams); refusal != nil {
+	fields, refusal := s.checkApply(a.Change)
+	if refusal != nil {
 		return nil, refusal
 	}
-	if refusal := s.checkRosterDomains(a.Change.Domains.Remove); refusal != nil {
-		return nil, refusal
-	}
-	fields := s.doc.ChangedFields(a.Change)
-	if len(fields) == 0 {
-		return nil, refuse(CodeUnchanged, nil, "the document has this content already")
-	}
 	listed := s.listedKeys(a.Change.Teams)
 	if errs := s.doc.PatchChecked(a.Change, s.listedKeyOwner); len(errs) > 0 {
 		return nil, refuseFields(errs)
@@ -31,6 +25,33 @@
 	return fields, nil
 }
 
+// CheckApply returns the fields that a change would alter, or why it would be refused now. It changes nothing.
+func (s *State) CheckApply(c config.Change) ([]string, *Refusal) {
+	fields, refusal := s.checkApply(c)
+	if refusal != nil {
+		return nil, refusal
+	}
+	if _, err := s.doc.Apply(c); err != nil {
+		return nil, refuse(CodeInvalid, nil, "%s", err)
+	}
+	return fields, nil
+}
+
+// checkApply checks what the document alone does not show.
+func (s *State) checkApply(c config.Change) ([]string, *Refusal) {
+	if refusal := s.checkListedKeys(c.Teams); refusal != nil {
+		return nil, refusal
+	}
+	if refusal := s.checkRosterDomains(c.Domains.Remove); refusal != nil {
+		return nil, refusal
+	}
+	fields := s.doc.ChangedFields(c)
+	if len(fields) == 0 {
+		return nil, refuse(CodeUnchanged, nil, "the document has this content already")
+	}
+	return fields, nil
+}
+
 // checkListedKeys refuses documents that bring a withdrawn key back or list an issued one.
 func (s *State) checkListedKeys(teams config.Entries[config.Team]) *Refusal {
 	for _, team := range sortedNames(teams.Set) {
--- a/fleet/state/state.go
+++ b/fleet/state/state.go
@@ -124,3 +124,9 @@
 
 // ShardOwners returns the owners of all shards.
 func (s *State) ShardOwners() [Shards]string { return s.shards }
+
+// TeamByKeyHash returns the team whose key has this SHA-256 sum in lower-case hex.
+func (s *State) TeamByKeyHash(hash string) (team string, ok bool) {
+	e, ok := s.keys.findHex(hash)
+	return e.team, ok
+}
