--- a/control/distribution_test.go
+++ b/control/distribution_test.go
@@ -175,3 +175,18 @@
 	_, pending = leader.PendingRosterChange()
 	assert.Assert(t, !pending)
 }
+
+// Guards against a follower that stops, or never gets state, while control is away.
+func TestRunFallsBackToPeers(t *testing.T) {
+	fleet := newMemFleet()
+	mustPropose(t, fleet, state.Command{ChangeID: "document", Apply: applyCommand(config.Diff(&config.Document{}, testDocument()))})
+	peer := serveSource(t, NewSource(fleet, nil))
+	follower := newFollower(t, "a")
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	failures := 0
+	targets := func() (control, peers []string) { return []string{"127.0.0.1:1"}, []string{peer} }
+	follower.Run(ctx, targets, func(bool, Beat) { cancel() }, func(error) { failures++ })
+	assert.Equal(t, follower.Copy.Version(), uint64(1))
+	assert.Equal(t, failures, 1)
+}
--- a/control/fleet.go
+++ b/control/fleet.go
@@ -13,7 +13,8 @@
 	// Propose returns the result of a command once it is durable on a quorum. Errors are *NotLeaderError where the
 	// command did not run and *UnknownError where that is not known; other errors mean that it did not run.
 	Propose(ctx context.Context, c state.Command) (state.Result, error)
-	// Barrier returns once View shows every change that was acknowledged before the call. Errors are as for Propose.
+	// Barrier returns once View shows every change that was acknowledged before the call. Errors are as for Propose. A
+	// process that does not lead returns *NotLeaderError, because only the leader knows all confirmations.
 	Barrier(ctx context.Context) error
 }
 
