--- a/cmd/rosemarylined/dev.go
+++ b/cmd/rosemarylined/dev.go
@@ -161,11 +161,6 @@
 func (f *devFleet) propose(ctx context.Context, command state.Command) error {
 	command.Operator = "dev"
 	command.Time = time.Now()
-	for f.nodes[0].Version() == 0 {
-		if err := pause(ctx); err != nil {
-			return err
-		}
-	}
 	command.BaseVersion = f.nodes[0].Version()
 	version, err := f.nodes[0].Propose(ctx, command)
 	for err == nil && f.nodes[0].Version() < version {
--- a/cmd/rosemarylined/settings.go
+++ b/cmd/rosemarylined/settings.go
@@ -61,10 +61,10 @@
 	fs.StringVar(&s.name, "name", "", "VM name, unique in the fleet")
 	fs.StringVar(&s.domain, "failure-domain", "", "failure domain of the VM")
 	fs.StringVar(&s.listen, "listen", "", "host:port for callers; empty: no callers")
-	fs.StringVar(&s.peerListen, "peer-listen", "127.0.0.1:7420", "host:port for other processes of the fleet")
+	fs.StringVar(&s.peerListen, "peer-listen", "127.0.0.1:7001", "host:port for other processes of the fleet")
 	fs.StringVar(&s.peerAddress, "peer-address", "", "host:port by which peers reach -peer-listen (default: the address listened on)")
-	fs.StringVar(&s.localListen, "local-listen", "127.0.0.1:7421", "loopback host:port for backend servers of this VM; empty: none")
-	fs.StringVar(&s.adminListen, "admin-listen", "127.0.0.1:7422", "host:port for operators, metrics and health; empty: none")
+	fs.StringVar(&s.localListen, "local-listen", "127.0.0.1:7002", "loopback host:port for backend servers of this VM; empty: none")
+	fs.StringVar(&s.adminListen, "admin-listen", "127.0.0.1:7003", "host:port for operators, metrics and health; empty: none")
 	fs.StringVar(&s.join, "join", "", "peer addresses of processes in the fleet, separated by commas")
 	fs.StringVar(&s.tlsCert, "tls-cert", "", "PEM file with the certificate for callers; empty: plain HTTP")
 	fs.StringVar(&s.tlsKey, "tls-key", "", "PEM file with the key of -tls-cert")
@@ -74,7 +74,7 @@
 	fs.BoolVar(&s.peerInsecure, "peer-insecure", false, "allow plain connections to peers off loopback")
 	fs.StringVar(&s.dataDir, "data-dir", "", "data folder; a process with one has the control role")
 	fs.BoolVar(&s.bootstrap, "bootstrap", false, "found a new control group where -data-dir is empty")
-	fs.StringVar(&s.bootstrapCredential, "bootstrap-credential-hash", "", "SHA-256 sum in hex of the first administrator's credential")
+	fs.StringVar(&s.bootstrapCredential, "bootstrap-credential-hash", "", "SHA-256 sum in hex of an administrator's credential that counts while the configuration has no operators")
 	fs.IntVar(&s.holdBody, "hold-body", proxy.DefaultHoldBody, "largest request body held in memory for a retry, in bytes")
 	fs.IntVar(&s.keyedBody, "keyed-body", proxy.DefaultKeyedBody, "largest body of a request with an Idempotency-Key, in bytes")
 	fs.IntVar(&s.maxHeader, "max-header", node.DefaultMaxHeaderBytes, "largest headers of a request, in bytes")
@@ -145,7 +145,7 @@
 		}
 	}
 	if s.localListen != "" && !isLoopback(s.localListen) {
-		return &settingError{"local-listen", s.localListen, "must be a loopback address, for example 127.0.0.1:7421"}
+		return &settingError{"local-listen", s.localListen, "must be a loopback address, for example 127.0.0.1:7002"}
 	}
 	for _, address := range s.joinList() {
 		if _, _, err := net.SplitHostPort(address); err != nil {
--- a/node/beats.go
+++ b/node/beats.go
@@ -17,16 +17,17 @@
 type beats struct {
 	role *controlRole
 
+	confirmations *control.Confirmations
+
 	mu      sync.Mutex // guards the fields below
-	tracker *control.Tracker
 	leading bool
 	beat    membership.Beat
 	issued  time.Duration
-	known   uint64 // version of the roster in the tracker
+	known   uint64 // version of the roster in the confirmations
 }
 
 func newBeats(c *controlRole) *beats {
-	return &beats{role: c, tracker: control.NewTracker()}
+	return &beats{role: c, confirmations: control.NewConfirmations(c.node.clock)}
 }
 
 // issue issues a beat after a quorum confirmed that this process leads. The beat counts as issued at the start of the
@@ -51,10 +52,6 @@
 func (b *beats) publish(started time.Duration, version uint64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if !b.leading {
-		b.tracker = control.NewTracker()
-		b.known = 0
-	}
 	b.leading = true
 	b.beat.Number = max(b.beat.Number+1, uint64(time.Now().UnixMilli()))
 	b.beat.Version = version
@@ -62,13 +59,13 @@
 	b.refreshRoster(version)
 }
 
-// refreshRoster passes a changed roster to the tracker. The caller holds mu.
+// refreshRoster passes a changed roster to the confirmations. The caller holds mu.
 func (b *beats) refreshRoster(version uint64) {
 	if b.known == version {
 		return
 	}
 	b.known = version
-	b.role.machine.Read(func(s *state.State) { b.tracker.SetRoster(s.RosterChain()) })
+	b.role.machine.Read(b.confirmations.SetRoster)
 }
 
 func (b *beats) resign() {
@@ -77,15 +74,6 @@
 	b.leading = false
 }
 
-// confirm notes which version a process runs.
-func (b *beats) confirm(process string, incarnation, version uint64) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if b.leading {
-		b.tracker.Confirm(b.role.node.clock(), process, incarnation, version)
-	}
-}
-
 // answer returns the newest beat for a question that arrived at asked, and the version in force. ok is false where this
 // process does not lead.
 func (b *beats) answer(asked time.Duration) (beat membership.Beat, inForce uint64, ok bool) {
@@ -96,7 +84,7 @@
 	}
 	beat = b.beat
 	beat.Age = max(asked-b.issued, 0)
-	return beat, b.tracker.InForce(b.role.node.clock()), true
+	return beat, b.confirmations.InForce(), true
 }
 
 // pendingRosterChange returns the version whose roster change the state may forget.
@@ -106,5 +94,5 @@
 	if !b.leading {
 		return 0, false
 	}
-	return b.tracker.PendingRosterChange(b.role.node.clock())
+	return b.confirmations.PendingRosterChange()
 }
--- a/node/controlrole.go
+++ b/node/controlrole.go
@@ -7,8 +7,6 @@
 
 	"github.com/pkg/errors"
 
-	"rosemaryline.dev/fleet/config"
-	"rosemaryline.dev/fleet/state"
 	"rosemaryline.dev/idempotency"
 	"rosemaryline.dev/raft"
 	"rosemaryline.dev/replica"
@@ -117,9 +115,6 @@
 	t.Go(func() error { return every(t, beatInterval, c.beats.issue) })
 	t.Go(func() error { return every(t, rosterInterval, c.keepRoster) })
 	t.Go(func() error { return every(t, expireInterval, c.expireRecords) })
-	if c.node.opts.Bootstrap && c.node.opts.BootstrapCredential != "" {
-		t.Go(c.createFirstOperator)
-	}
 }
 
 // watchGroup ends the process when a group stops by itself: what it wrote last may not be durable.
@@ -165,29 +160,6 @@
 	return c.groups[name].Status().Role == raft.Leader
 }
 
-// createFirstOperator adds the first administrator of a new fleet, so that somebody can authenticate.
-func (c *controlRole) createFirstOperator() error {
-	operator := config.Operator{Role: config.RoleAdmin, CredentialHash: c.node.opts.BootstrapCredential}
-	change := config.Change{}
-	change.Operators.Set = map[string]config.Operator{"admin": operator}
-	command := state.Command{
-		ChangeID: "bootstrap",
-		Operator: c.node.opts.Name,
-		Time:     time.Now(),
-		Apply:    &state.ApplyChange{Change: change, ContentHash: change.Hash()},
-	}
-	ctx, cancel := context.WithTimeout(c.node.tomb.Context(context.Background()), time.Minute)
-	defer cancel()
-	result, err := c.node.groups.command(ctx, command)
-	if err == nil && result.Err != nil {
-		err = result.Err
-	}
-	if err != nil {
-		c.node.opts.Log.Warn().Err(err).Msg("control: first operator not created.")
-	}
-	return nil
-}
-
 // expireInterval is the time between two looks at the retention of at-most-once records.
 const expireInterval = 10 * time.Second
 
--- a/node/ejections.go
+++ b/node/ejections.go
@@ -264,11 +264,21 @@
 			Out:       s.Out,
 			Effective: s.Load.Slots,
 			State:     rowState(s).String(),
+			Load:      coarse(s.Load.InFlight + s.Load.Queued),
 		})
 	}
 	return rows
 }
 
+// coarse rounds a load up to a power of two, so that metadata changes rarely.
+func coarse(load int) int {
+	step := 0
+	for step < load {
+		step = max(2*step, 1)
+	}
+	return step
+}
+
 func rowState(s proxy.ServiceSummary) routing.State {
 	switch {
 	case s.Serving > 0:
--- a/node/follower.go
+++ b/node/follower.go
@@ -188,7 +188,7 @@
 // serveFetch answers from the control group's state and waits for news.
 func (c *controlRole) serveFetch(ctx context.Context, r fetchRequest) (fetchReply, error) {
 	asked := c.node.clock()
-	c.beats.confirm(r.Process, r.Incarnation, r.Version)
+	c.beats.confirmations.Confirm(r.Process, r.Incarnation, r.Version)
 	version, changed := c.machine.next()
 	if version <= r.Version {
 		waitForChange(ctx, changed, min(r.Wait, fetchWait))
--- a/node/gossip.go
+++ b/node/gossip.go
@@ -51,6 +51,9 @@
 	Effective int `json:"effective"`
 	// State is the text of a routing.State.
 	State string `json:"state"`
+	// Load is the number of running and queued requests, in coarse steps, for operators. Entries go by the load in
+	// answers.
+	Load int `json:"load,omitempty"`
 }
 
 // envelope carries a packet and the address at which its sender takes packets.
@@ -253,13 +256,6 @@
 	return g.node.Denial(g.clock(), version)
 }
 
-// latestVersion returns the highest version that this process knows to exist.
-func (g *gossip) latestVersion() uint64 {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.node.LatestVersion()
-}
-
 // leave tells the peers that this process stops.
 func (g *gossip) leave() {
 	g.mu.Lock()
--- a/node/node.go
+++ b/node/node.go
@@ -45,6 +45,7 @@
 	admitUntil  atomic.Int64
 	admitted    bool // used by refreshRight only, guarded by rightMu
 	rightMu     sync.Mutex
+	loads       loadSteps // used by refreshDirectory only
 	stopOnce    sync.Once
 	stopErr     error
 	incarnation uint64
@@ -161,7 +162,7 @@
 }
 
 func (n *Node) publishMeta() {
-	meta := metadata{Rows: n.ejections.rows()}
+	meta := metadata{Rows: n.loads.smooth(n.ejections.rows(), n.clock())}
 	if n.control != nil {
 		meta.Control = n.control.controlID
 		meta.Records = n.control.recordsID
--- a/node/options.go
+++ b/node/options.go
@@ -35,7 +35,8 @@
 	DataDir string
 	// Bootstrap creates a new control group with this process as its only member, where DataDir is empty.
 	Bootstrap bool
-	// BootstrapCredential is the SHA-256 sum, in hex, of the first administrator's credential.
+	// BootstrapCredential is the SHA-256 sum, in hex, of a credential that counts as an administrator's while the
+	// configuration has no operators.
 	BootstrapCredential string
 
 	// HoldBody is the largest request body in bytes that is held in memory. Default 64 KiB.
--- a/proxy/entry.go
+++ b/proxy/entry.go
@@ -73,6 +73,12 @@
 // Sweep drops what the entry remembers of gates without traffic.
 func (e *Entry) Sweep() { e.route.loads.sweep(e.opts.Clock()) }
 
+// Explain returns the VMs that host a service, as the routing policy sees them now, and the index of the one that it
+// would choose, or -1.
+func (e *Entry) Explain(service string) ([]routing.Candidate, int, routing.Reason) {
+	return e.route.rank(e.opts.Directory.Hosts(service), service, nil)
+}
+
 // ServeHTTP serves the caller listener.
 func (e *Entry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	id := newRequestID()
--- a/proxy/router.go
+++ b/proxy/router.go
@@ -129,11 +129,20 @@
 // choose returns the VM for the next attempt.
 func (t *router) choose(req *Request, tried map[string]bool) (choice, bool) {
 	hosts := t.opts.Directory.Hosts(req.Service)
+	_, i, reason := t.rank(hosts, req.Service, tried)
+	if i < 0 {
+		return choice{}, false
+	}
+	return choice{peer: hosts[i], reason: reason}, true
+}
+
+// rank returns the candidates of a service and the index of the one that the policy chooses, or -1.
+func (t *router) rank(hosts []Peer, service string, tried map[string]bool) ([]routing.Candidate, int, routing.Reason) {
 	local := t.local()
 	now := t.opts.Clock()
 	cands := make([]routing.Candidate, len(hosts))
 	for i, h := range hosts {
-		cands[i] = t.candidate(h, req.Service, now)
+		cands[i] = t.candidate(h, service, now)
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -141,10 +150,7 @@
 		cands[i].PathPenalty = t.paths.Penalty(cands[i].VM, now)
 	}
 	i, reason := t.policy.Choose(cands, local, tried, t.rnd)
-	if i < 0 {
-		return choice{}, false
-	}
-	return choice{peer: hosts[i], reason: reason}, true
+	return cands, i, reason
 }
 
 func (t *router) local() routing.Local {
