Test the fleet as separate processes

Cause: the whole path was only tried by hand. Change: three daemons with data folders on loopback: control VMs are killed during 150 changes, a booking is resubmitted through another process, a failure domain is taken out, a key is withdrawn, a process is stopped while a request runs. Conclusion: acknowledged changes survive kills and operators are obeyed.

--- /dev/null
+++ b/cmd/rosemarylined/fleet_test.go
@@ -0,0 +1,426 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"rosemaryline.dev/control"
+	"rosemaryline.dev/fleet/config"
+	"rosemaryline.dev/fleet/state"
+	"rosemaryline.dev/standin"
+)
+
+// patience bounds each wait of these tests. It is far above what a busy machine needs, so that a wait that ends by it
+// means a fault.
+const patience = 60 * time.Second
+
+const testCredential = "test-credential"
+
+// testVM is one process of a test fleet.
+type testVM struct {
+	name, domain               string
+	peer, local, admin, caller string
+	dataDir                    string
+	bootstrap                  bool
+	cmd                        *exec.Cmd
+	standin                    *standin.Server
+}
+
+// testFleet is a fleet of separate processes on loopback.
+type testFleet struct {
+	t      *testing.T
+	binary string
+	vms    []*testVM
+	client *control.Client
+}
+
+func buildDaemon(t *testing.T) string {
+	t.Helper()
+	binary := filepath.Join(t.TempDir(), "rosemarylined")
+	out, err := exec.Command("go", "build", "-o", binary, ".").CombinedOutput()
+	assert.NilError(t, err, string(out))
+	return binary
+}
+
+// startFleet starts three control VMs with the proxy role, one in each failure domain, and configures them.
+func startFleet(t *testing.T) *testFleet {
+	t.Helper()
+	f := &testFleet{t: t, binary: buildDaemon(t)}
+	for i, domain := range []string{"dom-a", "dom-b", "dom-c"} {
+		vm := &testVM{
+			name: "vm-" + domain[4:], domain: domain, bootstrap: i == 0,
+			dataDir: filepath.Join(t.TempDir(), domain),
+			peer:    freeAddress(t), local: freeAddress(t), admin: freeAddress(t), caller: freeAddress(t),
+		}
+		f.vms = append(f.vms, vm)
+		f.start(vm)
+	}
+	t.Cleanup(f.stop)
+	var admins []string
+	for _, vm := range f.vms {
+		admins = append(admins, "http://"+vm.admin)
+	}
+	f.client = &control.Client{Addresses: admins, Credential: testCredential}
+	f.configure()
+	for _, vm := range f.vms[1:] {
+		f.addControl(vm)
+	}
+	return f
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer l.Close()
+	return l.Addr().String()
+}
+
+func (f *testFleet) start(vm *testVM) {
+	f.t.Helper()
+	args := []string{
+		"-name", vm.name, "-failure-domain", vm.domain, "-listen", vm.caller, "-peer-listen", vm.peer,
+		"-local-listen", vm.local, "-admin-listen", vm.admin, "-data-dir", vm.dataDir, "-log-level", "warn",
+		"-bootstrap-credential-hash", config.HashKey(testCredential),
+	}
+	if vm.bootstrap {
+		args = append(args, "-bootstrap")
+	}
+	join := ""
+	for _, other := range f.vms {
+		if other != vm {
+			join += "," + other.peer
+		}
+	}
+	if join != "" {
+		args = append(args, "-join", join[1:])
+	}
+	vm.cmd = exec.Command(f.binary, args...)
+	vm.cmd.Stderr = &prefixWriter{prefix: vm.name, t: f.t}
+	assert.NilError(f.t, vm.cmd.Start())
+}
+
+// prefixWriter passes a process's log to the test's log.
+type prefixWriter struct {
+	prefix string
+	t      *testing.T
+}
+
+func (w *prefixWriter) Write(p []byte) (int, error) {
+	os.Stderr.WriteString(w.prefix + ": " + string(p))
+	return len(p), nil
+}
+
+// kill ends a process as a crash would.
+func (f *testFleet) kill(vm *testVM) {
+	f.t.Helper()
+	assert.NilError(f.t, vm.cmd.Process.Kill())
+	// The error only says that the process was killed.
+	_ = vm.cmd.Wait()
+}
+
+func (f *testFleet) stop() {
+	for _, vm := range f.vms {
+		if vm.standin != nil {
+			_ = vm.standin.Stop()
+		}
+		if vm.cmd.ProcessState == nil {
+			_ = vm.cmd.Process.Kill()
+			_ = vm.cmd.Wait()
+		}
+	}
+}
+
+// eventually repeats check until it returns nil.
+func (f *testFleet) eventually(what string, check func() error) {
+	f.t.Helper()
+	deadline := time.Now().Add(patience)
+	for {
+		err := check()
+		if err == nil {
+			return
+		}
+		if time.Now().After(deadline) {
+			f.t.Fatalf("%s: %v", what, err)
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+func (f *testFleet) configure() {
+	f.t.Helper()
+	doc, err := config.Load(devConfig, nil, [2]string{"dev.yaml", ""})
+	assert.NilError(f.t, err)
+	doc.Operators = map[string]config.Operator{
+		"root": {Role: config.RoleAdmin, CredentialHash: config.HashKey(testCredential)},
+	}
+	empty := &config.Document{}
+	empty.SetDefaults()
+	f.apply("configure", 0, config.Diff(empty, doc))
+}
+
+// apply proposes a change until it is accepted and returns its version.
+func (f *testFleet) apply(id string, base uint64, change config.Change) uint64 {
+	f.t.Helper()
+	request := control.ApplyRequest{ApplyChange: state.ApplyChange{Change: change, ContentHash: change.Hash()}}
+	request.ChangeID, request.BaseVersion = id, base
+	return f.change("/v1/config", &request)
+}
+
+func (f *testFleet) change(path string, request any) (version uint64) {
+	f.t.Helper()
+	f.eventually("change "+path, func() error {
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		reply, err := f.client.Change(ctx, path, request)
+		version = reply.Version
+		return err
+	})
+	return version
+}
+
+func (f *testFleet) version() uint64 {
+	f.t.Helper()
+	var reply control.VersionReply
+	f.eventually("read version", func() error {
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		return f.client.Get(ctx, "/v1/version", nil, &reply)
+	})
+	return reply.Version
+}
+
+func (f *testFleet) addControl(vm *testVM) {
+	f.t.Helper()
+	f.eventually("add control VM "+vm.name, func() error {
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+		defer cancel()
+		id, err := controlID(vm)
+		if err != nil {
+			return err
+		}
+		request := control.GroupRequest{GroupChange: control.GroupChange{Action: control.GroupAdd, ID: id, Address: vm.peer}}
+		_, err = f.client.PostOnce(ctx, "/v1/group", request)
+		return err
+	})
+}
+
+// controlID reads the member id of a VM from its data folder, as the operators' page tells operators to do.
+func controlID(vm *testVM) (string, error) {
+	data, err := os.ReadFile(filepath.Join(vm.dataDir, "control", "id"))
+	if err != nil {
+		return "", err
+	}
+	return string(bytes.Fields(data)[0]), nil
+}
+
+func (f *testFleet) startStandins() {
+	f.t.Helper()
+	for i, vm := range f.vms {
+		s, err := standin.Start(standin.Options{
+			Name: vm.name + "-rounds", Service: "rounds", Listen: "127.0.0.1:0", Slots: 5,
+			ServiceTime: 5 * time.Millisecond, Announce: "http://" + vm.local, Seed: uint64(i + 1),
+		})
+		assert.NilError(f.t, err)
+		vm.standin = s
+	}
+}
+
+type answer struct {
+	status  int
+	outcome string
+	body    []byte
+}
+
+func request(vm *testVM, method, path, key, idempotencyKey string) (answer, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+vm.caller+path, nil)
+	if err != nil {
+		return answer{}, err
+	}
+	req.Header.Set("Authorization", "Bearer "+key)
+	if idempotencyKey != "" {
+		req.Header.Set("Idempotency-Key", idempotencyKey)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return answer{}, err
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	return answer{resp.StatusCode, resp.Header.Get("Rosemaryline-Outcome"), body}, err
+}
+
+func (f *testFleet) issueKey(team, key string) {
+	f.t.Helper()
+	r := control.KeyRequest{Team: team, KeyHash: config.HashKey(key)}
+	r.ChangeID, r.BaseVersion = "issue-"+key, f.version()
+	f.change("/v1/keys/issue", &r)
+}
+
+func (f *testFleet) waitServing(vm *testVM, key string) {
+	f.t.Helper()
+	f.eventually("requests through "+vm.name, func() error {
+		a, err := request(vm, http.MethodGet, "/rounds/1", key, "")
+		if err == nil && a.status != http.StatusOK {
+			err = fmt.Errorf("status %d: %s", a.status, a.body)
+		}
+		return err
+	})
+}
+
+// Guards against lost or reverted changes: control VMs are killed at any moment during hundreds of changes, and every
+// change that was acknowledged must be in force afterwards, in order, on all of them.
+func TestAcknowledgedChangesSurviveKills(t *testing.T) {
+	f := startFleet(t)
+	const changes = 150
+	team := func(rate int) config.Change {
+		c := config.Change{}
+		c.Teams.Set = map[string]config.Team{"demo": {Rate: float64(rate), Burst: 100}}
+		return c
+	}
+	for i := range changes {
+		if i%30 == 15 {
+			victim := f.vms[(i/30)%len(f.vms)]
+			f.kill(victim)
+			victim.bootstrap = false
+			f.start(victim)
+		}
+		f.apply(fmt.Sprintf("rate-%d", i), f.version(), team(1000+i))
+	}
+	f.eventually("last change in force", func() error {
+		var reply control.StatusReply
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		if err := f.client.Get(ctx, "/v1/status", nil, &reply); err != nil {
+			return err
+		}
+		if reply.InForce < reply.Version {
+			return fmt.Errorf("version %d, in force %d", reply.Version, reply.InForce)
+		}
+		return nil
+	})
+	var history control.HistoryReply
+	f.eventually("history", func() error {
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		return f.client.Get(ctx, "/v1/history", map[string][]string{"limit": {"1000"}}, &history)
+	})
+	accepted := map[string]int{}
+	for _, r := range history.Records {
+		if r.Result.Err == nil {
+			accepted[r.ChangeID]++
+		}
+	}
+	for i := range changes {
+		assert.Equal(t, accepted[fmt.Sprintf("rate-%d", i)], 1, "change %d", i)
+	}
+}
+
+// Guards against a withdrawn key that still works, a failure domain that still gets work, doubled bookings, and a
+// graceful stop that cuts requests, with separate processes.
+func TestFleetServesAndObeysOperators(t *testing.T) {
+	f := startFleet(t)
+	f.issueKey("demo", "key-1")
+	f.startStandins()
+	for _, vm := range f.vms {
+		f.waitServing(vm, "key-1")
+	}
+
+	first, err := request(f.vms[0], http.MethodPost, "/rounds/book", "key-1", "booking-1")
+	assert.NilError(t, err)
+	assert.Equal(t, first.status, http.StatusOK, string(first.body))
+	second, err := request(f.vms[1], http.MethodPost, "/rounds/book", "key-1", "booking-1")
+	assert.NilError(t, err)
+	assert.Equal(t, string(second.body), string(first.body))
+
+	out := control.DomainRequest{Force: true}
+	out.ChangeID, out.BaseVersion = "out-b", f.version()
+	f.waitInForce(f.change("/v1/domains/dom-b/out", &out))
+	before := len(f.vms[1].standin.Runs())
+	for range 20 {
+		a, err := request(f.vms[1], http.MethodGet, "/rounds/2", "key-1", "")
+		assert.NilError(t, err)
+		assert.Equal(t, a.status, http.StatusOK, string(a.body))
+	}
+	assert.Equal(t, len(f.vms[1].standin.Runs()), before)
+
+	withdraw := control.KeyRequest{KeyHash: config.HashKey("key-1")}
+	withdraw.ChangeID, withdraw.BaseVersion = "withdraw-1", f.version()
+	f.waitInForce(f.change("/v1/keys/withdraw", &withdraw))
+	for _, vm := range f.vms {
+		a, err := request(vm, http.MethodGet, "/rounds/3", "key-1", "")
+		assert.NilError(t, err)
+		assert.Equal(t, a.status, http.StatusUnauthorized)
+		assert.Equal(t, a.outcome, "not-run")
+	}
+}
+
+func (f *testFleet) waitInForce(version uint64) {
+	f.t.Helper()
+	f.eventually(fmt.Sprintf("version %d in force", version), func() error {
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+		defer cancel()
+		var reply control.InForceReply
+		if err := f.client.Get(ctx, fmt.Sprintf("/v1/inforce/%d", version), nil, &reply); err != nil {
+			return err
+		}
+		if !reply.InForce {
+			return fmt.Errorf("missing %v", reply.Missing)
+		}
+		return nil
+	})
+}
+
+// Guards against a stop that cuts requests: a request that runs while the process gets SIGTERM must be answered, and
+// the process must exit with 0, also after a second signal.
+func TestGracefulStopFinishesRequests(t *testing.T) {
+	f := startFleet(t)
+	f.issueKey("demo", "key-1")
+	f.startStandins()
+	vm := f.vms[2]
+	f.waitServing(vm, "key-1")
+	vm.standin.SetFaults(standin.Faults{SlowFactor: 100})
+	answers := make(chan answer, 1)
+	go func() {
+		a, err := request(vm, http.MethodPost, "/rounds/slow", "key-1", "")
+		if err != nil {
+			a.body = []byte(err.Error())
+		}
+		answers <- a
+	}()
+	f.eventually("request runs", func() error {
+		resp, err := http.Get("http://" + vm.standin.Address() + standin.RunsPath)
+		if err != nil {
+			return err
+		}
+		defer resp.Body.Close()
+		var runs map[string]int
+		if err := json.NewDecoder(resp.Body).Decode(&runs); err != nil {
+			return err
+		}
+		if len(runs) < 2 {
+			return fmt.Errorf("%d requests ran", len(runs))
+		}
+		return nil
+	})
+	assert.NilError(t, vm.cmd.Process.Signal(syscall.SIGTERM))
+	assert.NilError(t, vm.cmd.Process.Signal(syscall.SIGTERM))
+	a := <-answers
+	assert.Equal(t, a.status, http.StatusOK, string(a.body))
+	assert.NilError(t, vm.cmd.Wait())
+}
