fleet/state, control: detect copies with another history

Change: state keeps a chain hash over accepted commands; deltas and fetches carry it. A process that is ahead of the seeded fleet keeps its version until the fleet passes it.

--- a/control/distribution_test.go
+++ b/control/distribution_test.go
@@ -127,23 +127,29 @@
 	})
 }
 
-// Guards against a copy that is stuck after it refused a command that the fleet accepted.
+// Guards against a copy that is stuck after it refused a command that the fleet accepted, and against one that goes on
+// from another history with an equal version.
 func TestDivergedCopyIsReplaced(t *testing.T) {
-	fleet := newMemFleet()
-	address := serveSource(t, NewSource(fleet, nil))
-	mustPropose(t, fleet, state.Command{ChangeID: "document", Apply: applyCommand(config.Diff(&config.Document{}, testDocument()))})
-	mustPropose(t, fleet, join(1))
-	other := newMemFleet()
-	document := testDocument()
-	document.Domains = map[string]config.Domain{"d9": {Region: "r"}}
-	mustPropose(t, other, state.Command{ChangeID: "other", Apply: applyCommand(config.Diff(&config.Document{}, document))})
-	follower := newFollower(t, "a")
-	assert.Assert(t, follower.Copy.Replace(other.state))
-	follower.mustPoll(t, address, 0, 2)
-	follower.Copy.View(func(s *state.State) {
-		_, ok := s.Config().Domains["d1"]
-		assert.Assert(t, ok)
-	})
+	refuses, differs := testDocument(), testDocument()
+	refuses.Domains = map[string]config.Domain{"d9": {Region: "r"}}
+	differs.Teams["red"] = config.Team{Rate: 99, Burst: 1}
+	for desc, document := range map[string]*config.Document{"refuses the command": refuses, "has another history": differs} {
+		t.Run(desc, func(t *testing.T) {
+			fleet := newMemFleet()
+			address := serveSource(t, NewSource(fleet, nil))
+			mustPropose(t, fleet, state.Command{ChangeID: "document", Apply: applyCommand(config.Diff(&config.Document{}, testDocument()))})
+			mustPropose(t, fleet, join(1))
+			other := newMemFleet()
+			mustPropose(t, other, state.Command{ChangeID: "other", Apply: applyCommand(config.Diff(&config.Document{}, document))})
+			follower := newFollower(t, "a")
+			assert.Assert(t, follower.Copy.Replace(other.state))
+			follower.mustPoll(t, address, 0, 2)
+			follower.Copy.View(func(s *state.State) {
+				assert.Equal(t, s.Chain(), fleet.state.Chain())
+				assert.Equal(t, s.Config().Hash(), fleet.state.Config().Hash())
+			})
+		})
+	}
 }
 
 func TestConfirmationsWithRelay(t *testing.T) {
--- a/control/fetch.go
+++ b/control/fetch.go
@@ -36,6 +36,8 @@
 	Process     string `json:"process"`
 	Incarnation uint64 `json:"incarnation"`
 	Version     uint64 `json:"version"`
+	// Chain is state.State.Chain at the version. A process with another history gets a snapshot.
+	Chain uint64 `json:"chain"`
 	// BeatNumber is the newest beat that the process knows; a newer one ends the wait.
 	BeatNumber uint64 `json:"beatNumber,omitempty"`
 	// WaitMillis is how long the answer may wait for news, in milliseconds. At most MaxFetchWait.
--- a/control/follower.go
+++ b/control/follower.go
@@ -67,10 +67,10 @@
 	request := FetchRequest{
 		Process:     f.Process,
 		Incarnation: f.Incarnation,
-		Version:     f.Copy.Version(),
 		BeatNumber:  knownBeat,
 		WaitMillis:  wait.Milliseconds(),
 	}
+	f.Copy.View(func(s *state.State) { request.Version, request.Chain = s.Version(), s.Chain() })
 	var reply FetchReply
 	err := f.Caller.Call(ctx, address, MethodFetch, request, &reply)
 	return reply, errors.Wrap(err, "fetch fleet state")
--- a/control/source.go
+++ b/control/source.go
@@ -77,7 +77,7 @@
 // Fetch answers at once where there is news for the process, and waits for news otherwise. When the wait ends it
 // answers without deltas.
 func (s *Source) Fetch(ctx context.Context, r FetchRequest) (FetchReply, error) {
-	if s.confirmer != nil && r.Process != "" {
+	if s.confirmer != nil && r.Process != "" && s.sharesHistory(r) {
 		s.confirmer.Confirm(r.Process, r.Incarnation, r.Version)
 	}
 	wait := min(time.Duration(r.WaitMillis)*time.Millisecond, MaxFetchWait)
@@ -97,11 +97,25 @@
 	}
 }
 
+// sharesHistory reports whether the process runs a version of this fleet. A version that this copy has not reached or
+// has compacted away is not confirmed; the process confirms again with its next fetch.
+func (s *Source) sharesHistory(r FetchRequest) bool {
+	shares := false
+	s.viewer.View(func(st *state.State) {
+		chain, ok := st.ChainAt(r.Version)
+		shares = ok && chain == r.Chain
+	})
+	return shares
+}
+
 func (s *Source) answer(r FetchRequest, beat Beat) FetchReply {
 	reply := FetchReply{Beat: beat}
 	s.viewer.View(func(st *state.State) {
 		reply.Version = st.Version()
 		deltas, ok := st.Since(r.Version)
+		if chain, known := st.ChainAt(r.Version); known && chain != r.Chain {
+			ok, deltas = false, nil
+		}
 		reply.NeedSnapshot = !ok
 		reply.Deltas = firstDeltas(deltas)
 	})
--- a/fleet/state/apply.go
+++ b/fleet/state/apply.go
@@ -1,8 +1,11 @@
 package state
 
 import (
+	"encoding/binary"
 	"fmt"
 	"slices"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Apply runs one command of the replicated log and returns the encoded Result. It is deterministic. Refused commands
@@ -33,8 +36,9 @@
 		}
 		return record.Result
 	}
-	s.deltas.add(Delta{From: s.version, Command: slices.Clone(data)})
+	s.deltas.add(Delta{From: s.version, Chain: s.chain, Command: slices.Clone(data)})
 	s.version++
+	s.chain = extendChain(s.chain, digest)
 	if record.Kind.byOperator() {
 		s.operatorVersion = s.version
 	}
@@ -44,6 +48,13 @@
 	return record.Result
 }
 
+func extendChain(chain, digest uint64) uint64 {
+	var pair [16]byte
+	binary.LittleEndian.PutUint64(pair[:8], chain)
+	binary.LittleEndian.PutUint64(pair[8:], digest)
+	return xxhash.Sum64(pair[:])
+}
+
 func (s *State) refusal(r *Refusal) Result { return Result{Version: s.version, Err: r} }
 
 const maxIDBytes = 128
--- a/fleet/state/deltas.go
+++ b/fleet/state/deltas.go
@@ -15,7 +15,9 @@
 
 // Delta is an accepted command with the version that it was applied to.
 type Delta struct {
-	From    uint64          `json:"from"`
+	From uint64 `json:"from"`
+	// Chain is State.Chain before the command.
+	Chain   uint64          `json:"chain"`
 	Command json.RawMessage `json:"command"`
 }
 
@@ -48,6 +50,18 @@
 	return slices.Clone(s.deltas.list[uint64(len(s.deltas.list))-missing:]), true
 }
 
+// ChainAt returns the chain at a version; false where the version is ahead of this copy or compacted away.
+func (s *State) ChainAt(version uint64) (uint64, bool) {
+	if version == s.version {
+		return s.chain, true
+	}
+	deltas, ok := s.Since(version)
+	if !ok || len(deltas) == 0 {
+		return 0, false
+	}
+	return deltas[0].Chain, true
+}
+
 // GapError reports a delta that does not follow this copy's version.
 type GapError struct{ From, Version uint64 }
 
@@ -55,15 +69,15 @@
 	return fmt.Sprintf("delta applies to version %d, this copy has version %d", e.From, e.Version)
 }
 
-// DivergedError reports that this copy refuses a command that was accepted elsewhere. The copy must be replaced by a
-// snapshot.
+// DivergedError reports that this copy has another history than the delta, or refuses a command that was accepted
+// elsewhere. The copy must be replaced by a snapshot.
 type DivergedError struct {
 	Version uint64
 	Refusal *Refusal
 }
 
 func (e *DivergedError) Error() string {
-	return fmt.Sprintf("copy at version %d refuses an accepted command: %v", e.Version, e.Refusal)
+	return fmt.Sprintf("copy at version %d differs from the fleet: %v", e.Version, e.Refusal)
 }
 
 // Unwrap returns the refusal.
@@ -75,6 +89,9 @@
 	if d.From != s.version {
 		return &GapError{From: d.From, Version: s.version}
 	}
+	if d.Chain != s.chain {
+		return &DivergedError{Version: s.version, Refusal: refuse(CodeConflict, nil, "the copy has another history")}
+	}
 	result := s.apply(d.Command)
 	if result.Err != nil {
 		return &DivergedError{Version: s.version, Refusal: result.Err}
--- a/fleet/state/snapshot.go
+++ b/fleet/state/snapshot.go
@@ -15,6 +15,7 @@
 	Format          int                    `json:"format"`
 	Version         uint64                 `json:"version"`
 	OperatorVersion uint64                 `json:"operatorVersion"`
+	Chain           uint64                 `json:"chain"`
 	Document        *config.Document       `json:"document"`
 	Issued          map[string][]IssuedKey `json:"issued,omitempty"`
 	Withdrawn       []string               `json:"withdrawn,omitempty"`
@@ -34,6 +35,7 @@
 		Format:          snapshotFormat,
 		Version:         s.version,
 		OperatorVersion: s.operatorVersion,
+		Chain:           s.chain,
 		Document:        s.doc,
 		Issued:          s.issued,
 		Withdrawn:       s.withdrawn.order,
@@ -67,6 +69,7 @@
 	s := New()
 	s.version = snap.Version
 	s.operatorVersion = snap.OperatorVersion
+	s.chain = snap.Chain
 	// Patch onto the empty document keeps missing maps usable.
 	s.doc.Patch(config.Diff(s.doc, snap.Document))
 	s.shards = snap.Shards
--- a/fleet/state/state.go
+++ b/fleet/state/state.go
@@ -20,6 +20,7 @@
 	version uint64
 	// operatorVersion is the version of the last accepted command of an operator.
 	operatorVersion uint64
+	chain           uint64
 	doc             *config.Document
 	keys            *keyIndex
 	issued          map[string][]IssuedKey
@@ -58,6 +59,10 @@
 // Version is the count of accepted commands.
 func (s *State) Version() uint64 { return s.version }
 
+// Chain is a hash of all accepted commands in order, without their times. Copies with equal versions have equal chains;
+// after a fleet was seeded with an old snapshot, it tells the former history from the new one.
+func (s *State) Chain() uint64 { return s.chain }
+
 // OperatorVersion is the version of the last accepted command of an operator. A command with this base version or a
 // later one does not conflict.
 func (s *State) OperatorVersion() uint64 { return s.operatorVersion }
--- a/fleet/state/stateful_test.go
+++ b/fleet/state/stateful_test.go
@@ -265,6 +265,7 @@
 		assert.Equal(t, f.state.DomainOut(domain), f.oracle.out[domain])
 	}
 	if f.follower.Version() == f.state.Version() {
+		assert.Equal(t, f.follower.Chain(), f.state.Chain())
 		assert.Equal(t, f.follower.Config().Hash(), f.state.Config().Hash())
 		assert.Assert(t, reflect.DeepEqual(f.follower.keys.first, f.state.keys.first))
 	}
