--- a/cmd/rosemaryline/main_test.go
+++ b/cmd/rosemaryline/main_test.go
@@ -26,6 +26,8 @@
 type localFleet struct {
 	mu    sync.Mutex
 	state *state.State
+	// lost makes every answer to a proposal get lost.
+	lost bool
 }
 
 func (f *localFleet) View(view func(*state.State)) {
@@ -43,7 +45,11 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return state.DecodeResult(f.state.Apply(data))
+	result, err := state.DecodeResult(f.state.Apply(data))
+	if f.lost {
+		return state.Result{}, &control.UnknownError{Err: io.ErrUnexpectedEOF}
+	}
+	return result, err
 }
 
 func (f *localFleet) Group() control.GroupStatus {
@@ -153,6 +159,18 @@
 	}
 }
 
+// Guards against a lost answer that is reported as a failure, and against an apply that cannot be repeated after it.
+func TestUnknownOutcome(t *testing.T) {
+	fleet := startFleet(t)
+	fleet.lost = true
+	code, _, stderr := tool("", "apply", "-timeout", "500ms", exampleBase, exampleSite)
+	assert.Equal(t, code, exitUnknown, stderr)
+	fleet.lost = false
+	code, stdout, stderr := tool("", "apply", exampleBase, exampleSite)
+	assert.Equal(t, code, exitDone, stderr)
+	assert.Assert(t, strings.Contains(stdout, "already, at version 1"), stdout)
+}
+
 // Guards against a key that is shown but not accepted, stored in clear, or not withdrawn by its text.
 func TestKeyIssueAndWithdraw(t *testing.T) {
 	fleet := startFleet(t)
--- a/control/api_test.go
+++ b/control/api_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/url"
 	"testing"
+	"time"
 
 	"github.com/pkg/errors"
 	"gotest.tools/v3/assert"
@@ -138,3 +139,27 @@
 	assert.NilError(t, client.Get(context.Background(), "/v1/version", nil, &version))
 	assert.Equal(t, version.Version, uint64(2))
 }
+
+// Guards against a wait that ends before the version is in force, or goes on after it.
+func TestInForceWait(t *testing.T) {
+	fleet := newMemFleet()
+	confirmations := NewConfirmations(func() time.Duration { return 0 })
+	client := startAPI(t, fleet, Options{Confirmations: confirmations})("viewer-secret")
+	mustPropose(t, fleet, join(1))
+	fleet.View(confirmations.SetRoster)
+	var reply InForceReply
+	assert.NilError(t, client.Get(context.Background(), "/v1/inforce/2", nil, &reply))
+	assert.DeepEqual(t, reply, InForceReply{Version: 2, Missing: []string{"vm1"}})
+	done := make(chan error)
+	go func() {
+		done <- client.Get(context.Background(), "/v1/inforce/2", url.Values{"waitMillis": {"30000"}}, &reply)
+	}()
+	confirmations.Confirm("vm1", 1, 2)
+	assert.NilError(t, <-done)
+	assert.Assert(t, reply.InForce)
+	var status StatusReply
+	assert.NilError(t, client.Get(context.Background(), "/v1/status", nil, &status))
+	assert.DeepEqual(t, status.Versions, []RunningVersion{
+		{Version: 2, InForce: true, Processes: []ProcessVersion{{Process: "vm1", Version: 2, Known: true}}},
+	})
+}
