Fuzz the log against an oracle and fix what it found

Change: stateful fuzz test with message loss, reordering, one-way partitions, paused members, crashes with part of a sync, disk loss and membership changes; a porcupine check of a register; named failure tests. Two faults are fixed. A new learner got no entries before the next proposal (found by TestReplaceThenLoseSecond).

--- a/raft/cluster_test.go
+++ b/raft/cluster_test.go
@@ -4,6 +4,7 @@
 	"flag"
 	"fmt"
 	"hash/fnv"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -11,7 +12,12 @@
 	"gotest.tools/v3/assert"
 )
 
-func init() { _ = flag.Set("rapid.seed", "1") }
+// Fixed seed and size; -rapid.seed, -rapid.checks and -rapid.steps ask for another or a longer run.
+func init() {
+	for name, value := range map[string]string{"seed": "1", "checks": "600", "steps": "150", "nofailfile": "true"} {
+		_ = flag.Set("rapid."+name, value)
+	}
+}
 
 // disk is what a member has synced.
 type disk struct {
@@ -72,7 +78,8 @@
 	node  *Node // nil while down
 	disk  disk
 	state machine
-	ready *Ready // synced, not advanced yet
+	ready *Ready      // synced, not advanced yet
+	reads []ReadState // confirmed, not applied far enough yet
 }
 
 type link struct{ from, to ID }
@@ -84,6 +91,7 @@
 	members map[ID]*member
 	net     []Message
 	blocked map[link]bool
+	paused  map[ID]bool
 	oracle  *oracle
 }
 
@@ -97,7 +105,7 @@
 func newCluster(t rapidOrTest, seed uint64, voters ...ID) *cluster {
 	c := &cluster{
 		t: t, rnd: rand.New(rand.NewPCG(seed, 1)),
-		members: map[ID]*member{}, blocked: map[link]bool{}, oracle: newOracle(t),
+		members: map[ID]*member{}, blocked: map[link]bool{}, paused: map[ID]bool{}, oracle: newOracle(t),
 	}
 	for _, id := range voters {
 		boot := Bootstrap(voters)
@@ -117,7 +125,7 @@
 	if err != nil {
 		c.t.Fatalf("restart of %d: %v", m.id, err)
 	}
-	m.node, m.ready = node, nil
+	m.node, m.ready, m.reads = node, nil, nil
 	m.state.restore(m.disk.snapshot)
 	c.members[m.id] = m
 }
@@ -126,16 +134,15 @@
 
 func (c *cluster) restart(id ID) { c.start(c.members[id]) }
 
-// ids lists the running members in order.
+// ids lists the members that are up, in order.
 func (c *cluster) ids() []ID {
-	var ids []ID
-	for id, m := range c.members {
-		if m.node != nil {
-			ids = append(ids, id)
-		}
-	}
-	slices.Sort(ids)
-	return ids
+	ids := slices.Sorted(maps.Keys(c.members))
+	return slices.DeleteFunc(ids, func(id ID) bool { return c.members[id].node == nil })
+}
+
+// active lists the members that are up and not paused, in order.
+func (c *cluster) active() []ID {
+	return slices.DeleteFunc(c.ids(), func(id ID) bool { return c.paused[id] })
 }
 
 // take fetches a Ready and syncs it; finish does the rest. Messages may arrive between the two.
@@ -157,6 +164,7 @@
 	m.ready = nil
 	c.net = append(c.net, r.Messages...)
 	if r.Snapshot != nil {
+		c.oracle.snapshots++
 		m.state.restore(*r.Snapshot)
 		c.oracle.applied(m)
 	}
@@ -164,7 +172,7 @@
 		m.state.apply(e)
 		c.oracle.committed(m, e)
 	}
-	c.oracle.reads(m, r.Reads, r.FailedReads)
+	c.oracle.reads(m, *r)
 	m.node.Advance()
 }
 
@@ -180,7 +188,7 @@
 	msg := c.net[i]
 	c.net = slices.Delete(c.net, i, i+1)
 	to := c.members[msg.To]
-	if to == nil || to.node == nil || c.blocked[link{msg.From, msg.To}] {
+	if to == nil || to.node == nil || c.paused[msg.To] || c.blocked[link{msg.From, msg.To}] {
 		return
 	}
 	if err := to.node.Step(msg); err != nil {
@@ -193,7 +201,7 @@
 func (c *cluster) settle() {
 	for busy := true; busy; {
 		busy = false
-		for _, id := range c.ids() {
+		for _, id := range c.active() {
 			c.drain(c.members[id])
 		}
 		for len(c.net) > 0 {
@@ -206,7 +214,7 @@
 // run ticks all members in step n times with a reliable network.
 func (c *cluster) run(n int) {
 	for range n {
-		for _, id := range c.ids() {
+		for _, id := range c.active() {
 			c.members[id].node.Tick()
 		}
 		c.settle()
@@ -234,6 +242,9 @@
 		}
 		c.run(1)
 	}
+	for _, id := range c.ids() {
+		c.t.Logf("%+v", c.members[id].node.Status())
+	}
 	c.t.Fatalf("no leader after 100 ticks")
 	return nil
 }
@@ -244,7 +255,7 @@
 	if err != nil {
 		c.t.Fatalf("propose on %d: %v", m.id, err)
 	}
-	c.oracle.proposed(m, index, term, data)
+	c.oracle.writeStarted(index, term, data)
 	return index
 }
 
--- a/raft/election.go
+++ b/raft/election.go
@@ -20,9 +20,11 @@
 	n.resetElectionTimer()
 }
 
-// mayCampaign holds for voters whose state is complete on disk.
+// mayCampaign holds for voters whose state is complete on disk. A voter whose removal is not committed still campaigns:
+// it may hold the longest log, and without it the others could not win an election.
 func (n *Node) mayCampaign() bool {
-	return n.membership().IsVoter(n.cfg.ID) && n.pendingSnapshot == nil
+	committed := n.log.configAt(n.log.commit)
+	return n.pendingSnapshot == nil && (n.membership().IsVoter(n.cfg.ID) || committed.IsVoter(n.cfg.ID))
 }
 
 // campaignPreVote asks the voters whether they would vote, without raising the term.
--- a/raft/leader.go
+++ b/raft/leader.go
@@ -12,8 +12,8 @@
 	n.rounds = rounds{due: true}
 	n.leaseGivenUp, n.transferee = false, 0
 	n.peers = map[ID]*progress{}
-	n.addPeers()
 	n.termStart = n.appendOwn(EntryCommand, nil)
+	n.addPeers()
 }
 
 func (n *Node) stopLeading() {
@@ -21,11 +21,12 @@
 	n.peers, n.transferee = nil, 0
 }
 
-// addPeers adds the members that the leader does not track yet.
+// addPeers adds the members that the leader does not track yet. It runs after an entry was appended, which is the first
+// one that they are offered.
 func (n *Node) addPeers() {
 	for _, id := range n.membership().Members() {
 		if id != n.cfg.ID && n.peers[id] == nil {
-			n.peers[id] = newProgress(n.log.last()+1, n.ticks)
+			n.peers[id] = newProgress(n.log.last(), n.ticks)
 		}
 	}
 }
--- a/raft/node.go
+++ b/raft/node.go
@@ -108,8 +108,12 @@
 	}
 	if n.role == Leader {
 		s.Match = map[ID]uint64{n.cfg.ID: n.log.stable}
-		for id, p := range n.peers {
+		for _, id := range n.peerIDs() {
+			p := n.peers[id]
 			s.Match[id] = p.match
+			if p.lostState {
+				s.LostState = append(s.LostState, id)
+			}
 		}
 	}
 	return s
--- a/raft/oracle_test.go
+++ b/raft/oracle_test.go
@@ -1,10 +1,20 @@
 package raft
 
-import "errors"
+import (
+	"errors"
+	"slices"
 
-type proposal struct {
-	term uint64
-	data string
+	"github.com/anishathalye/porcupine"
+)
+
+// call is a client's write or read of the register that the machine holds.
+type call struct {
+	write bool
+	value string
+	// began is the logical time of the call, acked the highest index acknowledged before it.
+	began int64
+	acked uint64
+	term  uint64
 }
 
 // oracle holds what a correct group may never contradict.
@@ -16,19 +26,20 @@
 	entries map[uint64]Entry
 	// states is the hash of the state machine after each index.
 	states map[uint64]uint64
-	// proposals wait for their answer, by proposer and index.
-	proposals map[ID]map[uint64]proposal
-	// acked is the highest index that was acknowledged to a client.
-	acked uint64
-	// readsAt is the value of acked when a read began.
-	readsAt   map[uint64]uint64
-	readsDone int
+	// writes wait to be applied, by index; openReads wait for their answer, by context.
+	writes    map[uint64][]call
+	openReads map[uint64]call
+	// acked is the highest index that any member applied. A client may learn of a write from then on.
+	acked     uint64
+	now       int64
+	history   []porcupine.Operation
+	snapshots int
 }
 
 func newOracle(t rapidOrTest) *oracle {
 	return &oracle{
 		t: t, leaders: map[uint64]ID{}, entries: map[uint64]Entry{}, states: map[uint64]uint64{},
-		proposals: map[ID]map[uint64]proposal{}, readsAt: map[uint64]uint64{},
+		writes: map[uint64][]call{}, openReads: map[uint64]call{},
 	}
 }
 
@@ -58,15 +69,13 @@
 		o.t.Fatalf("member %d applied %v at an index where %v was applied before", m.id, e, known)
 	}
 	o.entries[e.Index] = e
-	if p, ok := o.proposals[m.id][e.Index]; ok {
-		delete(o.proposals[m.id], e.Index)
-		if p.term == e.Term {
-			if p.data != string(e.Data) {
-				o.t.Fatalf("proposal %q came back as %q", p.data, e.Data)
-			}
-			o.acked = max(o.acked, e.Index)
+	for _, w := range o.writes[e.Index] {
+		if w.term == e.Term {
+			o.finished(w, "")
 		}
 	}
+	delete(o.writes, e.Index)
+	o.acked = max(o.acked, e.Index)
 	o.applied(m)
 }
 
@@ -78,30 +87,61 @@
 	o.states[m.state.index] = m.state.hash
 }
 
-func (o *oracle) proposed(m *member, index, term uint64, data string) {
-	if o.proposals[m.id] == nil {
-		o.proposals[m.id] = map[uint64]proposal{}
-	}
-	o.proposals[m.id][index] = proposal{term, data}
+func (o *oracle) tick() int64 {
+	o.now++
+	return o.now
 }
 
-func (o *oracle) readStarted(context uint64) { o.readsAt[context] = o.acked }
+func (o *oracle) writeStarted(index, term uint64, value string) {
+	o.writes[index] = append(o.writes[index], call{write: true, value: value, began: o.tick(), term: term})
+}
 
-// reads checks that no read is older than a write acknowledged before it began.
-func (o *oracle) reads(m *member, done []ReadState, failed []uint64) {
-	for _, r := range done {
-		began, known := o.readsAt[r.Context]
-		if !known || r.Index < began {
-			o.t.Fatalf("read %d on %d got index %d, acknowledged before was %d", r.Context, m.id, r.Index, began)
+func (o *oracle) readStarted(context uint64) {
+	o.openReads[context] = call{began: o.tick(), acked: o.acked}
+}
+
+// reads serves confirmed reads and checks that none is older than a write acknowledged before it began.
+func (o *oracle) reads(m *member, r Ready) {
+	for _, context := range r.FailedReads {
+		if _, known := o.openReads[context]; !known {
+			o.t.Fatalf("read %d failed after it was answered", context)
 		}
-		delete(o.readsAt, r.Context)
-		o.readsDone++
+		delete(o.openReads, context)
 	}
-	for _, context := range failed {
-		if _, known := o.readsAt[context]; !known {
-			o.t.Fatalf("read %d failed after it was answered", context)
+	m.reads = slices.DeleteFunc(append(m.reads, r.Reads...), func(s ReadState) bool {
+		read, known := o.openReads[s.Context]
+		if !known || s.Index < read.acked {
+			o.t.Fatalf("read %d on %d got index %d, acknowledged before was %d", s.Context, m.id, s.Index, read.acked)
 		}
-		delete(o.readsAt, context)
+		if m.state.index < s.Index {
+			return false
+		}
+		delete(o.openReads, s.Context)
+		o.finished(read, m.state.value)
+		return true
+	})
+}
+
+func (o *oracle) finished(c call, output string) {
+	o.history = append(o.history, porcupine.Operation{Input: c, Call: c.began, Output: output, Return: o.tick()})
+}
+
+// register is the sequential model of the machine's value.
+var register = porcupine.Model{
+	Init: func() any { return "" },
+	Step: func(state, input, output any) (bool, any) {
+		if c := input.(call); c.write {
+			return true, c.value
+		}
+		return output == state, state
+	},
+}
+
+// checkHistory checks that all calls fit one order of the register. A write that was never applied is left out; a read
+// of its value then fails the check.
+func (o *oracle) checkHistory() {
+	if !porcupine.CheckOperations(register, o.history) {
+		o.t.Fatalf("the history of %d calls is not linearizable", len(o.history))
 	}
 }
 
--- /dev/null
+++ b/raft/raft_test.go
@@ -0,0 +1,178 @@
+package raft
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+func (c *cluster) mustChange(m *member, kind ChangeKind, id ID) {
+	c.t.Helper()
+	if _, err := m.node.ChangeMembership(MemberChange{Kind: kind, ID: id}); err != nil {
+		c.t.Fatalf("change %d of %d: %v", kind, id, err)
+	}
+}
+
+// isolate cuts all links of a member in both directions.
+func (c *cluster) isolate(id ID) {
+	for other := range c.members {
+		c.blocked[link{id, other}], c.blocked[link{other, id}] = true, true
+	}
+}
+
+// Guards against the loss of acknowledged entries when a second VM is lost right after a repair: a member that lost its
+// disk must not vote, neither under its old ID nor as a learner that has not caught up.
+func TestSecondLossRightAfterRepair(t *testing.T) {
+	for _, sameID := range []bool{true, false} {
+		c := newCluster(t, 1, 1, 2, 3)
+		leader := c.elect()
+		broken, behind := leader.id%3+1, (leader.id+1)%3+1
+		c.isolate(behind)
+		c.propose(leader, "acknowledged")
+		c.run(1)
+		clear(c.blocked)
+		c.isolate(behind)
+		assert.Equal(t, leader.state.value, "acknowledged")
+
+		// Only the leader holds the entry now. It is lost as well before the repaired member has caught up.
+		c.crash(broken)
+		replacement := broken
+		if !sameID {
+			delete(c.members, broken)
+			replacement = 4
+		}
+		c.add(replacement)
+		if !sameID {
+			c.isolate(replacement)
+			c.mustChange(leader, AddLearner, replacement)
+			_, err := leader.node.ChangeMembership(MemberChange{Kind: PromoteLearner, ID: replacement})
+			assert.Assert(t, errors.Is(err, ErrChangePending) || errors.Is(err, ErrNotCaughtUp), "%v", err)
+		}
+		c.crash(leader.id)
+		clear(c.blocked)
+		c.run(200)
+		assert.Assert(t, c.leader() == nil, "elected without the acknowledged entry")
+
+		c.restart(leader.id)
+		c.run(60)
+		assert.Equal(t, c.elect().id, leader.id)
+		assert.Equal(t, c.members[behind].state.value, "acknowledged")
+		lost := c.members[leader.id].node.Status().LostState
+		assert.Equal(t, len(lost) == 1 && lost[0] == broken, sameID, "lost state: %v", lost)
+	}
+}
+
+// Guards against a repair that leaves the group unable to lose the next VM.
+func TestReplaceThenLoseSecond(t *testing.T) {
+	c := newCluster(t, 1, 1, 2, 3)
+	leader := c.elect()
+	broken, other := leader.id%3+1, (leader.id+1)%3+1
+	c.propose(leader, "before")
+	c.run(1)
+	c.crash(broken)
+	delete(c.members, broken)
+	c.add(4)
+	c.mustChange(leader, AddLearner, 4)
+	c.run(5)
+	c.mustChange(leader, PromoteLearner, 4)
+	c.run(5)
+	c.mustChange(leader, RemoveMember, broken)
+	c.run(5)
+	c.crash(leader.id)
+	next := c.elect()
+	assert.Assert(t, next.id == 4 || next.id == other)
+	assert.Equal(t, next.state.value, "before")
+}
+
+// Guards against a commit of an entry of a former term by counting its copies: a later leader could overwrite it. Also
+// guards against a membership change before the leader's first commit, which could leave two disjoint majorities.
+func TestFirstCommitOfTerm(t *testing.T) {
+	boot := Bootstrap([]ID{1, 2, 3})
+	boot.HardState.Term = 2
+	boot.Entries = []Entry{{Term: 2, Index: 2, Data: []byte("old")}}
+	n, err := New(Config{ID: 1, Rand: rand.New(rand.NewPCG(1, 1))}, boot)
+	assert.NilError(t, err)
+	for n.role != PreCandidate {
+		n.Tick()
+	}
+	assert.NilError(t, n.Step(Message{Kind: MessagePreVoteReply, From: 2, To: 1, Term: 3}))
+	assert.NilError(t, n.Step(Message{Kind: MessageVoteReply, From: 2, To: 1, Term: 3}))
+	assert.Equal(t, n.role, Leader)
+	n.Ready()
+	n.Advance()
+	assert.NilError(t, n.Step(Message{Kind: MessageAppendReply, From: 2, To: 1, Term: 3, Index: 2}))
+	assert.Equal(t, n.log.commit, uint64(1))
+	_, err = n.ChangeMembership(MemberChange{Kind: RemoveMember, ID: 3})
+	assert.ErrorIs(t, err, ErrChangePending)
+	assert.NilError(t, n.Step(Message{Kind: MessageAppendReply, From: 2, To: 1, Term: 3, Index: 3}))
+	assert.Equal(t, n.log.commit, uint64(3))
+}
+
+// Guards against a leader that keeps its role without a quorum, and against a returning member that deposes the leader.
+func TestQuorumCheckAndReturn(t *testing.T) {
+	c := newCluster(t, 1, 1, 2, 3)
+	old := c.elect()
+	c.run(3)
+	assert.Assert(t, old.node.Status().LeaseValid)
+	c.isolate(old.id)
+	c.run(40)
+	assert.Assert(t, old.node.role != Leader)
+	leader := c.leader()
+	assert.Assert(t, leader != nil && leader.id != old.id)
+	term := leader.node.term
+	clear(c.blocked)
+	c.run(40)
+	assert.Equal(t, c.leader(), leader)
+	assert.Equal(t, leader.node.term, term)
+}
+
+// Guards against slow catch-up: one round trip for each entry, or a snapshot although the entries are there.
+func TestCatchUp(t *testing.T) {
+	for _, tt := range []struct {
+		desc      string
+		compact   bool
+		snapshots int
+	}{
+		{"entries are pipelined", false, 0},
+		{"a snapshot replaces compacted entries", true, 1},
+	} {
+		t.Run(tt.desc, func(t *testing.T) {
+			c := newCluster(t, 1, 1, 2, 3)
+			leader := c.elect()
+			behind := c.members[leader.id%3+1]
+			c.isolate(behind.id)
+			for i := range 300 {
+				c.propose(leader, fmt.Sprint("v", i))
+			}
+			c.run(2)
+			if tt.compact {
+				s, err := leader.node.SnapshotAt(leader.state.index, leader.state.encode())
+				assert.NilError(t, err)
+				leader.disk.saveSnapshot(s)
+				assert.NilError(t, leader.node.Compact(s))
+			}
+			clear(c.blocked)
+			c.run(2*6 + 1)
+			assert.Equal(t, behind.state.value, "v299")
+			assert.Equal(t, c.oracle.snapshots, tt.snapshots)
+		})
+	}
+}
+
+// Guards against transfers that lose the role without a successor, and against a lease that outlives the order.
+func TestTransfer(t *testing.T) {
+	c := newCluster(t, 1, 1, 2, 3)
+	leader := c.elect()
+	c.run(3)
+	to := leader.id%3 + 1
+	c.propose(leader, "v")
+	assert.NilError(t, leader.node.TransferLeadership(to))
+	_, _, err := leader.node.Propose([]byte("refused"))
+	assert.ErrorIs(t, err, ErrTransferring)
+	c.settle()
+	assert.Equal(t, c.leader().id, to)
+	assert.Assert(t, !leader.node.Status().LeaseValid)
+}
--- a/raft/types.go
+++ b/raft/types.go
@@ -156,6 +156,9 @@
 	Membership Membership
 	// Match holds the highest replicated index per member; only a leader has it.
 	Match map[ID]uint64
+	// LostState holds the voters that answer with an empty log; only a leader knows them. They take part in nothing and
+	// must be replaced under a new ID.
+	LostState []ID
 	// LeaseValid is true while a leader has heard from a quorum within an election timeout of its own ticks. A paused
 	// process counts no ticks, so the lease alone must not be used to serve reads.
 	LeaseValid bool
