replica: Run one raft member with storage, transport and state machine

Cause: the step machine needs a driver that syncs, sends and applies in the order that Ready asks for. Tests kill members in the middle of writes and check a history with porcupine. UnknownError does not unwrap: a caller took its cause, ErrStopped, for a proposal without effect and sent it again, which the kill test saw as a command applied twice.

--- /dev/null
+++ b/replica/cluster_test.go
@@ -0,0 +1,294 @@
+package replica
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"flag"
+	"math/rand/v2"
+	"path/filepath"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/pkg/errors"
+	"go.uber.org/goleak"
+	"gotest.tools/v3/assert"
+
+	"rosemaryline.dev/raft"
+	"rosemaryline.dev/storage"
+)
+
+func init() { flag.Set("rapid.seed", "1") }
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+const testTick = 5 * time.Millisecond
+
+var errKilled = errors.New("injected kill")
+
+// killFS passes calls to real files until it is killed; a write after that is torn.
+type killFS struct {
+	storage.OS
+	killed atomic.Bool
+	syncs  atomic.Int64
+	// hold delays syncs while a test holds its write lock.
+	hold sync.RWMutex
+}
+
+func (f *killFS) Create(name string) (storage.File, error) {
+	file, err := f.OS.Create(name)
+	return killFile{file, f}, err
+}
+
+func (f *killFS) Append(name string, size int64) (storage.File, error) {
+	file, err := f.OS.Append(name, size)
+	return killFile{file, f}, err
+}
+
+func (f *killFS) Rename(oldName, newName string) error {
+	if f.killed.Load() {
+		return errKilled
+	}
+	return f.OS.Rename(oldName, newName)
+}
+
+type killFile struct {
+	storage.File
+	fs *killFS
+}
+
+func (f killFile) Write(p []byte) (int, error) {
+	if f.fs.killed.Load() {
+		n, _ := f.File.Write(p[:len(p)/2])
+		return n, errKilled
+	}
+	return f.File.Write(p)
+}
+
+func (f killFile) Sync() error {
+	f.fs.syncs.Add(1)
+	f.fs.hold.RLock()
+	defer f.fs.hold.RUnlock()
+	if f.fs.killed.Load() {
+		return errKilled
+	}
+	return f.File.Sync()
+}
+
+// listMachine is a list of commands; its state is a JSON array. The result of a command is its position.
+type listMachine struct {
+	mu   sync.Mutex
+	list []string
+}
+
+func (m *listMachine) Apply(_ uint64, data []byte) []byte {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.list = append(m.list, string(data))
+	return data
+}
+
+func (m *listMachine) Snapshot() ([]byte, error) { return json.Marshal(m.copy()) }
+
+func (m *listMachine) Restore(data []byte) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.list = nil
+	return json.Unmarshal(data, &m.list)
+}
+
+func (m *listMachine) copy() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return append([]string{}, m.list...)
+}
+
+// cluster is a group whose members share a network in memory.
+type cluster struct {
+	t       testing.TB
+	dir     string
+	members []*member
+
+	mu     sync.Mutex // guards groups and cut
+	groups map[raft.ID]*Group
+	cut    map[[2]raft.ID]bool
+
+	started         uint64
+	snapshotEntries uint64
+}
+
+type member struct {
+	*cluster
+	id      raft.ID
+	dir     string
+	fs      *killFS
+	machine *listMachine
+	group   *Group
+}
+
+func newCluster(t testing.TB, size int) *cluster {
+	c := &cluster{t: t, dir: t.TempDir(), groups: map[raft.ID]*Group{}, cut: map[[2]raft.ID]bool{}}
+	c.snapshotEntries = 20
+	for range size {
+		c.addMember()
+	}
+	var ids []raft.ID
+	for _, m := range c.members {
+		ids = append(ids, m.id)
+	}
+	for _, m := range c.members {
+		s, r := m.open()
+		_, err := Initialise(s, r, ids, raft.Snapshot{})
+		assert.NilError(t, err)
+		assert.NilError(t, s.Close())
+		m.start()
+	}
+	t.Cleanup(func() {
+		for _, m := range c.members {
+			m.kill()
+		}
+	})
+	return c
+}
+
+// addMember adds a member with a fresh data folder that is not running.
+func (c *cluster) addMember() *member {
+	m := &member{cluster: c, dir: filepath.Join(c.dir, string(rune('a'+len(c.members))))}
+	s, r := m.open()
+	m.id = r.ID
+	assert.NilError(c.t, s.Close())
+	c.members = append(c.members, m)
+	return m
+}
+
+func (m *member) open() (*storage.Store, storage.Recovered) {
+	m.t.Helper()
+	m.fs = &killFS{}
+	s, r, err := storage.Open(m.fs, m.dir)
+	assert.NilError(m.t, err)
+	return s, r
+}
+
+// options opens the data folder; snapshots come often so that tests meet them.
+func (m *member) options() Options {
+	m.started++
+	s, r := m.open()
+	m.machine = &listMachine{}
+	return Options{
+		Store: s, Recovered: r, StateMachine: m.machine, Transport: linkOf{m}, TickInterval: testTick,
+		SnapshotEntries: m.snapshotEntries,
+		Rand:            rand.New(rand.NewPCG(m.started, 1)), Logger: &log.Logger{Level: log.PanicLevel},
+	}
+}
+
+func (m *member) start() {
+	m.t.Helper()
+	group, err := Join(m.options())
+	assert.NilError(m.t, err)
+	m.group = group
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.groups[m.id] = group
+}
+
+// kill ends the member in the middle of whatever it writes.
+func (m *member) kill() {
+	if m.group == nil {
+		return
+	}
+	m.mu.Lock()
+	delete(m.groups, m.id)
+	m.mu.Unlock()
+	m.fs.killed.Store(true)
+	if err := m.group.Stop(); err != nil && !errors.Is(err, errKilled) {
+		m.t.Errorf("member %s: %v", m.dir, err)
+	}
+	m.group = nil
+}
+
+type linkOf struct{ *member }
+
+func (l linkOf) Send(to raft.ID, m raft.Message) {
+	l.mu.Lock()
+	group := l.groups[to]
+	cut := l.cut[[2]raft.ID{l.id, to}]
+	l.mu.Unlock()
+	if group != nil && !cut {
+		group.Deliver(m)
+	}
+}
+
+// setCut cuts or restores the path in one direction.
+func (c *cluster) setCut(from, to *member, cut bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.cut[[2]raft.ID{from.id, to.id}] = cut
+}
+
+func (c *cluster) running() []*Group {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var groups []*Group
+	for _, m := range c.members {
+		if g := c.groups[m.id]; g != nil {
+			groups = append(groups, g)
+		}
+	}
+	return groups
+}
+
+// onLeader calls f on running members until it returns something else than a refusal without effect.
+func (c *cluster) onLeader(ctx context.Context, f func(*Group) error) error {
+	for {
+		for _, g := range c.running() {
+			err := f(g)
+			var notLeader *raft.NotLeaderError
+			retry := errors.As(err, &notLeader) || errors.Is(err, ErrStopped) || errors.Is(err, raft.ErrChangePending) ||
+				errors.Is(err, raft.ErrNotCaughtUp) || errors.Is(err, raft.ErrTransferring)
+			if !retry {
+				return err
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(testTick):
+		}
+	}
+}
+
+func (c *cluster) propose(ctx context.Context, command string) error {
+	return c.onLeader(ctx, func(g *Group) error {
+		result, err := g.Propose(ctx, []byte(command))
+		if err == nil && !bytes.Equal(result, []byte(command)) {
+			return errors.Errorf("command %s got the result %s", command, result)
+		}
+		return err
+	})
+}
+
+func (c *cluster) mustPropose(command string) {
+	c.t.Helper()
+	assert.NilError(c.t, c.propose(c.t.Context(), command))
+}
+
+// settle waits until all given members have applied what is committed, and returns their equal lists.
+func (c *cluster) settle(members ...*member) []string {
+	c.t.Helper()
+	c.mustPropose("settle")
+	var longest uint64
+	for _, g := range c.running() {
+		longest = max(longest, g.Status().Commit)
+	}
+	for _, m := range members {
+		for m.group.Status().Applied < longest {
+			assert.NilError(c.t, c.t.Context().Err())
+			time.Sleep(testTick)
+		}
+		assert.DeepEqual(c.t, m.machine.copy(), members[0].machine.copy())
+	}
+	return members[0].machine.copy()
+}
--- /dev/null
+++ b/replica/group_test.go
@@ -0,0 +1,183 @@
+package replica
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"gotest.tools/v3/assert"
+
+	"rosemaryline.dev/raft"
+	"rosemaryline.dev/storage"
+)
+
+// Guards against lost, doubled or diverging commands and against false "not applied" errors while members are killed
+// in the middle of writes and restarted.
+func TestKillsDuringProposals(t *testing.T) {
+	const clients, kills = 4, 20
+	c := newCluster(t, 3)
+	var wg sync.WaitGroup
+	var stop atomic.Bool
+	outcomes := make([]map[string]error, clients)
+	for client := range clients {
+		outcomes[client] = map[string]error{}
+		wg.Go(func() {
+			for i := 0; !stop.Load(); i++ {
+				command := fmt.Sprintf("%d/%d", client, i)
+				ctx, cancel := context.WithTimeout(t.Context(), 100*testTick)
+				outcomes[client][command] = c.propose(ctx, command)
+				cancel()
+			}
+		})
+	}
+	c.disturb(kills, rand.New(rand.NewPCG(1, 1)), func(m *member) { m.kill(); m.start() })
+	stop.Store(true)
+	wg.Wait()
+
+	list := c.settle(c.members...)
+	count := map[string]int{}
+	for _, command := range list {
+		count[command]++
+	}
+	acknowledged := 0
+	for _, byCommand := range outcomes {
+		for command, err := range byCommand {
+			var unknown *UnknownError
+			switch {
+			case err == nil:
+				acknowledged++
+				assert.Equal(t, count[command], 1, "acknowledged command %s", command)
+			case errors.As(err, &unknown):
+				assert.Assert(t, count[command] <= 1, "command %s with unknown outcome", command)
+			default:
+				assert.Equal(t, count[command], 0, "command %s, reported as not applied: %v", command, err)
+			}
+		}
+	}
+	assert.Assert(t, acknowledged > 300, "acknowledged %d", acknowledged)
+	t.Logf("%d commands acknowledged", acknowledged)
+}
+
+// disturb calls f on random members, with pauses in which the group may or may not recover.
+func (c *cluster) disturb(times int, rnd *rand.Rand, f func(*member)) {
+	for range times {
+		time.Sleep(time.Duration(5+rnd.IntN(30)) * testTick)
+		f(c.members[rnd.IntN(len(c.members))])
+	}
+	time.Sleep(40 * testTick)
+}
+
+// Guards against one sync for each proposal: proposals that arrive during a sync must share the next one.
+func TestProposalsShareOneSync(t *testing.T) {
+	const proposals = 200
+	c := newCluster(t, 1)
+	m := c.members[0]
+	c.mustPropose("first")
+	m.kill()
+	c.snapshotEntries = 10_000
+	m.start()
+	c.mustPropose("leading")
+	var wg sync.WaitGroup
+	m.fs.hold.Lock()
+	before := m.fs.syncs.Load()
+	wg.Go(func() { c.mustPropose("held") })
+	for m.fs.syncs.Load() == before {
+		time.Sleep(testTick)
+	}
+	for i := range proposals {
+		wg.Go(func() {
+			_, err := m.group.Propose(t.Context(), fmt.Append(nil, i))
+			assert.Check(t, err)
+		})
+	}
+	for len(m.group.proposals) < proposals {
+		time.Sleep(testTick)
+	}
+	m.fs.hold.Unlock()
+	wg.Wait()
+	assert.Assert(t, m.fs.syncs.Load()-before <= 2, "%d syncs", m.fs.syncs.Load()-before)
+}
+
+// Guards against acknowledging after a failed sync: the outcome is unknown and the member stops.
+func TestFailingSyncStopsTheMember(t *testing.T) {
+	c := newCluster(t, 1)
+	m := c.members[0]
+	c.mustPropose("first")
+	m.fs.killed.Store(true)
+	_, err := m.group.Propose(t.Context(), []byte("second"))
+	var unknown *UnknownError
+	assert.Assert(t, errors.As(err, &unknown), "%v", err)
+	<-m.group.Done()
+	_, err = m.group.Propose(t.Context(), []byte("third"))
+	assert.ErrorIs(t, err, ErrStopped)
+	assert.ErrorIs(t, m.group.Barrier(t.Context()), ErrStopped)
+}
+
+// Guards the way back of a VM that lost its disk: it must not start as if nothing had happened, and its new id joins as
+// a learner, gets a snapshot and is promoted, while the old id leaves.
+func TestMemberThatLostItsDiskJoinsAgain(t *testing.T) {
+	c := newCluster(t, 3)
+	for i := range 50 {
+		c.mustPropose(fmt.Sprint(i))
+	}
+	lost := c.members[0]
+	lost.kill()
+	fresh := c.addMember()
+	opts := fresh.options()
+	_, err := Start(opts)
+	assert.ErrorIs(t, err, ErrEmpty)
+	assert.NilError(t, opts.Store.Close())
+	fresh.start()
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	for _, change := range []raft.MemberChange{
+		{Kind: raft.AddLearner, ID: fresh.id},
+		{Kind: raft.PromoteLearner, ID: fresh.id},
+		{Kind: raft.RemoveMember, ID: lost.id},
+	} {
+		assert.NilError(t, c.onLeader(ctx, func(g *Group) error { return g.ChangeMembership(ctx, change) }))
+	}
+	c.members[1].kill()
+	list := c.settle(c.members[2], fresh)
+	assert.Equal(t, len(list), 51)
+	assert.Assert(t, !fresh.group.Status().Membership.Contains(lost.id))
+}
+
+// Guards the operators' way back after the loss of a group: a saved snapshot founds a new group with the same state.
+func TestSnapshotFoundsANewGroup(t *testing.T) {
+	c := newCluster(t, 1)
+	c.mustPropose("a")
+	c.mustPropose("b")
+	snap, err := c.members[0].group.Snapshot(t.Context())
+	assert.NilError(t, err)
+	var file bytes.Buffer
+	assert.NilError(t, storage.WriteSnapshot(&file, snap))
+
+	saved, err := storage.ReadSnapshot(&file, "file")
+	assert.NilError(t, err)
+	m := c.addMember()
+	s, r := m.open()
+	_, err = Initialise(s, r, []raft.ID{m.id + 1}, saved)
+	assert.ErrorIs(t, err, ErrBadVoters)
+	// A crash between the two steps of Initialise leaves the hard state only.
+	assert.NilError(t, s.Save(&raft.HardState{Term: saved.Term, Commit: saved.Index}, nil))
+	assert.NilError(t, s.Close())
+	s, r = m.open()
+	_, err = Initialise(s, r, []raft.ID{m.id}, saved)
+	assert.NilError(t, err)
+	assert.NilError(t, s.Close())
+	s, r = m.open()
+	_, err = Initialise(s, r, []raft.ID{m.id}, saved)
+	assert.ErrorIs(t, err, ErrNotEmpty)
+	assert.NilError(t, s.Close())
+	c.members[0].kill()
+	m.start()
+	c.mustPropose("c")
+	assert.DeepEqual(t, m.machine.copy(), []string{"a", "b", "c"})
+}
--- /dev/null
+++ b/replica/linear_test.go
@@ -0,0 +1,142 @@
+package replica
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"github.com/pkg/errors"
+	"gotest.tools/v3/assert"
+)
+
+// keys is the number of registers, which are checked one by one.
+const keys = 4
+
+// access is one operation on a register: a write of value, or a read.
+type access struct {
+	read  bool
+	key   int
+	value string
+}
+
+var register = porcupine.Model{
+	Partition: func(ops []porcupine.Operation) [][]porcupine.Operation {
+		byKey := make([][]porcupine.Operation, keys)
+		for _, op := range ops {
+			key := op.Input.(access).key
+			byKey[key] = append(byKey[key], op)
+		}
+		return byKey
+	},
+	Init: func() any { return "" },
+	Step: func(state, input, output any) (bool, any) {
+		if in := input.(access); !in.read {
+			return true, in.value
+		}
+		return output == state, state
+	},
+}
+
+// history records the accesses of all clients.
+type history struct {
+	mu    sync.Mutex
+	begin time.Time
+	ops   []porcupine.Operation
+	// unknown counts writes with an unknown outcome.
+	unknown int
+}
+
+// record adds a finished access. A write with an unknown outcome may take effect at any later time, and one that was
+// reported as not applied has no place in the history.
+func (h *history) record(client int, in access, call time.Duration, output string, err error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	end := int64(time.Since(h.begin))
+	var unknown *UnknownError
+	switch {
+	case err == nil:
+	case !in.read && errors.As(err, &unknown):
+		end = math.MaxInt64
+		h.unknown++
+	default:
+		return
+	}
+	h.ops = append(h.ops, porcupine.Operation{ClientId: client, Input: in, Call: int64(call), Output: output, Return: end})
+}
+
+// Guards against stale reads and against writes that are acknowledged and lost, or refused and applied, while members
+// are killed, restarted and cut off in one direction.
+func TestLinearizable(t *testing.T) {
+	const clients, faults = 5, 30
+	c := newCluster(t, 3)
+	h := &history{begin: time.Now()}
+	var wg sync.WaitGroup
+	var stop atomic.Bool
+	for client := range clients {
+		rnd := rand.New(rand.NewPCG(2, uint64(client)))
+		wg.Go(func() {
+			for i := 0; !stop.Load(); i++ {
+				in := access{read: rnd.IntN(2) == 0, key: rnd.IntN(keys), value: fmt.Sprintf("%d/%d", client, i)}
+				call := time.Since(h.begin)
+				ctx, cancel := context.WithTimeout(t.Context(), 60*testTick)
+				output, err := c.access(ctx, in)
+				cancel()
+				h.record(client, in, call, output, err)
+				time.Sleep(testTick)
+			}
+		})
+	}
+	rnd := rand.New(rand.NewPCG(3, 3))
+	c.disturb(faults, rnd, func(m *member) {
+		switch rnd.IntN(4) {
+		case 0, 1:
+			m.kill()
+			m.start()
+		case 2:
+			c.setCut(m, c.members[rnd.IntN(len(c.members))], true)
+		case 3:
+			c.heal()
+		}
+	})
+	stop.Store(true)
+	wg.Wait()
+	result := porcupine.CheckOperationsTimeout(register, h.ops, 20*time.Second)
+	assert.Equal(t, result, porcupine.Ok, "%d operations", len(h.ops))
+	assert.Assert(t, len(h.ops) > 300, "only %d operations have an outcome", len(h.ops))
+	t.Logf("%d operations, %d with unknown outcome", len(h.ops), h.unknown)
+}
+
+func (c *cluster) heal() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	clear(c.cut)
+}
+
+// access writes "key=value" through the leader, or reads the key's last value from the leader's state after a barrier.
+func (c *cluster) access(ctx context.Context, in access) (string, error) {
+	prefix := fmt.Sprintf("%d=", in.key)
+	if !in.read {
+		return "", c.propose(ctx, prefix+in.value)
+	}
+	value := ""
+	err := c.onLeader(ctx, func(g *Group) error {
+		if err := g.Barrier(ctx); err != nil {
+			return err
+		}
+		value = ""
+		for _, command := range g.opts.StateMachine.(*listMachine).copy() {
+			if written, ok := strings.CutPrefix(command, prefix); ok {
+				value = written
+			}
+		}
+		return nil
+	})
+	return value, err
+}
--- a/storage/crash_test.go
+++ b/storage/crash_test.go
@@ -123,6 +123,13 @@
 		if round == 0 {
 			firstOps = m.ops
 		}
+		// Recovery must not lose anything when it is interrupted itself.
+		m.restart(1 + m.rnd.IntN(10))
+		if s, _, err := Open(m, "data"); err == nil {
+			s.Close()
+		} else if !errors.Is(err, errCrash) {
+			return 0, errors.WithMessagef(err, "first open after round %d", round)
+		}
 		m.restart(0)
 		s, recovered, err := Open(m, "data")
 		if err != nil {
