quota: measure requests refused inside the rate

Cause: the target of under 1% needs figures. Change: a simulation in virtual time with 27 processes, 8 teams at 90% of their rate and delays of 0.5, 1.4 and 8 ms, next to a static equal split. A retry is at least 1 ms away: with owner and holder in one process the measured round trip is 0 and callers looped without time passing. A spent token stays outstanding for the whole lifetime unless its process asks again.

--- a/quota/holder.go
+++ b/quota/holder.go
@@ -9,6 +9,8 @@
 	sweepInterval = 25 * time.Millisecond
 	// idleDemand is the rate, in requests a second, below which a team without tokens is forgotten.
 	idleDemand = 0.1
+	// minRetry keeps callers from retrying in a busy loop where the owner is in the same process.
+	minRetry = time.Millisecond
 	// firstRoundTrip is the assumed time of an answer before one was measured.
 	firstRoundTrip = 5 * time.Millisecond
 )
@@ -108,10 +110,11 @@
 	if wait := t.blockedUntil - now; wait > 0 {
 		return wait
 	}
-	if t.pending.ID == 0 {
-		return h.roundTrip
+	wait := h.roundTrip
+	if t.pending.ID != 0 {
+		wait = t.sent + h.roundTrip - now
 	}
-	return max(t.sent+h.roundTrip-now, h.roundTrip/4)
+	return max(wait, minRetry)
 }
 
 // Poll returns the requests to send now. Call it after a Take that failed and at least every 25ms.
--- /dev/null
+++ b/quota/measure_test.go
@@ -0,0 +1,155 @@
+package quota
+
+import (
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+)
+
+const (
+	simProcesses = 27
+	simDuration  = 30 * time.Second
+	// simLoad is the offered part of each team's rate.
+	simLoad = 0.9
+)
+
+// simLimits are the teams of the measurements: a few large ones and small ones with small bursts.
+var simLimits = map[string]Limit{
+	"large-a":  {Rate: 400, Burst: 100},
+	"large-b":  {Rate: 200, Burst: 100},
+	"medium-a": {Rate: 100, Burst: 20},
+	"medium-b": {Rate: 60, Burst: 30},
+	"small-a":  {Rate: 20, Burst: 10},
+	"small-b":  {Rate: 20, Burst: 5},
+	"tiny-a":   {Rate: 5, Burst: 4},
+	"tiny-b":   {Rate: 2, Burst: 2},
+}
+
+func simTeams() []string {
+	teams := make([]string, 0, len(simLimits))
+	for team := range simLimits {
+		teams = append(teams, team)
+	}
+	slices.Sort(teams)
+	return teams
+}
+
+// traffic generates the arrivals of all teams.
+type traffic func(rnd *rand.Rand) []arrival
+
+// placed is Poisson traffic at simLoad whose processes are chosen by place.
+func placed(place func(rnd *rand.Rand, team int, at time.Duration) int) traffic {
+	return func(rnd *rand.Rand) []arrival {
+		var arrivals []arrival
+		for i, team := range simTeams() {
+			arrivals = poisson(rnd, arrivals, team, simLoad*simLimits[team].Rate, simDuration,
+				func(at time.Duration) int { return place(rnd, i, at) })
+		}
+		return arrivals
+	}
+}
+
+func even(rnd *rand.Rand, _ int, _ time.Duration) int { return rnd.IntN(simProcesses) }
+
+// skewed sends four in five requests of a team through one process.
+func skewed(rnd *rand.Rand, team int, at time.Duration) int {
+	if rnd.IntN(5) > 0 {
+		return 3*team + 1
+	}
+	return even(rnd, team, at)
+}
+
+// moving sends a team's requests through three processes that change each second.
+func moving(rnd *rand.Rand, team int, at time.Duration) int {
+	return (5*team + 7*int(at/time.Second) + rnd.IntN(3)) % simProcesses
+}
+
+// bursty sends half of a team's burst at once, at random processes, as often as simLoad allows.
+func bursty(rnd *rand.Rand) []arrival {
+	var arrivals []arrival
+	for _, team := range simTeams() {
+		limit := simLimits[team]
+		size := max(limit.Burst/2, 1)
+		pause := time.Duration(float64(size) / (simLoad * limit.Rate) * float64(time.Second))
+		for at := time.Duration(rnd.Int64N(int64(pause))); at < simDuration; at += pause {
+			for range size {
+				arrivals = append(arrivals, arrival{at: at, process: even(rnd, 0, at), team: team})
+			}
+		}
+	}
+	return arrivals
+}
+
+// churn replaces one process each second; every third one leaves without returning its tokens.
+func churn(f *simFleet) {
+	for i := 1; time.Duration(i)*time.Second < simDuration; i++ {
+		p := 1 + (11*i)%(simProcesses-1)
+		f.at(time.Duration(i)*time.Second, func() {
+			if i%3 != 0 {
+				f.send(p, f.holders[p].Release(f.now))
+			}
+			f.join(p)
+		})
+	}
+}
+
+// TestRefusedInsideRate guards the target that under 1% of the requests inside a team's rate are refused, and prints
+// the figures next to a static equal split. It runs in virtual time and is deterministic.
+func TestRefusedInsideRate(t *testing.T) {
+	cases := []struct {
+		desc    string
+		traffic traffic
+		setup   func(*simFleet)
+	}{
+		{"even", placed(even), nil},
+		{"skewed", placed(skewed), nil},
+		{"moving", placed(moving), nil},
+		{"bursty", bursty, nil},
+		{"join and leave", placed(even), churn},
+	}
+	t.Logf("%-15s %8s %9s %9s %9s %16s %9s %9s %9s", "traffic", "delay", "requests", "static %", "refused %", "worst team %",
+		"wait mean", "wait p99", "msg/req")
+	for _, c := range cases {
+		for _, delay := range []time.Duration{500 * time.Microsecond, 1400 * time.Microsecond, 8 * time.Millisecond} {
+			arrivals := c.traffic(rand.New(rand.NewPCG(1, 2)))
+			slices.SortStableFunc(arrivals, func(a, b arrival) int { return int(a.at - b.at) })
+			markInside(arrivals, simLimits)
+			f := newSimFleet(simProcesses, delay, simLimits)
+			if c.setup != nil {
+				c.setup(f)
+			}
+			for _, a := range arrivals {
+				f.at(a.at, func() { f.arrive(a) })
+			}
+			f.run(simDuration + time.Second)
+			report(t, c.desc, f, arrivals)
+		}
+	}
+}
+
+// report prints one row and checks the target.
+func report(t *testing.T, desc string, f *simFleet, arrivals []arrival) {
+	inside, refused := 0, 0
+	worst, worstTeam := 0.0, "-"
+	for _, team := range simTeams() {
+		c := f.tally[team]
+		inside += c.inside
+		refused += c.refused
+		if p := percent(c.refused, c.inside); p > worst {
+			worst, worstTeam = p, team
+		}
+	}
+	slices.Sort(f.waits)
+	sum := time.Duration(0)
+	for _, w := range f.waits {
+		sum += w
+	}
+	t.Logf("%-15s %8v %9d %9.2f %9.2f %9.2f %-8s %9v %9v %8.2f", desc, f.delay, len(arrivals),
+		staticSplit(arrivals, simLimits, simProcesses), percent(refused, inside), worst, worstTeam,
+		(sum / time.Duration(len(f.waits))).Round(10*time.Microsecond),
+		f.waits[len(f.waits)*99/100].Round(10*time.Microsecond), float64(f.messages)/float64(len(arrivals)))
+	if percent(refused, inside) >= 1 {
+		t.Errorf("%s at %v: %.2f%% refused inside the rate, want under 1%%", desc, f.delay, percent(refused, inside))
+	}
+}
--- a/quota/owner.go
+++ b/quota/owner.go
@@ -97,7 +97,7 @@
 	if missing <= 0 {
 		return 0
 	}
-	return time.Duration(missing / o.rate(limit) * float64(time.Second))
+	return max(time.Duration(missing/o.rate(limit)*float64(time.Second)), minRetry)
 }
 
 // rate is the refill rate on the owner's clock, which may be fast.
--- /dev/null
+++ b/quota/sim_test.go
@@ -0,0 +1,240 @@
+package quota
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// event is an action at a point in virtual time; seq keeps the order of equal times.
+type event struct {
+	at  time.Duration
+	seq int
+	do  func()
+}
+
+type eventQueue []event
+
+func (q eventQueue) Len() int { return len(q) }
+func (q eventQueue) Less(i, j int) bool {
+	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].seq < q[j].seq
+}
+func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *eventQueue) Push(x any)   { *q = append(*q, x.(event)) }
+func (q *eventQueue) Pop() any {
+	last := (*q)[len(*q)-1]
+	*q = (*q)[:len(*q)-1]
+	return last
+}
+
+// arrival is one request of a team at a process.
+type arrival struct {
+	at      time.Duration
+	process int
+	team    string
+	// inside is true where an ideal bucket without any delay admits the request.
+	inside bool
+}
+
+// maxTokenWait is how long a simulated entry holds a request for a token.
+const maxTokenWait = 50 * time.Millisecond
+
+// simFleet runs holders and one owner in virtual time.
+type simFleet struct {
+	now      time.Duration
+	queue    eventQueue
+	seq      int
+	delay    time.Duration
+	holders  []*Holder
+	owner    *Owner
+	waiting  map[string][]*waitingRequest
+	messages int
+	lives    uint64
+
+	tally map[string]*tally
+	waits []time.Duration
+}
+
+// tally counts the requests of one team.
+type tally struct {
+	inside, refused int
+}
+
+type waitingRequest struct {
+	arrival
+	done bool
+}
+
+func newSimFleet(processes int, delay time.Duration, limits map[string]Limit) *simFleet {
+	f := &simFleet{
+		delay:   delay,
+		owner:   NewOwner(Config{Start: -10 * time.Second}),
+		waiting: make(map[string][]*waitingRequest),
+		tally:   make(map[string]*tally),
+	}
+	for team, limit := range limits {
+		f.owner.SetTeam(team, limit)
+		f.tally[team] = &tally{}
+	}
+	for p := range processes {
+		f.holders = append(f.holders, nil)
+		f.join(p)
+		f.tick(p)
+	}
+	return f
+}
+
+func (f *simFleet) at(when time.Duration, do func()) {
+	f.seq++
+	heap.Push(&f.queue, event{when, f.seq, do})
+}
+
+func (f *simFleet) run(until time.Duration) {
+	for len(f.queue) > 0 && f.queue[0].at < until {
+		e := heap.Pop(&f.queue).(event)
+		f.now = e.at
+		e.do()
+	}
+}
+
+func (f *simFleet) join(p int) {
+	f.lives++
+	f.holders[p] = NewHolder(Config{Process: fmt.Sprint(p), Incarnation: f.lives})
+}
+
+func (f *simFleet) tick(p int) {
+	f.poll(p)
+	f.at(f.now+10*time.Millisecond, func() { f.tick(p) })
+}
+
+func (f *simFleet) poll(p int) {
+	f.send(p, f.holders[p].Poll(f.now))
+}
+
+// send carries requests to the owner beside process 0 and the answers back.
+func (f *simFleet) send(p int, requests []GrantRequest) {
+	delay := f.delay
+	if p == 0 {
+		delay = 0
+	}
+	for _, r := range requests {
+		f.messages++
+		f.at(f.now+delay, func() {
+			reply := f.owner.Request(f.now, r)
+			f.at(f.now+delay, func() { f.receive(p, reply) })
+		})
+	}
+}
+
+func (f *simFleet) receive(p int, reply GrantReply) {
+	f.holders[p].Receive(f.now, reply)
+	key := fmt.Sprint(p, "/", reply.Team)
+	waiting := f.waiting[key]
+	delete(f.waiting, key)
+	for _, w := range waiting {
+		if !w.done {
+			f.try(w, f.holders[p].Retry)
+		}
+	}
+	f.poll(p)
+}
+
+func (f *simFleet) arrive(a arrival) {
+	if a.inside {
+		f.tally[a.team].inside++
+	}
+	f.try(&waitingRequest{arrival: a}, f.holders[a.process].Take)
+	f.poll(a.process)
+}
+
+// try spends a token, or waits for an answer or the time that the holder names, or refuses the request.
+func (f *simFleet) try(w *waitingRequest, take func(time.Duration, string) (bool, time.Duration)) {
+	ok, after := take(f.now, w.team)
+	if ok {
+		w.done = true
+		f.waits = append(f.waits, f.now-w.at)
+		return
+	}
+	if f.now+after > w.at+maxTokenWait {
+		w.done = true
+		if w.inside {
+			f.tally[w.team].refused++
+		}
+		return
+	}
+	key := fmt.Sprint(w.process, "/", w.team)
+	if !slices.Contains(f.waiting[key], w) {
+		f.waiting[key] = append(f.waiting[key], w)
+	}
+	f.at(f.now+after, func() {
+		if !w.done {
+			f.try(w, f.holders[w.process].Retry)
+			f.poll(w.process)
+		}
+	})
+}
+
+// markInside runs ideal buckets over the arrivals.
+func markInside(arrivals []arrival, limits map[string]Limit) {
+	buckets := make(map[string]*idealBucket)
+	for i := range arrivals {
+		a := &arrivals[i]
+		b := buckets[a.team]
+		if b == nil {
+			b = newIdealBucket(limits[a.team])
+			buckets[a.team] = b
+		}
+		b.refill(a.at)
+		if b.level >= 1 {
+			b.level--
+			a.inside = true
+		}
+	}
+}
+
+// staticSplit gives every process an equal part of the rate and burst, at least one token, and returns the share of
+// requests inside the rate that it refuses, in percent.
+func staticSplit(arrivals []arrival, limits map[string]Limit, processes int) float64 {
+	buckets := make(map[string]*idealBucket)
+	inside, refused := 0, 0
+	for _, a := range arrivals {
+		key := fmt.Sprint(a.process, "/", a.team)
+		b := buckets[key]
+		if b == nil {
+			limit := limits[a.team]
+			b = newIdealBucket(Limit{Rate: limit.Rate / float64(processes), Burst: max(limit.Burst/processes, 1)})
+			buckets[key] = b
+		}
+		b.refill(a.at)
+		admitted := b.level >= 1
+		if admitted {
+			b.level--
+		}
+		if a.inside {
+			inside++
+		}
+		if a.inside && !admitted {
+			refused++
+		}
+	}
+	return percent(refused, inside)
+}
+
+func percent(part, whole int) float64 {
+	return 100 * float64(part) / float64(max(whole, 1))
+}
+
+// poisson appends a team's arrivals at a mean rate; place chooses the process.
+func poisson(rnd *rand.Rand, arrivals []arrival, team string, rate float64, until time.Duration,
+	place func(at time.Duration) int,
+) []arrival {
+	for at := time.Duration(0); ; {
+		at += time.Duration(rnd.ExpFloat64() / rate * float64(time.Second))
+		if at >= until {
+			return arrivals
+		}
+		arrivals = append(arrivals, arrival{at: at, process: place(at), team: team})
+	}
+}
