quota: report spent tokens at once where they hold back the refill

Cause: a burst of 20 that is used by halves every 111 ms refilled only in the 60 ms in which no brief grant was outstanding. Change: the owner marks a reply as tight when a quarter of the burst is outstanding. The holder then reports as soon as its tokens are spent. A later request may replace a report in flight, so reports delay nothing.

--- a/quota/asking.go
+++ b/quota/asking.go
@@ -8,13 +8,13 @@
 // ask appends a new request for a team that is low on tokens, unless one is in flight or the owner has none.
 func (h *Holder) ask(now time.Duration, team string, t *holding, requests []GrantRequest) []GrantRequest {
 	t.expire(now)
-	if t.pending.ID != 0 || now < t.blockedUntil {
+	if t.pending.ID != 0 && !t.pending.isReport() {
 		return requests
 	}
 	t.demand.decay(now)
 	spare := max(h.target(t)-t.tokens, 0)
-	if t.short == 0 && spare == 0 {
-		return requests
+	if (t.short == 0 && spare == 0) || now < t.blockedUntil {
+		return h.report(now, team, t, requests)
 	}
 	return append(requests, h.request(now, team, t, GrantRequest{
 		Need:  t.short,
@@ -23,6 +23,19 @@
 	}))
 }
 
+// report tells a tight owner that all tokens are spent.
+func (h *Holder) report(now time.Duration, team string, t *holding, requests []GrantRequest) []GrantRequest {
+	if t.pending.ID != 0 || !t.reportDue() {
+		return requests
+	}
+	return append(requests, h.request(now, team, t, GrantRequest{Brief: true}))
+}
+
+// isReport is true for a request whose answer carries nothing, so that another one may replace it.
+func (r GrantRequest) isReport() bool {
+	return r.Need == 0 && r.Spare == 0 && r.Held == 0
+}
+
 // request makes a new request the one in flight. Returned tokens are gone even if the request is lost.
 func (h *Holder) request(now time.Duration, team string, t *holding, r GrantRequest) GrantRequest {
 	t.tokens -= r.Returned
@@ -36,6 +49,7 @@
 	t.asked = now
 	t.sent = now
 	t.short = 0
+	t.unreported = 0
 	return r
 }
 
@@ -98,7 +112,8 @@
 	if t.sent == t.asked {
 		h.roundTrip += (now - t.sent - h.roundTrip) / 8
 	}
-	expires := t.asked + h.cfg.lifetime(t.pending)
+	answered := t.pending
+	expires := t.asked + h.cfg.lifetime(answered)
 	t.pending = GrantRequest{}
 	t.expire(now)
 	t.tokens = min(t.tokens, r.Confirmed)
@@ -106,6 +121,10 @@
 		t.tokens += r.Granted
 		t.expires = expires
 	}
+	t.tight = r.Tight
+	if answered.isReport() {
+		return
+	}
 	t.blockedUntil = 0
 	if r.RetryAfter > 0 {
 		t.blockedUntil = now + r.RetryAfter
--- a/quota/fuzz_test.go
+++ b/quota/fuzz_test.go
@@ -389,7 +389,7 @@
 // TestMessagesAsJSON guards against message fields that get lost between processes.
 func TestMessagesAsJSON(t *testing.T) {
 	request := GrantRequest{"p", 3, "team", 9, 1, 2, 4, true, 5}
-	reply := GrantReply{"p", 3, "team", 9, 1, 2, time.Second, true, true}
+	reply := GrantReply{"p", 3, "team", 9, 1, 2, time.Second, true, true, true}
 	var gotRequest GrantRequest
 	var gotReply GrantReply
 	for _, pair := range [][2]any{{request, &gotRequest}, {reply, &gotReply}} {
--- a/quota/holder.go
+++ b/quota/holder.go
@@ -36,6 +36,9 @@
 	short int
 	// listed is true while the team is in Holder.low.
 	listed bool
+	// tight is true while the owner wants spent tokens reported at once; unreported counts those.
+	tight      bool
+	unreported int
 	// blockedUntil is when the owner expects to have tokens again.
 	blockedUntil time.Duration
 
@@ -100,7 +103,8 @@
 		return false
 	}
 	t.tokens--
-	if t.pending.ID == 0 && t.tokens < h.target(t)/2 {
+	t.unreported++
+	if t.pending.ID == 0 && (t.tokens < h.target(t)/2 || t.reportDue()) {
 		h.list(team, t)
 	}
 	return true
@@ -155,3 +159,8 @@
 		t.tokens = 0
 	}
 }
+
+// reportDue is true when the owner waits to hear that all tokens are spent.
+func (t *holding) reportDue() bool {
+	return t.tight && t.tokens == 0 && t.unreported > 0
+}
--- a/quota/messages.go
+++ b/quota/messages.go
@@ -33,6 +33,8 @@
 	Confirmed int `json:"confirmed,omitempty"`
 	// RetryAfter is the time until another request is worthwhile; 0 when Granted covers Need.
 	RetryAfter time.Duration `json:"retryAfter,omitempty"`
+	// Tight asks the holder to report spent tokens at once, because they hold back the refill.
+	Tight bool `json:"tight,omitempty"`
 	// Stale marks the answer to a request that is older than the last one; the holder ignores it.
 	Stale bool `json:"stale,omitempty"`
 	// Unknown marks a team without a limit at this owner. Nothing is granted.
--- a/quota/owner.go
+++ b/quota/owner.go
@@ -2,6 +2,9 @@
 
 import "time"
 
+// tightShare is the inverse of the part of a burst above which outstanding tokens hold back the refill.
+const tightShare = 4
+
 // Owner grants the tokens of a shard's teams. Only teams with requests within the last lifetimes cost memory.
 type Owner struct {
 	cfg Config
@@ -83,7 +86,8 @@
 	b.level -= float64(reply.Granted)
 	b.outstanding += reply.Granted
 	a.outstanding += reply.Granted
-	if reply.Granted < need || reply.Granted == 0 {
+	reply.Tight = tightShare*b.outstanding > limit.Burst
+	if wanted := need + max(r.Spare, 0); wanted > 0 && reply.Granted < max(need, 1) {
 		reply.RetryAfter = o.retryAfter(b, limit)
 	}
 }
