--- a/quota/asking.go
+++ b/quota/asking.go
@@ -8,15 +8,32 @@
 // ask appends a new request for a team that is low on tokens, unless one is in flight or the owner has none.
 func (h *Holder) ask(now time.Duration, team string, t *holding, requests []GrantRequest) []GrantRequest {
 	t.expire(now)
-	if t.pending.ID != 0 || now < t.blockedUntil {
+	if t.pending.ID != 0 && !t.pending.isReport() {
 		return requests
 	}
 	t.demand.decay(now)
 	spare := max(h.target(t)-t.tokens, 0)
-	if t.short == 0 && spare == 0 {
+	if (t.short == 0 && spare == 0) || now < t.blockedUntil {
+		return h.report(now, team, t, requests)
+	}
+	return append(requests, h.request(now, team, t, GrantRequest{
+		Need:  t.short,
+		Spare: spare,
+		Brief: spare == 0 && t.tokens == 0,
+	}))
+}
+
+// report tells a tight owner that all tokens are spent.
+func (h *Holder) report(now time.Duration, team string, t *holding, requests []GrantRequest) []GrantRequest {
+	if t.pending.ID != 0 || !t.reportDue() {
 		return requests
 	}
-	return append(requests, h.request(now, team, t, GrantRequest{Need: t.short, Spare: spare}))
+	return append(requests, h.request(now, team, t, GrantRequest{Brief: true}))
+}
+
+// isReport is true for a request whose answer carries nothing, so that another one may replace it.
+func (r GrantRequest) isReport() bool {
+	return r.Need == 0 && r.Spare == 0 && r.Held == 0
 }
 
 // request makes a new request the one in flight. Returned tokens are gone even if the request is lost.
@@ -32,6 +49,7 @@
 	t.asked = now
 	t.sent = now
 	t.short = 0
+	t.unreported = 0
 	return r
 }
 
@@ -71,7 +89,7 @@
 
 // resend repeats the request in flight. After a lifetime its grant would be of no use, so it is given up.
 func (h *Holder) resend(now time.Duration, t *holding, requests []GrantRequest) []GrantRequest {
-	if now >= t.asked+h.cfg.Lifetime {
+	if now >= t.asked+h.cfg.lifetime(t.pending) {
 		t.pending = GrantRequest{}
 		return requests
 	}
@@ -94,12 +112,18 @@
 	if t.sent == t.asked {
 		h.roundTrip += (now - t.sent - h.roundTrip) / 8
 	}
+	answered := t.pending
+	expires := t.asked + h.cfg.lifetime(answered)
 	t.pending = GrantRequest{}
 	t.expire(now)
 	t.tokens = min(t.tokens, r.Confirmed)
-	if now < t.asked+h.cfg.Lifetime {
+	if now < expires {
 		t.tokens += r.Granted
-		t.expires = t.asked + h.cfg.Lifetime
+		t.expires = expires
+	}
+	t.tight = r.Tight
+	if answered.isReport() {
+		return
 	}
 	t.blockedUntil = 0
 	if r.RetryAfter > 0 {
--- a/quota/holder.go
+++ b/quota/holder.go
@@ -9,6 +9,8 @@
 	sweepInterval = 25 * time.Millisecond
 	// idleDemand is the rate, in requests a second, below which a team without tokens is forgotten.
 	idleDemand = 0.1
+	// minRetry keeps callers from retrying in a busy loop where the owner is in the same process.
+	minRetry = time.Millisecond
 	// firstRoundTrip is the assumed time of an answer before one was measured.
 	firstRoundTrip = 5 * time.Millisecond
 )
@@ -34,6 +36,9 @@
 	short int
 	// listed is true while the team is in Holder.low.
 	listed bool
+	// tight is true while the owner wants spent tokens reported at once; unreported counts those.
+	tight      bool
+	unreported int
 	// blockedUntil is when the owner expects to have tokens again.
 	blockedUntil time.Duration
 
@@ -98,7 +103,8 @@
 		return false
 	}
 	t.tokens--
-	if t.pending.ID == 0 && t.tokens < h.target(t)/2 {
+	t.unreported++
+	if t.pending.ID == 0 && (t.tokens < h.target(t)/2 || t.reportDue()) {
 		h.list(team, t)
 	}
 	return true
@@ -108,10 +114,11 @@
 	if wait := t.blockedUntil - now; wait > 0 {
 		return wait
 	}
-	if t.pending.ID == 0 {
-		return h.roundTrip
+	wait := h.roundTrip
+	if t.pending.ID != 0 {
+		wait = t.sent + h.roundTrip - now
 	}
-	return max(t.sent+h.roundTrip-now, h.roundTrip/4)
+	return max(wait, minRetry)
 }
 
 // Poll returns the requests to send now. Call it after a Take that failed and at least every 25ms.
@@ -152,3 +159,8 @@
 		t.tokens = 0
 	}
 }
+
+// reportDue is true when the owner waits to hear that all tokens are spent.
+func (t *holding) reportDue() bool {
+	return t.tight && t.tokens == 0 && t.unreported > 0
+}
--- a/quota/owner.go
+++ b/quota/owner.go
@@ -2,6 +2,9 @@
 
 import "time"
 
+// tightShare is the inverse of the part of a burst above which outstanding tokens hold back the refill.
+const tightShare = 4
+
 // Owner grants the tokens of a shard's teams. Only teams with requests within the last lifetimes cost memory.
 type Owner struct {
 	cfg Config
@@ -17,7 +20,7 @@
 	cfg = cfg.withDefaults()
 	return &Owner{
 		cfg:     cfg,
-		opens:   cfg.Start + cfg.ownerLifetime(),
+		opens:   cfg.Start + cfg.ownerLifetime(max(cfg.Lifetime, cfg.NeedLifetime)),
 		limits:  make(map[string]Limit),
 		buckets: make(map[string]*bucket),
 	}
@@ -58,7 +61,7 @@
 	o.settle(b, a, r, &reply)
 	o.grant(b, a, r, limit, &reply)
 	a.reply = reply
-	a.expires = now + o.cfg.ownerLifetime()
+	a.expires = now + o.cfg.ownerLifetime(o.cfg.lifetime(r))
 	if len(b.accounts) == 1 || a.expires < b.nextExpiry {
 		b.nextExpiry = a.expires
 	}
@@ -83,7 +86,8 @@
 	b.level -= float64(reply.Granted)
 	b.outstanding += reply.Granted
 	a.outstanding += reply.Granted
-	if reply.Granted < need || reply.Granted == 0 {
+	reply.Tight = tightShare*b.outstanding > limit.Burst
+	if wanted := need + max(r.Spare, 0); wanted > 0 && reply.Granted < max(need, 1) {
 		reply.RetryAfter = o.retryAfter(b, limit)
 	}
 }
@@ -97,7 +101,7 @@
 	if missing <= 0 {
 		return 0
 	}
-	return time.Duration(missing / o.rate(limit) * float64(time.Second))
+	return max(time.Duration(missing/o.rate(limit)*float64(time.Second)), minRetry)
 }
 
 // rate is the refill rate on the owner's clock, which may be fast.
