--- a/outlier/arbiter.go
+++ b/outlier/arbiter.go
@@ -96,18 +96,18 @@
 
 func (a *Arbiter) grant(now time.Duration, key permitKey, r *PermitRequest) PermitReason {
 	a.permits[key] = &permit{slots: r.Slots, run: r.Run, number: r.Number, expires: expiry(now)}
-	if a.remaining() < a.floor() || a.remaining() <= 0 {
+	if a.remaining(false) < a.floor() {
 		delete(a.permits, key)
 		return ReasonFloor
 	}
 	return ReasonGranted
 }
 
-// renew extends a permit while the rest is at or above the floor. Below it, just enough permits end: capacity that
-// comes back with permits already ending counts as if it were back.
+// renew extends a permit while the rest is at or above the floor. Below it, just enough permits end: the rest is
+// counted as if the permits that are ending had ended.
 func (a *Arbiter) renew(now time.Duration, held *permit, r *PermitRequest) PermitReason {
 	held.run, held.number = r.Run, r.Number
-	if held.ending || a.remaining()+a.endingSlots() < a.floor() {
+	if held.ending || a.remaining(true) < a.floor() {
 		held.ending = true
 		return ReasonFloor
 	}
@@ -121,12 +121,12 @@
 }
 
 // newerThan tells whether a request was overtaken. A request equal to the last one is a duplicate and is answered
-// again, unless it was a release.
+// again.
 func (p *permit) newerThan(r *PermitRequest) bool {
 	if p.run != r.Run {
 		return p.run > r.Run
 	}
-	return p.number > r.Number || p.free && p.number == r.Number
+	return p.number > r.Number
 }
 
 // expire drops permits whose time is over. The memory of a release is kept as long, which covers messages that are
@@ -139,21 +139,21 @@
 	}
 }
 
-// floor returns the least number of slots that ejection must leave, rounded up.
+// floor returns the least number of slots that ejection must leave, rounded up. Ejection never leaves nothing.
 func (a *Arbiter) floor() int {
 	total := 0
 	for _, c := range a.capacity {
 		total += c.Slots
 	}
-	return (total*a.cfg.FloorPercent + 99) / 100
+	return max(1, (total*a.cfg.FloorPercent+99)/100)
 }
 
 // remaining returns the slots that are in service: neither out by the announcements nor permitted. Capacity that is
-// both counts once.
-func (a *Arbiter) remaining() int {
+// both counts once. With ended, permits that are ending count as ended.
+func (a *Arbiter) remaining(ended bool) int {
 	permitted := make(map[string]int)
 	for key, p := range a.permits {
-		if !p.free {
+		if !p.free && !(ended && p.ending) {
 			permitted[key.vm] += p.slots
 		}
 	}
@@ -163,13 +163,3 @@
 	}
 	return rest
 }
-
-func (a *Arbiter) endingSlots() int {
-	slots := 0
-	for _, p := range a.permits {
-		if p.ending && !p.free {
-			slots += p.slots
-		}
-	}
-	return slots
-}
--- a/outlier/holder.go
+++ b/outlier/holder.go
@@ -20,8 +20,7 @@
 type want struct {
 	service string
 	slots   int
-	first   uint64                   // number of the first request; older replies do not count
-	asked   map[uint64]time.Duration // send times of requests without a reply
+	asked   map[uint64]time.Duration // send times of requests without a reply, since the last Drop
 	askedAt time.Duration
 	until   time.Duration // end of the permit
 	refused PermitReason
@@ -45,7 +44,6 @@
 	h.wants[server] = &want{
 		service: service,
 		slots:   slots,
-		first:   h.number + 1,
 		asked:   make(map[uint64]time.Duration),
 		askedAt: never,
 		until:   never,
@@ -103,7 +101,7 @@
 // other runs, to requests before the last Drop and to unknown requests are ignored.
 func (h *Holder) Receive(now time.Duration, r PermitReply) {
 	w := h.wants[r.Server]
-	if w == nil || r.VM != h.vm || r.Run != h.run || r.Number < w.first {
+	if w == nil || r.VM != h.vm || r.Run != h.run {
 		return
 	}
 	asked, ok := w.asked[r.Number]
