Follow the fleet state through the control package; date beats by the question

Cause: the node module had a second follower, and the control package's beats carried no age, so a process could not tell how old its evidence is. Change: one follower, which leaves a control VM that brings no new beats; a beat carries its age at the arrival of the question; beat numbers start with the leader's term, so a clock that jumped back cannot hold them back; confirmations reach the leader through any control VM.

--- a/control/distribution_test.go
+++ b/control/distribution_test.go
@@ -43,7 +43,7 @@
 
 func (f *Follower) mustPoll(t *testing.T, address string, beat uint64, want uint64) {
 	t.Helper()
-	_, _, err := f.Poll(context.Background(), address, beat)
+	_, err := f.Poll(context.Background(), address, beat)
 	assert.NilError(t, err)
 	assert.Equal(t, f.Copy.Version(), want)
 }
@@ -69,7 +69,7 @@
 	<-confirmed
 	done := make(chan error)
 	go func() {
-		_, _, err := follower.Poll(context.Background(), address, 0)
+		_, err := follower.Poll(context.Background(), address, 0)
 		done <- err
 	}()
 	// The confirmation shows that the poll has begun; it waits up to a minute for news.
@@ -80,10 +80,11 @@
 	assert.Equal(t, follower.Copy.Version(), uint64(2))
 
 	// A beat ends the wait without deltas.
-	source.SetBeat(Beat{Number: 7, Version: 2})
-	_, beat, err := follower.Poll(context.Background(), address, 6)
+	source.SetBeat(Beat{Number: 7, Version: 2}, time.Now())
+	news, err := follower.Poll(context.Background(), address, 6)
 	assert.NilError(t, err)
-	assert.Equal(t, beat, Beat{Number: 7, Version: 2})
+	assert.Equal(t, news.Beat.Number, uint64(7))
+	assert.Equal(t, news.Beat.Version, uint64(2))
 
 	// Control is away: a peer that is behind changes nothing, and a peer that is ahead supplies what is missing.
 	follower.Wait, behind.Wait = time.Millisecond, time.Millisecond
@@ -192,7 +193,7 @@
 	defer cancel()
 	failures := 0
 	targets := func() (control, peers []string) { return []string{"127.0.0.1:1"}, []string{peer} }
-	follower.Run(ctx, targets, func(bool, Beat) { cancel() }, func(error) { failures++ })
+	follower.Run(ctx, targets, func(News) { cancel() }, func(error) { failures++ })
 	assert.Equal(t, follower.Copy.Version(), uint64(1))
 	assert.Equal(t, failures, 1)
 }
--- a/control/fetch.go
+++ b/control/fetch.go
@@ -25,10 +25,15 @@
 	snapshotKeep = 30 * time.Second
 )
 
-// Beat is what the control leader issues each second after confirming its quorum.
+// Beat is what the control leader issues twice a second after confirming its quorum.
 type Beat struct {
 	Number  uint64 `json:"number"`
 	Version uint64 `json:"version"`
+	// InForce is the highest version in force.
+	InForce uint64 `json:"inForce,omitempty"`
+	// Age is the time from the issue of the beat to the arrival of the question that it answers; 0 where it was issued
+	// later. The asking process can date the beat by it without a common clock.
+	Age time.Duration `json:"age,omitempty"`
 }
 
 // FetchRequest asks for what follows a version. With control it also confirms that the process runs the version.
--- a/control/follow.go
+++ b/control/follow.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -18,46 +19,76 @@
 // Targets returns the peer listeners of control VMs and of other processes at this moment.
 type Targets func() (control, peers []string)
 
-// Run polls control until ctx ends, and a peer wherever control does not answer. news is called after each answer,
-// with whether the copy's version grew, and with the newest beat of the answering process. failed is called with each
-// error.
-func (f *Follower) Run(ctx context.Context, targets Targets, news func(grew bool, beat Beat), failed func(error)) {
-	var known Beat
+// Run polls control until ctx ends, and a peer wherever control does not answer. news is called after each answer, and
+// failed with each error.
+func (f *Follower) Run(ctx context.Context, targets Targets, news func(News), failed func(error)) {
+	run := followRun{Follower: f, targets: targets, failed: failed}
 	for ctx.Err() == nil {
-		grew, beat, err := f.pollAny(ctx, targets, known.Number, failed)
+		n, err := run.poll(ctx)
 		if err != nil {
 			sleep(ctx, followPause)
 			continue
 		}
-		if beat.Number > known.Number {
-			known = beat
-		}
-		news(grew, beat)
+		news(n)
 	}
 }
 
-// pollAny asks a random control VM, and a random peer where that fails.
-func (f *Follower) pollAny(ctx context.Context, targets Targets, knownBeat uint64, failed func(error)) (bool, Beat, error) {
-	controlVMs, peers := targets()
-	grew, beat, err := f.pollOne(ctx, controlVMs, knownBeat)
+// followRun is the state of one Run.
+type followRun struct {
+	*Follower
+	targets Targets
+	failed  func(error)
+	// source is the control VM that answers now; empty means that another one is to be found.
+	source string
+	known  uint64 // number of the newest beat
+}
+
+// poll asks control, and a random peer where control does not answer.
+func (r *followRun) poll(ctx context.Context) (News, error) {
+	controlVMs, peers := r.targets()
+	n, err := r.pollControl(ctx, controlVMs)
 	if err == nil || ctx.Err() != nil {
-		return grew, beat, err
+		return n, err
 	}
-	failed(err)
-	viaPeer := *f
+	r.failed(err)
+	viaPeer := *r.Follower
 	viaPeer.Wait = peerWait
-	grew, beat, err = viaPeer.pollOne(ctx, peers, knownBeat)
+	n, err = viaPeer.pollOne(ctx, pick(peers, ""), r.known)
 	if err != nil && ctx.Err() == nil {
-		failed(err)
+		r.failed(err)
+	}
+	return n, err
+}
+
+// pollControl stays with one control VM while it brings new beats. One that is isolated or frozen does not, and must
+// not be asked again at once: the right to admit depends on a recent beat.
+func (r *followRun) pollControl(ctx context.Context, controlVMs []string) (News, error) {
+	if !slices.Contains(controlVMs, r.source) {
+		r.source = pick(controlVMs, "")
+	}
+	address := r.source
+	n, err := r.pollOne(ctx, address, r.known)
+	if err != nil || n.Beat.Number <= r.known && !n.Grew {
+		r.source = pick(controlVMs, address)
+	}
+	r.known = max(r.known, n.Beat.Number)
+	return n, err
+}
+
+// pick returns a random address other than the one to avoid, where there is another.
+func pick(addresses []string, avoid string) string {
+	others := slices.DeleteFunc(slices.Clone(addresses), func(a string) bool { return a == avoid })
+	if len(others) == 0 {
+		return avoid
 	}
-	return grew, beat, err
+	return others[rand.IntN(len(others))]
 }
 
-func (f *Follower) pollOne(ctx context.Context, addresses []string, knownBeat uint64) (bool, Beat, error) {
-	if len(addresses) == 0 {
-		return false, Beat{}, errors.New("fetch fleet state: no address is known")
+func (f *Follower) pollOne(ctx context.Context, address string, knownBeat uint64) (News, error) {
+	if address == "" {
+		return News{}, errors.New("fetch fleet state: no address is known")
 	}
-	return f.Poll(ctx, addresses[rand.IntN(len(addresses))], knownBeat)
+	return f.Poll(ctx, address, knownBeat)
 }
 
 func sleep(ctx context.Context, d time.Duration) {
--- a/control/follower.go
+++ b/control/follower.go
@@ -18,7 +18,7 @@
 	// DefaultFetchWait is the long poll of a Follower.
 	DefaultFetchWait = 10 * time.Second
 	// callMargin is the time that a call may take in addition to its wait.
-	callMargin = 2 * time.Second
+	callMargin = 500 * time.Millisecond
 	// maxSnapshotBytes bounds what a follower accepts, so that a faulty peer cannot exhaust its memory.
 	maxSnapshotBytes = 1 << 30
 )
@@ -34,27 +34,43 @@
 	Wait time.Duration
 }
 
-// Poll asks one process for news and applies them. It reports whether the copy's version grew, and the newest beat of
-// the answering process. Errors carry the step and the peer; the copy stays usable.
-func (f *Follower) Poll(ctx context.Context, address string, knownBeat uint64) (grew bool, beat Beat, err error) {
+// News is what one answer brought.
+type News struct {
+	// Grew tells whether the copy's version grew.
+	Grew bool
+	// Beat is the newest beat of the answering process.
+	Beat Beat
+	// Asked is when the question was sent.
+	Asked time.Time
+}
+
+// Poll asks one process for news and applies them. Errors carry the step and the peer; the copy stays usable.
+func (f *Follower) Poll(ctx context.Context, address string, knownBeat uint64) (News, error) {
+	news := News{Asked: time.Now()}
 	reply, err := f.fetch(ctx, address, knownBeat)
 	if err != nil {
-		return false, Beat{}, err
+		return news, err
 	}
+	news.Beat = reply.Beat
+	news.Grew, err = f.take(ctx, address, &reply)
+	return news, err
+}
+
+// take applies an answer to the copy.
+func (f *Follower) take(ctx context.Context, address string, reply *FetchReply) (grew bool, err error) {
 	if reply.NeedSnapshot {
-		grew, err = f.replace(ctx, address)
-		return grew, reply.Beat, err
+		return f.replace(ctx, address)
 	}
 	grew, err = f.Copy.Apply(reply.Deltas)
 	var diverged *state.DivergedError
 	if errors.As(err, &diverged) {
-		return f.recover(ctx, address, reply.Beat, err)
+		return f.recover(ctx, address, err)
 	}
 	var gap *state.GapError
 	if errors.As(err, &gap) {
 		err = nil // the next poll starts from the current version
 	}
-	return grew, reply.Beat, err
+	return grew, err
 }
 
 func (f *Follower) fetch(ctx context.Context, address string, knownBeat uint64) (FetchReply, error) {
@@ -77,12 +93,9 @@
 }
 
 // recover replaces a copy that refuses an accepted command. cause is reported where that fails too.
-func (f *Follower) recover(ctx context.Context, address string, beat Beat, cause error) (bool, Beat, error) {
-	grew, err := f.replace(ctx, address)
-	if err != nil {
-		return grew, beat, errors.Wrap(err, cause.Error())
-	}
-	return grew, beat, nil
+func (f *Follower) recover(ctx context.Context, address string, cause error) (grew bool, err error) {
+	grew, err = f.replace(ctx, address)
+	return grew, errors.Wrap(err, cause.Error())
 }
 
 func (f *Follower) replace(ctx context.Context, address string) (grew bool, err error) {
--- a/control/source.go
+++ b/control/source.go
@@ -28,6 +28,7 @@
 
 	mu      sync.Mutex // guards the fields below; taken after no other lock
 	beat    Beat
+	issued  time.Time     // not after the issue of beat
 	changed chan struct{} // closed and replaced by each change
 }
 
@@ -53,12 +54,13 @@
 	s.wake()
 }
 
-// SetBeat notes a beat and ends the waits of fetches where it is newer.
-func (s *Source) SetBeat(b Beat) {
+// SetBeat notes a beat that was issued no earlier than issued, and ends the waits of fetches where it is newer.
+func (s *Source) SetBeat(b Beat, issued time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if b.Number > s.beat.Number {
 		s.beat = b
+		s.issued = issued
 		s.wake()
 	}
 }
@@ -68,15 +70,19 @@
 	s.changed = make(chan struct{})
 }
 
-func (s *Source) watch() (Beat, <-chan struct{}) {
+// watch returns the newest beat, with its age at the arrival of the question, and a channel that is closed by news.
+func (s *Source) watch(arrived time.Time) (Beat, <-chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.beat, s.changed
+	beat := s.beat
+	beat.Age = max(arrived.Sub(s.issued), 0)
+	return beat, s.changed
 }
 
 // Fetch answers at once where there is news for the process, and waits for news otherwise. When the wait ends it
 // answers without deltas.
 func (s *Source) Fetch(ctx context.Context, r FetchRequest) (FetchReply, error) {
+	arrived := time.Now()
 	if s.confirmer != nil && r.Process != "" && s.sharesHistory(r) {
 		s.confirmer.Confirm(r.Process, r.Incarnation, r.Version)
 	}
@@ -84,7 +90,7 @@
 	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
 	for {
-		beat, changed := s.watch()
+		beat, changed := s.watch(arrived)
 		reply := s.answer(r, beat)
 		if reply.hasNews(r) {
 			return reply, nil
--- a/node/beats.go
+++ b/node/beats.go
@@ -7,84 +7,105 @@
 
 	"rosemaryline.dev/control"
 	"rosemaryline.dev/fleet/state"
-	"rosemaryline.dev/membership"
 )
 
-// beatInterval is the time between two beats of the control leader.
-const beatInterval = 500 * time.Millisecond
+const (
+	// beatInterval is the time between two beats of the control leader.
+	beatInterval = 500 * time.Millisecond
+	// relayInterval is the time between two messages with confirmations to the control leader.
+	relayInterval = 200 * time.Millisecond
+)
 
-// beats issues the control leader's beats and tracks which versions are in force.
+// beats issues the control leader's beats and collects which processes run which version.
 type beats struct {
-	role *controlRole
-
+	role          *controlRole
 	confirmations *control.Confirmations
+	relay         *control.Relay
 
 	mu      sync.Mutex // guards the fields below
 	leading bool
-	beat    membership.Beat
-	issued  time.Duration
+	number  uint64
 	known   uint64 // version of the roster in the confirmations
 }
 
 func newBeats(c *controlRole) *beats {
-	return &beats{role: c, confirmations: control.NewConfirmations(c.node.clock)}
+	return &beats{
+		role:          c,
+		confirmations: control.NewConfirmations(c.node.clock),
+		relay:         control.NewRelay(),
+	}
+}
+
+// Confirm implements control.Confirmer. Confirmations go to the leader.
+func (b *beats) Confirm(process string, incarnation, version uint64) {
+	b.confirmations.Confirm(process, incarnation, version)
+	b.relay.Confirm(process, incarnation, version)
+}
+
+// relayConfirmations sends what was confirmed here to the leader, where another process leads.
+func (b *beats) relayConfirmations() {
+	leader := b.role.groups[groupControl].Status().Leader
+	address, ok := b.role.node.memberAddress(groupControl, leader)
+	if !ok || address == b.role.node.opts.PeerAddress {
+		return
+	}
+	ctx, cancel := context.WithTimeout(b.role.node.tomb.Context(context.Background()), relayInterval)
+	defer cancel()
+	// Processes confirm again with their next question.
+	_ = b.relay.Flush(ctx, b.role.node.client, address)
 }
 
 // issue issues a beat after a quorum confirmed that this process leads. The beat counts as issued at the start of the
 // confirmation: everything that was accepted before is part of the version that it carries.
 func (b *beats) issue() {
 	if !b.role.isLeader(groupControl) {
-		b.resign()
+		b.setLeading(false)
 		return
 	}
-	started := b.role.node.clock()
+	issued := time.Now()
+	term := b.role.groups[groupControl].Status().Term
 	ctx, cancel := context.WithTimeout(b.role.node.tomb.Context(context.Background()), beatInterval)
 	defer cancel()
 	if err := b.role.groups[groupControl].Barrier(ctx); err != nil {
-		b.resign()
+		b.setLeading(false)
 		return
 	}
-	var version uint64
-	b.role.machine.Read(func(s *state.State) { version = s.Version() })
-	b.publish(started, version)
+	b.setLeading(true)
+	b.refreshRoster()
+	b.role.node.source.SetBeat(b.next(term), issued)
 }
 
-func (b *beats) publish(started time.Duration, version uint64) {
+// termShift leaves room for the beats of one term in a beat's number.
+const termShift = 32
+
+// next returns the next beat. Its number starts with the leader's term, so numbers grow from one leader to the next
+// whatever the clocks show.
+func (b *beats) next(term uint64) control.Beat {
+	var version uint64
+	b.role.machine.View(func(s *state.State) { version = s.Version() })
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.leading = true
-	b.beat.Number = max(b.beat.Number+1, uint64(time.Now().UnixMilli()))
-	b.beat.Version = version
-	b.issued = started
-	b.refreshRoster(version)
+	b.number = max(b.number+1, term<<termShift)
+	return control.Beat{Number: b.number, Version: version, InForce: b.confirmations.InForce()}
 }
 
-// refreshRoster passes a changed roster to the confirmations. The caller holds mu.
-func (b *beats) refreshRoster(version uint64) {
-	if b.known == version {
-		return
-	}
-	b.known = version
-	b.role.machine.Read(b.confirmations.SetRoster)
-}
-
-func (b *beats) resign() {
+// refreshRoster passes a changed roster to the confirmations.
+func (b *beats) refreshRoster() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.leading = false
+	b.role.machine.View(func(s *state.State) {
+		if s.Version() == b.known {
+			return
+		}
+		b.known = s.Version()
+		b.confirmations.SetRoster(s)
+	})
 }
 
-// answer returns the newest beat for a question that arrived at asked, and the version in force. ok is false where this
-// process does not lead.
-func (b *beats) answer(asked time.Duration) (beat membership.Beat, inForce uint64, ok bool) {
+func (b *beats) setLeading(leading bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if !b.leading {
-		return membership.Beat{}, 0, false
-	}
-	beat = b.beat
-	beat.Age = max(asked-b.issued, 0)
-	return beat, b.confirmations.InForce(), true
+	b.leading = leading
 }
 
 // pendingRosterChange returns the version whose roster change the state may forget.
--- a/node/controlrole.go
+++ b/node/controlrole.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 
+	"rosemaryline.dev/control"
 	"rosemaryline.dev/idempotency"
 	"rosemaryline.dev/raft"
 	"rosemaryline.dev/replica"
@@ -54,7 +55,7 @@
 	}
 	rpc.Register(n.rpc, methodRaft, c.receive)
 	rpc.Register(n.rpc, methodPropose, c.servePropose)
-	c.start()
+	control.RegisterConfirmations(n.rpc, c.beats)
 	return nil
 }
 
@@ -107,12 +108,15 @@
 	return m.Records
 }
 
+// start starts the drivers; the node's source exists.
 func (c *controlRole) start() {
+	c.machine.changed = c.node.source.Changed
 	t := &c.node.tomb
 	for name, group := range c.groups {
 		t.Go(func() error { return c.watchGroup(name, group) })
 	}
 	t.Go(func() error { return every(t, beatInterval, c.beats.issue) })
+	t.Go(func() error { return every(t, relayInterval, c.beats.relayConfirmations) })
 	t.Go(func() error { return every(t, rosterInterval, c.keepRoster) })
 	t.Go(func() error { return every(t, expireInterval, c.expireRecords) })
 }
--- a/node/machine.go
+++ b/node/machine.go
@@ -8,23 +8,25 @@
 
 // controlMachine is the state machine of the control group: the fleet state with a lock around it.
 type controlMachine struct {
-	mu      sync.RWMutex // guards the fields below
-	state   *state.State
-	changed chan struct{} // closed and replaced at each new version
+	mu    sync.RWMutex // guards state
+	state *state.State
+	// changed is called after each new version.
+	changed func()
 }
 
 func newControlMachine() *controlMachine {
-	return &controlMachine{state: state.New(), changed: make(chan struct{})}
+	return &controlMachine{state: state.New(), changed: func() {}}
 }
 
 // Apply implements replica.StateMachine.
 func (m *controlMachine) Apply(_ uint64, data []byte) []byte {
 	m.mu.Lock()
-	defer m.mu.Unlock()
 	before := m.state.Version()
 	result := m.state.Apply(data)
-	if m.state.Version() != before {
-		m.signal()
+	grew := m.state.Version() != before
+	m.mu.Unlock()
+	if grew {
+		m.changed()
 	}
 	return result
 }
@@ -43,28 +45,15 @@
 		return err
 	}
 	m.mu.Lock()
-	defer m.mu.Unlock()
 	m.state = restored
-	m.signal()
+	m.mu.Unlock()
+	m.changed()
 	return nil
 }
 
-// signal wakes all who wait for a new version. The caller holds mu.
-func (m *controlMachine) signal() {
-	close(m.changed)
-	m.changed = make(chan struct{})
-}
-
-// Read calls read with the state. read must not keep or change it.
-func (m *controlMachine) Read(read func(s *state.State)) {
-	m.mu.RLock()
-	defer m.mu.RUnlock()
-	read(m.state)
-}
-
-// next returns the version and a channel that is closed at the next one.
-func (m *controlMachine) next() (version uint64, changed <-chan struct{}) {
+// View calls view with the state. view must not keep or change it.
+func (m *controlMachine) View(view func(s *state.State)) {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
-	return m.state.Version(), m.changed
+	view(m.state)
 }
--- a/node/node.go
+++ b/node/node.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 	"gopkg.in/tomb.v2"
 
+	"rosemaryline.dev/control"
 	"rosemaryline.dev/fleet/state"
 	"rosemaryline.dev/idempotency"
 	"rosemaryline.dev/membership"
@@ -39,7 +40,8 @@
 	peers     *proxy.PeerClient
 	control   *controlRole // nil without the control role
 	groups    *groupClient
-	follower  *follower
+	copy      *control.Copy
+	source    *control.Source
 	servers   []*server
 	// admitUntil is the time until which the last look at the right to admit holds, on the node's clock.
 	admitUntil  atomic.Int64
@@ -67,6 +69,7 @@
 		peerListener.Close()
 		return nil, err
 	}
+	n.startSource()
 	if err := n.listen(peerListener); err != nil {
 		n.abort()
 		return nil, err
@@ -78,7 +81,8 @@
 // build creates the drivers without starting them.
 func (n *Node) build() {
 	o := &n.opts
-	n.fleet = proxy.NewFleet()
+	n.copy = control.NewCopy()
+	n.fleet = proxy.NewFleet(n.copy)
 	n.client = rpc.NewClient(o.PeerClientTLS)
 	n.rpc = rpc.NewServer()
 	self := membership.Member{Name: o.Name, Address: o.PeerAddress, Domain: o.Domain, Incarnation: n.incarnation}
@@ -102,7 +106,6 @@
 		Limiter: n.limiter, Admitter: n, Directory: n.directory, Gate: n.gate, Peers: n.peers,
 		HoldBody: o.HoldBody, KeyedBody: o.KeyedBody,
 	})
-	n.follower = newFollower(n)
 	n.register()
 }
 
@@ -112,7 +115,17 @@
 	rpc.Register(n.rpc, methodGrant, n.limiter.serveGrant)
 	rpc.Register(n.rpc, methodPermit, n.ejections.servePermit)
 	rpc.Register(n.rpc, methodDigest, n.ejections.takeDigests)
-	rpc.Register(n.rpc, methodFetch, n.follower.serve)
+}
+
+// startSource offers the fleet state to other processes: on a control VM the replicated one, elsewhere the own copy.
+func (n *Node) startSource() {
+	if n.control == nil {
+		n.source = control.NewSource(n.copy, nil)
+	} else {
+		n.source = control.NewSource(n.control.machine, n.control.beats)
+		n.control.start()
+	}
+	n.source.Register(n.rpc)
 }
 
 // run starts the drivers.
@@ -120,11 +133,10 @@
 	n.gossip.start(&n.tomb, n.opts.Join)
 	n.limiter.start()
 	n.ejections.start()
-	n.follower.start()
 	n.tomb.Go(func() error { return every(&n.tomb, gossipTick, n.refreshRight) })
 	n.tomb.Go(func() error { return every(&n.tomb, directoryInterval, n.refreshDirectory) })
 	n.tomb.Go(func() error { return every(&n.tomb, time.Second, n.sweep) })
-	n.tomb.Go(n.watchFleet)
+	n.tomb.Go(n.follow)
 	for _, s := range n.servers {
 		n.tomb.Go(s.serve)
 	}
@@ -177,31 +189,6 @@
 	n.entry.Sweep()
 }
 
-// watchFleet passes changes of the fleet state to the drivers.
-func (n *Node) watchFleet() error {
-	for {
-		n.takeState()
-		select {
-		case <-n.fleet.Changed():
-		case <-n.tomb.Dying():
-			return nil
-		}
-	}
-}
-
-func (n *Node) takeState() {
-	var roster []membership.RosterEntry
-	n.fleet.Read(func(s *state.State) {
-		for _, p := range s.Roster() {
-			roster = append(roster, membership.RosterEntry{Name: p.Name, Address: p.Address})
-		}
-	})
-	n.gossip.setRoster(roster)
-	n.gossip.setVersion(n.fleet.Version())
-	n.shards.update()
-	n.refreshRight()
-}
-
 // Ready tells whether the process can serve: it has fleet state and the right to admit.
 func (n *Node) Ready() bool { return n.fleet.Version() > 0 && n.MayAdmit() }
 
--- a/node/operators.go
+++ b/node/operators.go
@@ -40,7 +40,7 @@
 }
 
 // View implements control.Fleet.
-func (c *controlRole) View(f func(s *state.State)) { c.machine.Read(f) }
+func (c *controlRole) View(f func(s *state.State)) { c.machine.View(f) }
 
 // Propose implements control.Fleet.
 func (c *controlRole) Propose(ctx context.Context, command state.Command) (state.Result, error) {
--- a/node/roster.go
+++ b/node/roster.go
@@ -87,7 +87,7 @@
 	var commands []state.Command
 	alive := map[string]bool{}
 	now := c.node.clock()
-	c.machine.Read(func(s *state.State) {
+	c.machine.View(func(s *state.State) {
 		for _, m := range members {
 			alive[m.Name] = true
 			wanted := state.Process{Name: m.Name, Address: m.Address, Domain: m.Domain}
@@ -115,7 +115,7 @@
 		return state.Command{}, false
 	}
 	owners := map[int]string{}
-	c.machine.Read(func(s *state.State) {
+	c.machine.View(func(s *state.State) {
 		for shard, owner := range s.ShardOwners() {
 			if c.keepsShard(owner, members, now) {
 				continue
@@ -132,7 +132,7 @@
 // staying returns the names of the processes in the roster that are alive and not leaving.
 func (c *controlRole) staying(members []peerInfo) []string {
 	var names []string
-	c.machine.Read(func(s *state.State) {
+	c.machine.View(func(s *state.State) {
 		for _, m := range members {
 			if _, ok := s.Process(m.Name); ok && m.Status == membership.StatusAlive {
 				names = append(names, m.Name)
--- a/proxy/fleet.go
+++ b/proxy/fleet.go
@@ -2,7 +2,6 @@
 
 import (
 	"crypto/sha256"
-	"sync"
 	"sync/atomic"
 
 	"rosemaryline.dev/fleet/config"
@@ -10,77 +9,38 @@
 	"rosemaryline.dev/routing"
 )
 
-// Fleet is this process's copy of the fleet state. It only moves to higher versions.
-type Fleet struct {
-	mu    sync.RWMutex // guards state
-	state *state.State
+// Viewer gives read access to the fleet state. f must not keep the State nor anything that it shares.
+type Viewer interface {
+	View(f func(s *state.State))
+}
 
+// Fleet answers what requests need to know of the fleet state.
+type Fleet struct {
+	viewer  Viewer
 	table   atomic.Pointer[routing.Table]
 	version atomic.Uint64
-	changed chan struct{}
 }
 
-// NewFleet returns an empty copy with version 0.
-func NewFleet() *Fleet {
-	f := &Fleet{state: state.New(), changed: make(chan struct{}, 1)}
-	f.publish()
+// NewFleet returns a Fleet for a copy of the fleet state. Refresh must be called after each change of the copy.
+func NewFleet(viewer Viewer) *Fleet {
+	f := &Fleet{viewer: viewer}
+	f.Refresh()
 	return f
 }
 
-// Version returns the copy's version; 0 means that nothing has been received yet.
-func (f *Fleet) Version() uint64 { return f.version.Load() }
-
-// Changed signals after changes; several changes may share one signal.
-func (f *Fleet) Changed() <-chan struct{} { return f.changed }
-
-// Apply applies deltas in order. It stops at the first one that does not follow the copy's version.
-func (f *Fleet) Apply(deltas []state.Delta) error {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	for _, d := range deltas {
-		if d.From < f.state.Version() {
-			continue // a duplicate of a delta that was applied already
-		}
-		if err := f.state.ApplyDelta(d); err != nil {
-			return err
-		}
-	}
-	f.publish()
-	return nil
+// Refresh takes over the routes and the version of the copy.
+func (f *Fleet) Refresh() {
+	f.viewer.View(func(s *state.State) {
+		f.table.Store(routing.NewTable(s.Config()))
+		f.version.Store(s.Version())
+	})
 }
 
-// Restore replaces the copy by a snapshot. An older snapshot is ignored, so the copy never goes back.
-func (f *Fleet) Restore(snapshot []byte) error {
-	restored, err := state.Restore(snapshot)
-	if err != nil {
-		return err
-	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if restored.Version() <= f.state.Version() {
-		return nil
-	}
-	f.state = restored
-	f.publish()
-	return nil
-}
-
-// publish makes the route table and version visible. The caller holds mu or has the only reference.
-func (f *Fleet) publish() {
-	f.table.Store(routing.NewTable(f.state.Config()))
-	f.version.Store(f.state.Version())
-	select {
-	case f.changed <- struct{}{}:
-	default:
-	}
-}
+// Version returns the version in use; 0 means that nothing has been received yet.
+func (f *Fleet) Version() uint64 { return f.version.Load() }
 
 // Read calls read with the state. read must not keep or change it.
-func (f *Fleet) Read(read func(s *state.State)) {
-	f.mu.RLock()
-	defer f.mu.RUnlock()
-	read(f.state)
-}
+func (f *Fleet) Read(read func(s *state.State)) { f.viewer.View(read) }
 
 // Match returns the route of a request.
 func (f *Fleet) Match(host, path string) (*routing.Route, bool) {
