--- /dev/null
+++ b/admission/fuzz_test.go
@@ -0,0 +1,263 @@
+package admission
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+func init() {
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.steps": "150", "rapid.checks": "1000"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+}
+
+// modelWaiter is what the oracle knows of a queued request.
+type modelWaiter struct {
+	team    string
+	level   int
+	expires time.Duration
+	// ahead is the number of the team's own requests that were queued before it.
+	ahead int
+	// overtaken counts the grants to each other team since it was queued.
+	overtaken map[string]int
+}
+
+// model is the oracle of one Gate.
+type model struct {
+	cfg     Config
+	gate    *Gate
+	now     time.Duration
+	waiting map[Ticket]*modelWaiter
+	// expiring holds waiters that were found expired and that Expire has yet to report.
+	expiring map[Ticket]bool
+	running  map[Ticket]int
+	ended    map[Ticket]bool
+	state    State
+}
+
+func newModel(t *rapid.T) *model {
+	cfg := Config{
+		Slots:            rapid.IntRange(1, 6).Draw(t, "slots"),
+		NestedLevels:     rapid.IntRange(0, 2).Draw(t, "nested"),
+		SuccessesPerSlot: rapid.IntRange(1, 3).Draw(t, "successes"),
+		QueueLength:      rapid.IntRange(1, 12).Draw(t, "queue"),
+		TeamPercent:      rapid.IntRange(10, 100).Draw(t, "share"),
+		MaxWait:          200 * time.Millisecond,
+	}
+	return &model{
+		cfg:      cfg.withDefaults(),
+		gate:     NewGate(cfg),
+		waiting:  make(map[Ticket]*modelWaiter),
+		running:  make(map[Ticket]int),
+		expiring: make(map[Ticket]bool),
+		ended:    make(map[Ticket]bool),
+	}
+}
+
+func (m *model) offer(t *rapid.T, r Request) {
+	d := m.gate.Offer(m.now, r)
+	m.refuse(t, d.Displaced)
+	level := min(r.Depth, m.cfg.NestedLevels)
+	switch d.Verdict {
+	case Admitted:
+		if r.Deadline != 0 && m.now >= r.Deadline {
+			t.Fatal("admitted after the deadline")
+		}
+		m.start(t, d.Ticket, level)
+	case Queued:
+		w := &modelWaiter{team: r.Team, level: level, expires: m.now + m.cfg.MaxWait, overtaken: make(map[string]int)}
+		if r.Deadline != 0 {
+			w.expires = min(w.expires, r.Deadline)
+		}
+		for _, other := range m.waiting {
+			if other.team == r.Team && other.level == level {
+				w.ahead++
+			}
+		}
+		if w.ahead >= m.cfg.teamLength() {
+			t.Fatalf("team %s has more than its share of the queue", r.Team)
+		}
+		m.waiting[d.Ticket] = w
+	case Refused:
+		if d.Reason == ReasonNone {
+			t.Fatal("refused without a reason")
+		}
+	}
+	if m.state != Serving && d.Verdict != Refused {
+		t.Fatalf("state %d took new work", m.state)
+	}
+}
+
+func (m *model) start(t *rapid.T, ticket Ticket, level int) {
+	if m.ended[ticket] {
+		t.Fatal("started after a refusal")
+	}
+	m.running[ticket] = level
+}
+
+// granted checks deadlines and turns: a waiter sees at most one grant to each other team for itself and for each of
+// its team's requests before it.
+func (m *model) granted(t *rapid.T, grants []Grant) {
+	for _, g := range grants {
+		w := m.waiting[g.Ticket]
+		if w == nil {
+			t.Fatal("granted a request that does not wait")
+		}
+		if m.now >= w.expires {
+			t.Fatalf("granted %v after the deadline", m.now-w.expires)
+		}
+		delete(m.waiting, g.Ticket)
+		m.start(t, g.Ticket, w.level)
+		for _, other := range m.waiting {
+			if other.level != w.level || other.team == w.team || m.now >= other.expires {
+				continue
+			}
+			other.overtaken[w.team]++
+			if other.overtaken[w.team] > other.ahead+1 {
+				t.Fatalf("team %s was served %d times before a request with %d ahead", w.team, other.overtaken[w.team],
+					other.ahead)
+			}
+		}
+	}
+}
+
+func (m *model) refuse(t *rapid.T, refusals []Refusal) {
+	for _, r := range refusals {
+		if m.waiting[r.Ticket] == nil && !m.expiring[r.Ticket] {
+			t.Fatal("refused a request that does not wait")
+		}
+		delete(m.waiting, r.Ticket)
+		delete(m.expiring, r.Ticket)
+		m.ended[r.Ticket] = true
+	}
+}
+
+// collectExpired moves the waiters that the gate found expired.
+func (m *model) collectExpired(t *rapid.T) {
+	for _, r := range m.gate.expired {
+		w := m.waiting[r.Ticket]
+		if w == nil {
+			continue
+		}
+		if m.now < w.expires {
+			t.Fatal("expired before the deadline")
+		}
+		delete(m.waiting, r.Ticket)
+		m.expiring[r.Ticket] = true
+	}
+}
+
+// check compares the gate with the oracle after every step.
+func (m *model) check(t *rapid.T) {
+	if len(m.running) > m.cfg.Slots {
+		t.Fatalf("%d requests in %d slots", len(m.running), m.cfg.Slots)
+	}
+	newWork := 0
+	for _, level := range m.running {
+		if level == 0 {
+			newWork++
+		}
+	}
+	if newWork > m.cfg.Slots-m.cfg.NestedLevels {
+		t.Fatalf("new work has %d of %d slots", newWork, m.cfg.Slots)
+	}
+	load := m.gate.Load()
+	if load.InFlight != len(m.running) || load.Queued != len(m.waiting) {
+		t.Fatalf("load %+v, want %d in flight and %d queued", load, len(m.running), len(m.waiting))
+	}
+	for level, q := range m.gate.queues {
+		if q.size > m.cfg.QueueLength {
+			t.Fatalf("queue of %d is longer than %d", q.size, m.cfg.QueueLength)
+		}
+		if q.size > 0 && m.gate.free(level) {
+			t.Fatal("a request waits beside a free slot")
+		}
+	}
+}
+
+// TestGateAgainstModel guards against exceeded slots, grants after the deadline, waiters that are forgotten, started
+// requests that were refused, and a team that is served out of turn.
+func TestGateAgainstModel(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newModel(t)
+		running := func(t *rapid.T) Ticket {
+			for ticket := range m.gate.lastTicket + 1 {
+				if _, ok := m.running[ticket]; ok {
+					return ticket
+				}
+			}
+			t.Skip("nothing runs")
+			return 0
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"offer": func(t *rapid.T) {
+				for range rapid.IntRange(1, 8).Draw(t, "count") {
+					r := Request{
+						Team:  rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "team"),
+						Depth: max(rapid.IntRange(-4, 3).Draw(t, "depth"), 0),
+					}
+					if rapid.Bool().Draw(t, "deadline") {
+						r.Deadline = m.now + time.Duration(rapid.IntRange(-5, 300).Draw(t, "ms"))*time.Millisecond
+					}
+					m.offer(t, r)
+				}
+			},
+			"done": func(t *rapid.T) {
+				ticket := running(t)
+				delete(m.running, ticket)
+				m.ended[ticket] = true
+				latency := time.Duration(rapid.SampledFrom([]int{1, 2, 20}).Draw(t, "ms")) * time.Millisecond
+				result := rapid.SampledFrom([]Result{Succeeded, Succeeded, Succeeded, Failed, Overloaded, Cancelled})
+				m.granted(t, m.gate.Done(m.now, ticket, latency, result.Draw(t, "result")))
+				m.collectExpired(t)
+				if m.gate.Done(m.now, ticket, latency, Succeeded) != nil {
+					t.Fatal("a second Done of one ticket had an effect")
+				}
+			},
+			"cancel": func(t *rapid.T) {
+				if m.gate.lastTicket == 0 {
+					t.Skip("no ticket yet")
+				}
+				ticket := Ticket(rapid.Uint64Range(1, uint64(m.gate.lastTicket)).Draw(t, "ticket"))
+				delete(m.running, ticket)
+				delete(m.waiting, ticket)
+				m.ended[ticket] = true
+				delete(m.expiring, ticket)
+				m.granted(t, m.gate.Cancel(m.now, ticket))
+				m.collectExpired(t)
+			},
+			"advance": func(t *rapid.T) {
+				m.now += time.Duration(rapid.IntRange(0, 120).Draw(t, "ms")) * time.Millisecond
+			},
+			"expire": func(t *rapid.T) {
+				next, ok := m.gate.NextExpiry()
+				m.refuse(t, m.gate.Expire(m.now))
+				for _, w := range m.waiting {
+					if m.now >= w.expires {
+						t.Fatal("a request waits past its deadline")
+					}
+					if !ok || next > w.expires {
+						t.Fatal("NextExpiry is too late")
+					}
+				}
+			},
+			"state": func(t *rapid.T) {
+				m.state = rapid.SampledFrom([]State{Serving, Serving, Serving, Draining, Ejected, Lost}).Draw(t, "state")
+				m.refuse(t, m.gate.SetState(m.now, m.state))
+				if m.state != Serving && len(m.waiting)+len(m.expiring) > 0 {
+					t.Fatal("a request waits for a backend server that takes no work")
+				}
+			},
+			"instance": func(t *rapid.T) {
+				m.gate.SetInstance(fmt.Sprint(rapid.IntRange(0, 1).Draw(t, "instance")))
+			},
+			"": m.check,
+		})
+	})
+}
--- a/admission/gate.go
+++ b/admission/gate.go
@@ -1,6 +1,9 @@
 package admission
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Gate admits requests to one backend server.
 type Gate struct {
@@ -104,6 +107,7 @@
 
 // Cancel ends a queued or admitted request whose caller left. An unknown ticket changes nothing.
 func (g *Gate) Cancel(now time.Duration, ticket Ticket) []Grant {
+	g.expired = slices.DeleteFunc(g.expired, func(r Refusal) bool { return r.Ticket == ticket })
 	w, ok := g.waiting[ticket]
 	if !ok {
 		return g.Done(now, ticket, 0, Cancelled)
@@ -193,12 +197,15 @@
 	for level := g.cfg.NestedLevels; level >= 0; level-- {
 		q := g.queues[level]
 		for q.size > 0 && g.free(level) {
-			w := q.pop()
-			delete(g.waiting, w.ticket)
+			w := q.next()
 			if now >= w.expires {
+				q.remove(w)
+				delete(g.waiting, w.ticket)
 				g.expired = append(g.expired, Refusal{Ticket: w.ticket, Reason: w.reason})
 				continue
 			}
+			q.pop()
+			delete(g.waiting, w.ticket)
 			g.start(w.ticket, level)
 			grants = append(grants, Grant{Ticket: w.ticket, Wait: now - w.queuedAt})
 		}
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -52,36 +52,25 @@
 	q.size++
 }
 
-// pop removes the oldest waiter of the team whose turn it is; nil when nobody waits.
-func (q *fairQueue) pop() *waiter {
-	if len(q.ring) == 0 {
-		return nil
-	}
+// next returns the oldest waiter of the team whose turn it is. The queue must not be empty.
+func (q *fairQueue) next() *waiter {
+	return q.ring[0].waiters[0]
+}
+
+// pop removes the waiter that next returns and ends its team's turn.
+func (q *fairQueue) pop() {
 	t := q.ring[0]
-	w := t.waiters[0]
 	t.waiters = t.waiters[1:]
 	q.size--
 	q.ring = q.ring[1:]
 	if len(t.waiters) == 0 {
 		delete(q.teams, t.team)
-		return w
+		return
 	}
 	q.ring = append(q.ring, t)
-	return w
-}
-
-// longest returns the team with the most waiters, the first in turn on a tie.
-func (q *fairQueue) longest() *teamQueue {
-	var longest *teamQueue
-	for _, t := range q.ring {
-		if longest == nil || len(t.waiters) > len(longest.waiters) {
-			longest = t
-		}
-	}
-	return longest
 }
 
-// remove takes one waiter out of the queue.
+// remove takes one waiter out of the queue. Its team keeps its turn.
 func (q *fairQueue) remove(w *waiter) {
 	t := q.teams[w.team]
 	if t == nil {
