admission: let a full queue displace the longest team's newest request

Cause: two teams could fill the queue by their shares and keep others out. Change: in a full queue a request takes the place of the newest one of the team with the most requests, if that team keeps at least as many.

--- a/admission/gate.go
+++ b/admission/gate.go
@@ -67,14 +67,22 @@
 	return g.enqueue(now, r, level)
 }
 
-// enqueue queues a request where its team's share and the queue have room.
+// enqueue queues a request where its team's share has room. In a full queue it takes the place of the newest request of
+// the team with the most requests, so that a few teams cannot keep the others out.
 func (g *Gate) enqueue(now time.Duration, r Request, level int) Decision {
 	q := g.queues[level]
 	if q.teamSize(r.Team) >= g.cfg.teamLength() {
 		return refuse(ReasonTeamShare)
 	}
+	var displaced []Refusal
 	if q.size >= g.cfg.QueueLength {
-		return refuse(ReasonQueueFull)
+		victim := q.displaceable(r.Team)
+		if victim == nil {
+			return refuse(ReasonQueueFull)
+		}
+		q.remove(victim)
+		delete(g.waiting, victim.ticket)
+		displaced = []Refusal{{Ticket: victim.ticket, Reason: ReasonDisplaced}}
 	}
 	w := &waiter{
 		ticket:   g.newTicket(),
@@ -90,7 +98,7 @@
 	}
 	q.push(w)
 	g.waiting[w.ticket] = w
-	return Decision{Verdict: Queued, Ticket: w.ticket}
+	return Decision{Verdict: Queued, Ticket: w.ticket, Displaced: displaced}
 }
 
 // Done ends an admitted request and returns the queued requests that start now. An unknown ticket changes nothing.
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -70,6 +70,21 @@
 	q.ring = append(q.ring, t)
 }
 
+// displaceable returns the newest waiter of the team with the most waiters, where that team would still have no fewer
+// than the given one; nil otherwise.
+func (q *fairQueue) displaceable(team string) *waiter {
+	var longest *teamQueue
+	for _, t := range q.ring {
+		if longest == nil || len(t.waiters) > len(longest.waiters) {
+			longest = t
+		}
+	}
+	if longest == nil || len(longest.waiters) <= q.teamSize(team)+1 {
+		return nil
+	}
+	return longest.waiters[len(longest.waiters)-1]
+}
+
 // remove takes one waiter out of the queue. Its team keeps its turn.
 func (q *fairQueue) remove(w *waiter) {
 	t := q.teams[w.team]
