admission: weight turns and a full queue by the team's rate

Cause: with equal turns a large team inside its rate got no more than a small team at 5 times its rate. Change: Request.Weight, usually the team's rate, sets the quantum of the deficit round robin and who gives way in a full queue. Light teams wait longer beside a noisy large one, which the gate sees only where the quota let it through.

--- a/admission/gate.go
+++ b/admission/gate.go
@@ -68,7 +68,7 @@
 }
 
 // enqueue queues a request where its team's share has room. In a full queue it takes the place of the newest request of
-// the team with the most requests, so that a few teams cannot keep the others out.
+// the team with the most requests for its weight, so that a few teams cannot keep the others out.
 func (g *Gate) enqueue(now time.Duration, r Request, level int) Decision {
 	q := g.queues[level]
 	if q.teamSize(r.Team) >= g.cfg.teamLength() {
@@ -76,7 +76,7 @@
 	}
 	var displaced []Refusal
 	if q.size >= g.cfg.QueueLength {
-		victim := q.displaceable(r.Team)
+		victim := q.displaceable(r.Team, r.weight())
 		if victim == nil {
 			return refuse(ReasonQueueFull)
 		}
@@ -87,6 +87,7 @@
 	w := &waiter{
 		ticket:   g.newTicket(),
 		team:     r.Team,
+		weight:   r.weight(),
 		level:    level,
 		queuedAt: now,
 		expires:  now + g.cfg.MaxWait,
@@ -251,6 +252,13 @@
 	return g.lastTicket
 }
 
+func (r Request) weight() float64 {
+	if r.Weight > 0 {
+		return r.Weight
+	}
+	return 1
+}
+
 func refuse(reason Reason) Decision {
 	return Decision{Verdict: Refused, Reason: reason}
 }
--- a/admission/measure_test.go
+++ b/admission/measure_test.go
@@ -76,7 +76,7 @@
 
 func (a *gateAdmitter) offer(now time.Duration, id int, r simRequest) bool {
 	a.gate.Expire(now)
-	d := a.gate.Offer(now, Request{Team: r.team, Deadline: r.at + simDeadline})
+	d := a.gate.Offer(now, Request{Team: r.team, Weight: simRates[r.team], Deadline: r.at + simDeadline})
 	a.byTicket[d.Ticket] = id
 	a.tickets[id] = d.Ticket
 	a.started[id] = now
--- a/admission/types.go
+++ b/admission/types.go
@@ -10,6 +10,9 @@
 	Team string
 	// Depth is 0 for new work and the parent's depth + 1 for a nested call.
 	Depth int
+	// Weight is the team's share of turns and of a full queue relative to other teams; use the team's rate. All requests
+	// of a team should have the same weight. 0 means 1.
+	Weight float64
 	// Deadline is the time after which the request must not start. 0 means no deadline but Config.MaxWait.
 	Deadline time.Duration
 }
