--- a/admission/gate.go
+++ b/admission/gate.go
@@ -1,6 +1,9 @@
 package admission
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Gate admits requests to one backend server.
 type Gate struct {
@@ -64,18 +67,27 @@
 	return g.enqueue(now, r, level)
 }
 
-// enqueue queues a request where its team's share and the queue have room.
+// enqueue queues a request where its team's share has room. In a full queue it takes the place of the newest request of
+// the team with the most requests for its weight, so that a few teams cannot keep the others out.
 func (g *Gate) enqueue(now time.Duration, r Request, level int) Decision {
 	q := g.queues[level]
 	if q.teamSize(r.Team) >= g.cfg.teamLength() {
 		return refuse(ReasonTeamShare)
 	}
+	var displaced []Refusal
 	if q.size >= g.cfg.QueueLength {
-		return refuse(ReasonQueueFull)
+		victim := q.displaceable(r.Team, r.weight())
+		if victim == nil {
+			return refuse(ReasonQueueFull)
+		}
+		q.remove(victim)
+		delete(g.waiting, victim.ticket)
+		displaced = []Refusal{{Ticket: victim.ticket, Reason: ReasonDisplaced}}
 	}
 	w := &waiter{
 		ticket:   g.newTicket(),
 		team:     r.Team,
+		weight:   r.weight(),
 		level:    level,
 		queuedAt: now,
 		expires:  now + g.cfg.MaxWait,
@@ -87,7 +99,7 @@
 	}
 	q.push(w)
 	g.waiting[w.ticket] = w
-	return Decision{Verdict: Queued, Ticket: w.ticket}
+	return Decision{Verdict: Queued, Ticket: w.ticket, Displaced: displaced}
 }
 
 // Done ends an admitted request and returns the queued requests that start now. An unknown ticket changes nothing.
@@ -104,6 +116,7 @@
 
 // Cancel ends a queued or admitted request whose caller left. An unknown ticket changes nothing.
 func (g *Gate) Cancel(now time.Duration, ticket Ticket) []Grant {
+	g.expired = slices.DeleteFunc(g.expired, func(r Refusal) bool { return r.Ticket == ticket })
 	w, ok := g.waiting[ticket]
 	if !ok {
 		return g.Done(now, ticket, 0, Cancelled)
@@ -193,12 +206,15 @@
 	for level := g.cfg.NestedLevels; level >= 0; level-- {
 		q := g.queues[level]
 		for q.size > 0 && g.free(level) {
-			w := q.pop()
-			delete(g.waiting, w.ticket)
+			w := q.next()
 			if now >= w.expires {
+				q.remove(w)
+				delete(g.waiting, w.ticket)
 				g.expired = append(g.expired, Refusal{Ticket: w.ticket, Reason: w.reason})
 				continue
 			}
+			q.pop()
+			delete(g.waiting, w.ticket)
 			g.start(w.ticket, level)
 			grants = append(grants, Grant{Ticket: w.ticket, Wait: now - w.queuedAt})
 		}
@@ -236,6 +252,13 @@
 	return g.lastTicket
 }
 
+func (r Request) weight() float64 {
+	if r.Weight > 0 {
+		return r.Weight
+	}
+	return 1
+}
+
 func refuse(reason Reason) Decision {
 	return Decision{Verdict: Refused, Reason: reason}
 }
