outlier: judge by a short recent window and count running requests

Cause: a server that answers slower than requests arrive showed no evidence until its first answers, and 64 samples are 3 s of history at 20 req/s. Change: times come from the last 1.5 s, failures from the last 3 s, at least 8 samples; a running request that already takes longer than the median counts with its age, and one that takes 20 times the usual time counts as hanging.

--- a/outlier/detector.go
+++ b/outlier/detector.go
@@ -151,20 +151,7 @@
 	if s == nil {
 		return Digest{}, false
 	}
-	return s.digest(now), true
-}
-
-func (s *server) digest(now time.Duration) Digest {
-	samples := s.window.newest(now)
-	sorted := latencies(samples)
-	return Digest{
-		Server:  s.name,
-		Count:   len(samples),
-		Failed:  failures(samples),
-		P50:     quantile(sorted, 0.5),
-		P90:     quantile(sorted, 0.9),
-		Warming: s.warming,
-	}
+	return s.digest(now, d.cfg.MinSamples), true
 }
 
 // Evaluate judges all local servers and returns one verdict for each, sorted by name.
@@ -179,7 +166,7 @@
 
 func (d *Detector) judge(s *server, now time.Duration) Verdict {
 	v := Verdict{Server: s.name, Service: s.service}
-	own := s.digest(now)
+	own := s.digest(now, d.cfg.MinSamples)
 	peers := d.comparable(s, now)
 	if own.Count < d.cfg.MinSamples || len(peers) < d.cfg.MinPeers {
 		return v
@@ -212,7 +199,7 @@
 	}
 	for _, name := range d.names {
 		if o := d.servers[name]; o != s && o.service == s.service {
-			digests = append(digests, o.digest(now))
+			digests = append(digests, o.digest(now, d.cfg.MinSamples))
 		}
 	}
 	digests = slices.DeleteFunc(digests, func(p Digest) bool { return p.Warming || p.Count < d.cfg.MinSamples })
@@ -252,10 +239,10 @@
 	const leastDeviation = 0.02
 	var ratios []float64
 	for _, p := range peers {
-		ratios = append(ratios, ratio(p.Failed, p.Count))
+		ratios = append(ratios, p.failRatio())
 	}
 	usual := robustSpread(ratios)
-	mine := ratio(own.Failed, own.Count)
+	mine := own.failRatio()
 	byMargin := (mine - usual.median) / d.cfg.FailureMargin
 	byDeviation := usual.above(mine, leastDeviation) / d.cfg.Deviations
 	return min(byMargin, byDeviation)
--- /dev/null
+++ b/outlier/summary.go
@@ -0,0 +1,46 @@
+package outlier
+
+import (
+	"slices"
+	"time"
+)
+
+// hangAge is the least age of a running request that counts as hanging.
+const hangAge = 500 * time.Millisecond
+
+// hangFactor is the ratio to the usual time from which a running request counts as hanging.
+const hangFactor = 20
+
+// digest sums up a server. Running requests count too: one that already takes longer than the median counts with its
+// age, and one that takes far longer counts as hanging. Without them, a server that answers slower than requests arrive
+// would look healthy until its first answers.
+func (s *server) digest(now time.Duration, least int) Digest {
+	failing := s.window.newest(now, failAge, least)
+	times := latencies(s.window.newest(now, slowAge, least))
+	usual := quantile(latencies(s.window.newest(now, windowAge, least)), 0.5)
+	median := quantile(times, 0.5)
+	d := Digest{
+		Server:  s.name,
+		Count:   len(failing),
+		Failed:  failures(failing),
+		Warming: s.warming,
+	}
+	for _, start := range s.running {
+		age := now - start
+		if age > max(hangAge, hangFactor*usual) {
+			d.Hanging++
+		}
+		if age > median {
+			times = append(times, age)
+		}
+	}
+	slices.Sort(times)
+	d.P50 = quantile(times, 0.5)
+	d.P90 = quantile(times, 0.9)
+	return d
+}
+
+// failRatio counts hanging requests as failed.
+func (d *Digest) failRatio() float64 {
+	return ratio(d.Failed+d.Hanging, d.Count+d.Hanging)
+}
--- a/outlier/window.go
+++ b/outlier/window.go
@@ -12,8 +12,8 @@
 	failed  bool
 }
 
-// window holds the newest samples of a server. At high rates it is bounded by number and reacts fast; at low rates it
-// is bounded by age and collects enough to judge.
+// window holds the newest samples of a server. At high rates a judgement uses the samples of a short time and reacts
+// fast; at low rates it goes further back to have enough of them.
 type window struct {
 	ring  [windowSamples]sample
 	next  int
@@ -21,8 +21,13 @@
 }
 
 const (
-	windowSamples = 64
-	windowAge     = 30 * time.Second
+	windowSamples = 128
+	// windowAge is the age from which a sample is not used any more.
+	windowAge = 30 * time.Second
+	// slowAge is the age of the samples that times are taken from.
+	slowAge = 1500 * time.Millisecond
+	// failAge is the age of the samples that failures are counted in; ratios need more samples than medians.
+	failAge = 3 * time.Second
 )
 
 func (w *window) add(s sample) {
@@ -31,12 +36,14 @@
 	w.count = min(w.count+1, windowSamples)
 }
 
-// newest returns the samples that are young enough, newest first.
-func (w *window) newest(now time.Duration) []sample {
+// newest returns the samples up to an age, or at least as many as are wanted while they are younger than windowAge,
+// newest first.
+func (w *window) newest(now, age time.Duration, least int) []sample {
 	samples := make([]sample, 0, w.count)
 	for i := 1; i <= w.count; i++ {
 		s := w.ring[(w.next-i+windowSamples)%windowSamples]
-		if now-s.at > windowAge {
+		old := now - s.at
+		if old > windowAge || old > age && len(samples) >= least {
 			break
 		}
 		samples = append(samples, s)
