outlier: eject only by comparison with fresh digests

Cause: when a whole service becomes slow or fails, each gate compares itself with digests that are seconds old, and all eject. Change: with strong evidence but old digests a server is a suspect, and Verdict.WantPeers asks the caller for fresh digests from up to 8 peers; only a comparison with digests of at most 500 ms makes it faulty.

--- a/outlier/detector.go
+++ b/outlier/detector.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -24,11 +25,14 @@
 	FailureMargin float64
 	// DigestAge is the age from which a peer's digest is not used any more. Default 10s.
 	DigestAge time.Duration
+	// FreshAge is the age up to which a digest counts for a judgement that can eject. Default 500ms.
+	FreshAge time.Duration
 }
 
 func (c Config) withDefaults() Config {
 	setDuration(&c.Interval, 100*time.Millisecond)
 	setDuration(&c.DigestAge, 10*time.Second)
+	setDuration(&c.FreshAge, 500*time.Millisecond)
 	setInt(&c.MinPeers, 3)
 	setInt(&c.MinSamples, 8)
 	setFloat(&c.SlowFactor, 3)
@@ -56,7 +60,7 @@
 // peer is the newest digest of a backend server on another VM.
 type peer struct {
 	Digest
-	at time.Duration
+	asOf time.Duration
 }
 
 // NewDetector returns a detector without backend servers.
@@ -135,14 +139,18 @@
 	}
 }
 
-// PeerDigest records the digest of a backend server of the service on another VM.
-func (d *Detector) PeerDigest(service string, digest Digest, now time.Duration) {
+// PeerDigest records the digest of a backend server of the service on another VM. asOf is a time after which the peer
+// made the digest: for an answer the time at which it was asked for, and for membership metadata, whose way takes some
+// seconds, the time of receipt less 5 s. A digest older than the known one is ignored.
+func (d *Detector) PeerDigest(service string, digest Digest, asOf time.Duration) {
 	peers := d.peers[service]
 	if peers == nil {
 		peers = make(map[string]peer)
 		d.peers[service] = peers
 	}
-	peers[digest.Server] = peer{digest, now}
+	if old, ok := peers[digest.Server]; !ok || asOf >= old.asOf {
+		peers[digest.Server] = peer{digest, asOf}
+	}
 }
 
 // Digest returns the summary of a local server for the gates of its peers.
@@ -164,14 +172,32 @@
 	return verdicts
 }
 
+// judge compares a server with what is known of its peers. Only a comparison with fresh digests makes a server faulty:
+// when a whole service becomes slow, each server looks slow next to older digests.
 func (d *Detector) judge(s *server, now time.Duration) Verdict {
+	known := d.compare(s, d.comparable(s, now, d.cfg.DigestAge), now)
+	if known.Health != Faulty {
+		return known
+	}
+	fresh := d.comparable(s, now, d.cfg.FreshAge)
+	if len(fresh) >= d.cfg.MinPeers {
+		return d.compare(s, fresh, now)
+	}
+	known.Health, known.WantPeers = Suspect, true
+	return known
+}
+
+func (d *Detector) compare(s *server, peers []Digest, now time.Duration) Verdict {
 	v := Verdict{Server: s.name, Service: s.service}
 	own := s.digest(now, d.cfg.MinSamples)
-	peers := d.comparable(s, now)
-	if own.Count < d.cfg.MinSamples || len(peers) < d.cfg.MinPeers {
+	if own.Count+own.Hanging < d.cfg.MinSamples || len(peers) < d.cfg.MinPeers {
 		return v
 	}
-	v.grade(CauseFailing, d.failingScore(own, peers))
+	cause := CauseFailing
+	if own.Hanging > own.Failed {
+		cause = CauseHanging
+	}
+	v.grade(cause, d.failingScore(own, peers))
 	if !s.warming {
 		v.grade(CauseSlow, d.slowScore(own, peers))
 	}
@@ -190,12 +216,14 @@
 	}
 }
 
-// comparable returns the digests that a server is judged by, sorted by name: those of its peers on other VMs and of
-// other local servers of the service.
-func (d *Detector) comparable(s *server, now time.Duration) []Digest {
+// comparable returns the digests up to an age that a server is judged by, sorted by name: those of its peers on other
+// VMs and of other local servers of the service.
+func (d *Detector) comparable(s *server, now, age time.Duration) []Digest {
 	var digests []Digest
 	for _, p := range d.peers[s.service] {
-		digests = append(digests, p.Digest)
+		if now-p.asOf <= age {
+			digests = append(digests, p.Digest)
+		}
 	}
 	for _, name := range d.names {
 		if o := d.servers[name]; o != s && o.service == s.service {
@@ -203,12 +231,7 @@
 		}
 	}
 	digests = slices.DeleteFunc(digests, func(p Digest) bool { return p.Warming || p.Count < d.cfg.MinSamples })
-	slices.SortFunc(digests, func(a, b Digest) int {
-		if a.Server < b.Server {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(digests, func(a, b Digest) int { return strings.Compare(a.Server, b.Server) })
 	return digests
 }
 
@@ -251,7 +274,7 @@
 func (d *Detector) dropOldDigests(now time.Duration) {
 	for _, peers := range d.peers {
 		for name, p := range peers {
-			if now-p.at > d.cfg.DigestAge {
+			if now-p.asOf > d.cfg.DigestAge {
 				delete(peers, name)
 			}
 		}
--- a/outlier/measure_sim_test.go
+++ b/outlier/measure_sim_test.go
@@ -193,7 +193,11 @@
 }
 
 func (s *detectSim) evaluate(g *simGate) {
-	for _, a := range g.ejector.Step(s.now, g.detect.Evaluate(s.now)) {
+	verdicts := g.detect.Evaluate(s.now)
+	if verdicts[0].WantPeers {
+		s.askPeers(g)
+	}
+	for _, a := range g.ejector.Step(s.now, verdicts) {
 		switch a.Kind {
 		case ActionEject:
 			g.ejects = append(g.ejects, s.now)
@@ -229,6 +233,17 @@
 	}
 }
 
+// askPeers asks some peers for their digests. The way there and back takes 20 ms, and a paused process answers nothing.
+func (s *detectSim) askPeers(g *simGate) {
+	for _, i := range s.rnd.Perm(len(s.gates))[:min(PeersToAsk, len(s.gates))] {
+		peer := s.gates[i]
+		reached := s.c.reaches == nil || s.c.reaches(g, peer)
+		if reached && (s.c.paused == nil || !s.c.paused(s, peer)) {
+			s.mailDigest(peer.detect.(*Detector), peer, g, 20*time.Millisecond)
+		}
+	}
+}
+
 func (s *detectSim) mailDigest(d *Detector, from, to *simGate, delay time.Duration) {
 	if from == to || s.c.reaches != nil && !s.c.reaches(from, to) {
 		return
--- a/outlier/verdict.go
+++ b/outlier/verdict.go
@@ -43,4 +43,11 @@
 	Cause           Cause
 	// Score is the strength of the evidence: 0 for none, 1 at the threshold of Faulty.
 	Score float64
+	// WantPeers asks the caller for fresh digests of the service: the evidence is strong, but the digests of the peers
+	// are too old to tell a fault from trouble of the whole service. The caller asks up to PeersToAsk other gates and
+	// passes their answers to Detector.PeerDigest.
+	WantPeers bool
 }
+
+// PeersToAsk is the number of other gates to ask for digests when Verdict.WantPeers is set.
+const PeersToAsk = 8
