outlier: judge hanging requests by themselves and count the error of small samples

Cause: a hanging request counted like one failure among many, although a few fill all slots; and the ratios and medians of a few peers can agree by chance, so that the deviation is too small. Change: hanging has its own margin (0.05 instead of 0.15); the deviation counts at least as the standard error of the own ratio or median.

--- a/outlier/detector.go
+++ b/outlier/detector.go
@@ -1,7 +1,6 @@
 package outlier
 
 import (
-	"math"
 	"slices"
 	"strings"
 	"time"
@@ -23,6 +22,9 @@
 	// FailureMargin is the difference to the peers' median failure ratio from which a server can count as failing.
 	// Default 0.15.
 	FailureMargin float64
+	// HangMargin is the same for the ratio of hanging requests. It is lower, as a few hanging requests fill all slots.
+	// Default 0.05.
+	HangMargin float64
 	// DigestAge is the age from which a peer's digest is not used any more. Default 10s.
 	DigestAge time.Duration
 	// FreshAge is the age up to which a digest counts for a judgement that can eject. Default 500ms.
@@ -38,6 +40,7 @@
 	setFloat(&c.SlowFactor, 3)
 	setFloat(&c.Deviations, 5)
 	setFloat(&c.FailureMargin, 0.15)
+	setFloat(&c.HangMargin, 0.05)
 	return c
 }
 
@@ -193,11 +196,8 @@
 	if own.Count+own.Hanging < d.cfg.MinSamples || len(peers) < d.cfg.MinPeers {
 		return v
 	}
-	cause := CauseFailing
-	if own.Hanging > own.Failed {
-		cause = CauseHanging
-	}
-	v.grade(cause, d.failingScore(own, peers))
+	v.grade(CauseFailing, d.ratioScore(d.cfg.FailureMargin, own, peers, Digest.failRatio))
+	v.grade(CauseHanging, d.ratioScore(d.cfg.HangMargin, own, peers, Digest.hangRatio))
 	if !s.warming {
 		v.grade(CauseSlow, d.slowScore(own, peers))
 	}
@@ -235,42 +235,6 @@
 	return digests
 }
 
-// slowScore compares medians on a logarithmic scale, on which latencies of a service are roughly symmetric.
-func (d *Detector) slowScore(own Digest, peers []Digest) float64 {
-	const leastDeviation = 0.15
-	if own.P50 <= 0 {
-		return 0
-	}
-	var logs []float64
-	for _, p := range peers {
-		if p.P50 > 0 {
-			logs = append(logs, math.Log(p.P50.Seconds()))
-		}
-	}
-	if len(logs) < d.cfg.MinPeers {
-		return 0
-	}
-	usual := robustSpread(logs)
-	mine := math.Log(own.P50.Seconds())
-	byFactor := (mine - usual.median) / math.Log(d.cfg.SlowFactor)
-	byDeviation := usual.above(mine, leastDeviation) / d.cfg.Deviations
-	return min(byFactor, byDeviation)
-}
-
-// failingScore compares failure ratios.
-func (d *Detector) failingScore(own Digest, peers []Digest) float64 {
-	const leastDeviation = 0.02
-	var ratios []float64
-	for _, p := range peers {
-		ratios = append(ratios, p.failRatio())
-	}
-	usual := robustSpread(ratios)
-	mine := own.failRatio()
-	byMargin := (mine - usual.median) / d.cfg.FailureMargin
-	byDeviation := usual.above(mine, leastDeviation) / d.cfg.Deviations
-	return min(byMargin, byDeviation)
-}
-
 func (d *Detector) dropOldDigests(now time.Duration) {
 	for _, peers := range d.peers {
 		for name, p := range peers {
@@ -280,10 +244,3 @@
 		}
 	}
 }
-
-func ratio(part, whole int) float64 {
-	if whole == 0 {
-		return 0
-	}
-	return float64(part) / float64(whole)
-}
--- a/outlier/measure_sim_test.go
+++ b/outlier/measure_sim_test.go
@@ -15,6 +15,7 @@
 	servers int
 	rate    float64       // requests a second for each server
 	base    time.Duration // median service time
+	width   float64       // standard deviation of the logarithm of the service time
 	faulty  bool          // server 0 must be ejected
 	within  time.Duration // target for the time to its ejection
 	noFalse bool          // target: no false ejection
@@ -185,7 +186,7 @@
 }
 
 func (s *detectSim) serviceTime(g *simGate) time.Duration {
-	factor := math.Exp(0.5 * s.rnd.NormFloat64())
+	factor := math.Exp(s.c.width * s.rnd.NormFloat64())
 	if s.c.factor != nil {
 		factor *= s.c.factor(s, g)
 	}
--- a/outlier/measure_test.go
+++ b/outlier/measure_test.go
@@ -107,8 +107,8 @@
 	}
 	oneWay := func(from, to *simGate) bool { return from.i%3 == 0 || to.i%3 != 0 }
 	const slowName = "10 times slower"
-	many := detectCase{servers: 12, rate: 20, base: 20 * ms}
-	few := detectCase{servers: 6, rate: 1, base: 20 * ms}
+	many := detectCase{servers: 12, rate: 20, base: 20 * ms, width: 0.5}
+	few := detectCase{servers: 6, rate: 1, base: 20 * ms, width: 0.5}
 	with := func(c detectCase, desc string, set func(c *detectCase)) detectCase {
 		c.desc = desc
 		set(&c)
@@ -133,6 +133,7 @@
 		with(few, "6 servers, 1 req/s", func(c *detectCase) { c.noFalse = true }),
 		with(few, "6 servers, slower", func(c *detectCase) { c.faulty, c.factor = true, slowBy(10) }),
 		with(few, "6 servers, errors", func(c *detectCase) { c.faulty, c.outcome = true, one(1, false) }),
+		with(few, "6 servers, wide times", func(c *detectCase) { c.noFalse, c.width = true, 1.2 }),
 		with(many, "own pauses", func(c *detectCase) { c.noFalse, c.paused = true, pauses }),
 		with(many, "own pauses, slower", func(c *detectCase) { c.faulty, c.factor, c.paused = true, slowBy(10), pauses }),
 	}
--- a/outlier/summary.go
+++ b/outlier/summary.go
@@ -40,7 +40,15 @@
 	return d
 }
 
-// failRatio counts hanging requests as failed.
-func (d *Digest) failRatio() float64 {
-	return ratio(d.Failed+d.Hanging, d.Count+d.Hanging)
+// failRatio is the share of failed requests.
+func (d Digest) failRatio() float64 { return ratio(d.Failed, d.Count) }
+
+// hangRatio is the share of hanging requests.
+func (d Digest) hangRatio() float64 { return ratio(d.Hanging, d.Count+d.Hanging) }
+
+func ratio(part, whole int) float64 {
+	if whole == 0 {
+		return 0
+	}
+	return float64(part) / float64(whole)
 }
