outlier: confirm strong evidence over time, longer for moderate slowness

Cause: single evaluations beyond the threshold ejected in overload and errors of the whole service, and a server that turned cold without notice looks slow for seconds while it gets faster. Change: strong evidence must last 300 ms, and for slowness below 10 times longer, up to 6 s at 3 times; the digests must be newer than its start; peers are asked at most each 200 ms.

--- a/outlier/detector.go
+++ b/outlier/detector.go
@@ -1,6 +1,7 @@
 package outlier
 
 import (
+	"math"
 	"slices"
 	"strings"
 	"time"
@@ -58,6 +59,8 @@
 	warming       bool
 	window        window
 	running       map[uint64]time.Duration // start times by request id
+	strongSince   time.Duration            // since when the evidence is strong, or never
+	askedAt       time.Duration            // last request for fresh digests
 }
 
 // peer is the newest digest of a backend server on another VM.
@@ -86,6 +89,9 @@
 		service: service,
 		warming: warming,
 		running: make(map[uint64]time.Duration),
+
+		strongSince: never,
+		askedAt:     never,
 	}
 }
 
@@ -175,19 +181,48 @@
 	return verdicts
 }
 
-// judge compares a server with what is known of its peers. Only a comparison with fresh digests makes a server faulty:
-// when a whole service becomes slow, each server looks slow next to older digests.
+// judge compares a server with what is known of its peers. Strong evidence must last, and then only a comparison with
+// fresh digests makes a server faulty: when a whole service becomes slow, each server looks slow next to older digests.
 func (d *Detector) judge(s *server, now time.Duration) Verdict {
-	known := d.compare(s, d.comparable(s, now, d.cfg.DigestAge), now)
-	if known.Health != Faulty {
-		return known
+	v := d.compare(s, d.comparable(s, now, d.cfg.DigestAge), now)
+	if v.Health != Faulty {
+		s.strongSince = never
+		return v
+	}
+	if s.strongSince == never {
+		s.strongSince = now
 	}
-	fresh := d.comparable(s, now, d.cfg.FreshAge)
+	v.Health = Suspect
+	if now-s.strongSince < d.confirmTime(v.Cause, v.factor) {
+		return v
+	}
+	fresh := d.comparable(s, now, min(d.cfg.FreshAge, now-s.strongSince))
 	if len(fresh) >= d.cfg.MinPeers {
 		return d.compare(s, fresh, now)
 	}
-	known.Health, known.WantPeers = Suspect, true
-	return known
+	if now-s.askedAt >= askAgain {
+		s.askedAt = now
+		v.WantPeers = true
+	}
+	return v
+}
+
+// askAgain is the time between two requests for fresh digests of peers.
+const askAgain = 200 * time.Millisecond
+
+// confirmTime is the time for which strong evidence must last. It is short for a server that is far slower than its
+// peers and grows to seconds for one that is a few times slower, since a server that turned cold without notice gets
+// faster within seconds.
+func (d *Detector) confirmTime(cause Cause, factor float64) time.Duration {
+	const (
+		least      = 300 * time.Millisecond
+		fullFactor = 10 // from here on, the least time is enough
+		power      = 4
+	)
+	if cause != CauseSlow || factor >= fullFactor {
+		return least
+	}
+	return time.Duration(float64(least) * math.Pow(math.Log(fullFactor)/math.Log(max(factor, 1.1)), power))
 }
 
 func (d *Detector) compare(s *server, peers []Digest, now time.Duration) Verdict {
@@ -199,7 +234,9 @@
 	v.grade(CauseFailing, d.ratioScore(d.cfg.FailureMargin, own, peers, Digest.failRatio))
 	v.grade(CauseHanging, d.ratioScore(d.cfg.HangMargin, own, peers, Digest.hangRatio))
 	if !s.warming {
-		v.grade(CauseSlow, d.slowScore(own, peers))
+		score, factor := d.slowScore(own, peers)
+		v.grade(CauseSlow, score)
+		v.factor = factor
 	}
 	return v
 }
--- a/outlier/score.go
+++ b/outlier/score.go
@@ -6,12 +6,10 @@
 )
 
 // slowScore compares medians on a logarithmic scale, on which latencies of a service are roughly symmetric. Both the
-// factor and the number of deviations must reach their limits for a score of 1.
-func (d *Detector) slowScore(own Digest, peers []Digest) float64 {
+// factor and the number of deviations must reach their limits for a score of 1. The factor is the ratio to the median of
+// the peers.
+func (d *Detector) slowScore(own Digest, peers []Digest) (score, factor float64) {
 	const leastDeviation = 0.15
-	if own.P50 <= 0 {
-		return 0
-	}
 	var logs, widths []float64
 	for _, p := range peers {
 		if p.P50 > 0 {
@@ -19,15 +17,15 @@
 			widths = append(widths, logWidth(p.P50, p.P90))
 		}
 	}
-	if len(logs) < d.cfg.MinPeers {
-		return 0
+	if own.P50 <= 0 || len(logs) < d.cfg.MinPeers {
+		return 0, 1
 	}
 	usual := robustSpread(logs)
 	mine := math.Log(own.P50.Seconds())
 	least := math.Max(leastDeviation, medianError(median(widths), own.Count))
 	byFactor := (mine - usual.median) / math.Log(d.cfg.SlowFactor)
 	byDeviation := usual.above(mine, least) / d.cfg.Deviations
-	return min(byFactor, byDeviation)
+	return min(byFactor, byDeviation), math.Exp(mine - usual.median)
 }
 
 // logWidth estimates the standard deviation of the logarithms of times from two quantiles.
--- a/outlier/verdict.go
+++ b/outlier/verdict.go
@@ -47,6 +47,8 @@
 	// are too old to tell a fault from trouble of the whole service. The caller asks up to PeersToAsk other gates and
 	// passes their answers to Detector.PeerDigest.
 	WantPeers bool
+
+	factor float64 // ratio of the time to the peers' median
 }
 
 // PeersToAsk is the number of other gates to ask for digests when Verdict.WantPeers is set.
