outlier: ask 12 peers for fresh digests

Cause: in a one-way partition only 3 of 11 peers could answer the gate of the slow server, and 8 random ones seldom included all three.

--- a/outlier/verdict.go
+++ b/outlier/verdict.go
@@ -52,4 +52,4 @@
 }
 
 // PeersToAsk is the number of other gates to ask for digests when Verdict.WantPeers is set.
-const PeersToAsk = 8
+const PeersToAsk = 12
