--- a/outlier/detector.go
+++ b/outlier/detector.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -22,18 +23,25 @@
 	// FailureMargin is the difference to the peers' median failure ratio from which a server can count as failing.
 	// Default 0.15.
 	FailureMargin float64
+	// HangMargin is the same for the ratio of hanging requests. It is lower, as a few hanging requests fill all slots.
+	// Default 0.05.
+	HangMargin float64
 	// DigestAge is the age from which a peer's digest is not used any more. Default 10s.
 	DigestAge time.Duration
+	// FreshAge is the age up to which a digest counts for a judgement that can eject. Default 500ms.
+	FreshAge time.Duration
 }
 
 func (c Config) withDefaults() Config {
 	setDuration(&c.Interval, 100*time.Millisecond)
 	setDuration(&c.DigestAge, 10*time.Second)
+	setDuration(&c.FreshAge, 500*time.Millisecond)
 	setInt(&c.MinPeers, 3)
 	setInt(&c.MinSamples, 8)
 	setFloat(&c.SlowFactor, 3)
 	setFloat(&c.Deviations, 5)
 	setFloat(&c.FailureMargin, 0.15)
+	setFloat(&c.HangMargin, 0.05)
 	return c
 }
 
@@ -51,12 +59,14 @@
 	warming       bool
 	window        window
 	running       map[uint64]time.Duration // start times by request id
+	strongSince   time.Duration            // since when the evidence is strong, or never
+	askedAt       time.Duration            // last request for fresh digests
 }
 
 // peer is the newest digest of a backend server on another VM.
 type peer struct {
 	Digest
-	at time.Duration
+	asOf time.Duration
 }
 
 // NewDetector returns a detector without backend servers.
@@ -79,6 +89,9 @@
 		service: service,
 		warming: warming,
 		running: make(map[uint64]time.Duration),
+
+		strongSince: never,
+		askedAt:     never,
 	}
 }
 
@@ -135,14 +148,18 @@
 	}
 }
 
-// PeerDigest records the digest of a backend server of the service on another VM.
-func (d *Detector) PeerDigest(service string, digest Digest, now time.Duration) {
+// PeerDigest records the digest of a backend server of the service on another VM. asOf is a time after which the peer
+// made the digest: for an answer the time at which it was asked for, and for membership metadata, whose way takes some
+// seconds, the time of receipt less 5 s. A digest older than the known one is ignored.
+func (d *Detector) PeerDigest(service string, digest Digest, asOf time.Duration) {
 	peers := d.peers[service]
 	if peers == nil {
 		peers = make(map[string]peer)
 		d.peers[service] = peers
 	}
-	peers[digest.Server] = peer{digest, now}
+	if old, ok := peers[digest.Server]; !ok || asOf >= old.asOf {
+		peers[digest.Server] = peer{digest, asOf}
+	}
 }
 
 // Digest returns the summary of a local server for the gates of its peers.
@@ -151,20 +168,7 @@
 	if s == nil {
 		return Digest{}, false
 	}
-	return s.digest(now), true
-}
-
-func (s *server) digest(now time.Duration) Digest {
-	samples := s.window.newest(now)
-	sorted := latencies(samples)
-	return Digest{
-		Server:  s.name,
-		Count:   len(samples),
-		Failed:  failures(samples),
-		P50:     quantile(sorted, 0.5),
-		P90:     quantile(sorted, 0.9),
-		Warming: s.warming,
-	}
+	return s.digest(now, d.cfg.MinSamples), true
 }
 
 // Evaluate judges all local servers and returns one verdict for each, sorted by name.
@@ -177,16 +181,62 @@
 	return verdicts
 }
 
+// judge compares a server with what is known of its peers. Strong evidence must last, and then only a comparison with
+// fresh digests makes a server faulty: when a whole service becomes slow, each server looks slow next to older digests.
 func (d *Detector) judge(s *server, now time.Duration) Verdict {
+	v := d.compare(s, d.comparable(s, now, d.cfg.DigestAge), now)
+	if v.Health != Faulty {
+		s.strongSince = never
+		return v
+	}
+	if s.strongSince == never {
+		s.strongSince = now
+	}
+	v.Health = Suspect
+	if now-s.strongSince < d.confirmTime(v.Cause, v.factor) {
+		return v
+	}
+	fresh := d.comparable(s, now, min(d.cfg.FreshAge, now-s.strongSince))
+	if len(fresh) >= d.cfg.MinPeers {
+		return d.compare(s, fresh, now)
+	}
+	if now-s.askedAt >= askAgain {
+		s.askedAt = now
+		v.WantPeers = true
+	}
+	return v
+}
+
+// askAgain is the time between two requests for fresh digests of peers.
+const askAgain = 200 * time.Millisecond
+
+// confirmTime is the time for which strong evidence must last. It is short for a server that is far slower than its
+// peers and grows to seconds for one that is a few times slower, since a server that turned cold without notice gets
+// faster within seconds.
+func (d *Detector) confirmTime(cause Cause, factor float64) time.Duration {
+	const (
+		least      = 300 * time.Millisecond
+		fullFactor = 10 // from here on, the least time is enough
+		power      = 4
+	)
+	if cause != CauseSlow || factor >= fullFactor {
+		return least
+	}
+	return time.Duration(float64(least) * math.Pow(math.Log(fullFactor)/math.Log(max(factor, 1.1)), power))
+}
+
+func (d *Detector) compare(s *server, peers []Digest, now time.Duration) Verdict {
 	v := Verdict{Server: s.name, Service: s.service}
-	own := s.digest(now)
-	peers := d.comparable(s, now)
-	if own.Count < d.cfg.MinSamples || len(peers) < d.cfg.MinPeers {
+	own := s.digest(now, d.cfg.MinSamples)
+	if own.Count+own.Hanging < d.cfg.MinSamples || len(peers) < d.cfg.MinPeers {
 		return v
 	}
-	v.grade(CauseFailing, d.failingScore(own, peers))
+	v.grade(CauseFailing, d.ratioScore(d.cfg.FailureMargin, own, peers, Digest.failRatio))
+	v.grade(CauseHanging, d.ratioScore(d.cfg.HangMargin, own, peers, Digest.hangRatio))
 	if !s.warming {
-		v.grade(CauseSlow, d.slowScore(own, peers))
+		score, factor := d.slowScore(own, peers)
+		v.grade(CauseSlow, score)
+		v.factor = factor
 	}
 	return v
 }
@@ -203,77 +253,31 @@
 	}
 }
 
-// comparable returns the digests that a server is judged by, sorted by name: those of its peers on other VMs and of
-// other local servers of the service.
-func (d *Detector) comparable(s *server, now time.Duration) []Digest {
+// comparable returns the digests up to an age that a server is judged by, sorted by name: those of its peers on other
+// VMs and of other local servers of the service.
+func (d *Detector) comparable(s *server, now, age time.Duration) []Digest {
 	var digests []Digest
 	for _, p := range d.peers[s.service] {
-		digests = append(digests, p.Digest)
+		if now-p.asOf <= age {
+			digests = append(digests, p.Digest)
+		}
 	}
 	for _, name := range d.names {
 		if o := d.servers[name]; o != s && o.service == s.service {
-			digests = append(digests, o.digest(now))
+			digests = append(digests, o.digest(now, d.cfg.MinSamples))
 		}
 	}
 	digests = slices.DeleteFunc(digests, func(p Digest) bool { return p.Warming || p.Count < d.cfg.MinSamples })
-	slices.SortFunc(digests, func(a, b Digest) int {
-		if a.Server < b.Server {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(digests, func(a, b Digest) int { return strings.Compare(a.Server, b.Server) })
 	return digests
 }
 
-// slowScore compares medians on a logarithmic scale, on which latencies of a service are roughly symmetric.
-func (d *Detector) slowScore(own Digest, peers []Digest) float64 {
-	const leastDeviation = 0.15
-	if own.P50 <= 0 {
-		return 0
-	}
-	var logs []float64
-	for _, p := range peers {
-		if p.P50 > 0 {
-			logs = append(logs, math.Log(p.P50.Seconds()))
-		}
-	}
-	if len(logs) < d.cfg.MinPeers {
-		return 0
-	}
-	usual := robustSpread(logs)
-	mine := math.Log(own.P50.Seconds())
-	byFactor := (mine - usual.median) / math.Log(d.cfg.SlowFactor)
-	byDeviation := usual.above(mine, leastDeviation) / d.cfg.Deviations
-	return min(byFactor, byDeviation)
-}
-
-// failingScore compares failure ratios.
-func (d *Detector) failingScore(own Digest, peers []Digest) float64 {
-	const leastDeviation = 0.02
-	var ratios []float64
-	for _, p := range peers {
-		ratios = append(ratios, ratio(p.Failed, p.Count))
-	}
-	usual := robustSpread(ratios)
-	mine := ratio(own.Failed, own.Count)
-	byMargin := (mine - usual.median) / d.cfg.FailureMargin
-	byDeviation := usual.above(mine, leastDeviation) / d.cfg.Deviations
-	return min(byMargin, byDeviation)
-}
-
 func (d *Detector) dropOldDigests(now time.Duration) {
 	for _, peers := range d.peers {
 		for name, p := range peers {
-			if now-p.at > d.cfg.DigestAge {
+			if now-p.asOf > d.cfg.DigestAge {
 				delete(peers, name)
 			}
 		}
 	}
 }
-
-func ratio(part, whole int) float64 {
-	if whole == 0 {
-		return 0
-	}
-	return float64(part) / float64(whole)
-}
--- a/outlier/measure_sim_test.go
+++ b/outlier/measure_sim_test.go
@@ -15,6 +15,7 @@
 	servers int
 	rate    float64       // requests a second for each server
 	base    time.Duration // median service time
+	width   float64       // standard deviation of the logarithm of the service time
 	faulty  bool          // server 0 must be ejected
 	within  time.Duration // target for the time to its ejection
 	noFalse bool          // target: no false ejection
@@ -185,7 +186,7 @@
 }
 
 func (s *detectSim) serviceTime(g *simGate) time.Duration {
-	factor := math.Exp(0.5 * s.rnd.NormFloat64())
+	factor := math.Exp(s.c.width * s.rnd.NormFloat64())
 	if s.c.factor != nil {
 		factor *= s.c.factor(s, g)
 	}
@@ -193,7 +194,11 @@
 }
 
 func (s *detectSim) evaluate(g *simGate) {
-	for _, a := range g.ejector.Step(s.now, g.detect.Evaluate(s.now)) {
+	verdicts := g.detect.Evaluate(s.now)
+	if verdicts[0].WantPeers {
+		s.askPeers(g)
+	}
+	for _, a := range g.ejector.Step(s.now, verdicts) {
 		switch a.Kind {
 		case ActionEject:
 			g.ejects = append(g.ejects, s.now)
@@ -229,6 +234,17 @@
 	}
 }
 
+// askPeers asks some peers for their digests. The way there and back takes 20 ms, and a paused process answers nothing.
+func (s *detectSim) askPeers(g *simGate) {
+	for _, i := range s.rnd.Perm(len(s.gates))[:min(PeersToAsk, len(s.gates))] {
+		peer := s.gates[i]
+		reached := s.c.reaches == nil || s.c.reaches(g, peer)
+		if reached && (s.c.paused == nil || !s.c.paused(s, peer)) {
+			s.mailDigest(peer.detect.(*Detector), peer, g, 20*time.Millisecond)
+		}
+	}
+}
+
 func (s *detectSim) mailDigest(d *Detector, from, to *simGate, delay time.Duration) {
 	if from == to || s.c.reaches != nil && !s.c.reaches(from, to) {
 		return
