Follow a leader's address without a pause

Cause: the operators' client waited 300 ms before each second attempt, also when the first answer named the leader. Ruled out: the read barrier (2 ms) and a proposal (5 ms), both timed on the leader. Conclusion: a change through any control VM costs one redirect.

--- a/control/client.go
+++ b/control/client.go
@@ -81,13 +81,15 @@
 	if len(c.Addresses) == 0 {
 		return nil, errors.New("no admin address is set")
 	}
-	leader, unknown := "", false
+	leader, asked, unknown := "", "", false
 	var last error
 	for attempt := range clientAttempts {
-		if attempt > 0 && c.wait(ctx) != nil {
+		address := cmp.Or(leader, c.Addresses[attempt%len(c.Addresses)])
+		// A process that names the leader is no reason to wait, unless it names the one that was just asked.
+		if attempt > 0 && (leader == "" || leader == asked) && c.wait(ctx) != nil {
 			break
 		}
-		address := cmp.Or(leader, c.Addresses[attempt%len(c.Addresses)])
+		asked = address
 		data, err := c.sendOnce(ctx, address, method, path, body)
 		if err == nil {
 			return data, nil
