--- /dev/null
+++ b/bench/processes/fleet.go
@@ -0,0 +1,185 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"rosemaryline.dev/control"
+	"rosemaryline.dev/fleet/config"
+	"rosemaryline.dev/fleet/state"
+)
+
+const credential = "bench-credential"
+
+// process is one rosemarylined.
+type process struct {
+	name        string
+	args        []string
+	admin, peer string
+	dir         string
+	cmd         *exec.Cmd
+}
+
+type fleet struct {
+	daemon    string
+	dir       string
+	processes []*process
+	client    *control.Client
+	changes   int
+}
+
+func startFleet(ctx context.Context, daemon string, count int) (*fleet, error) {
+	dir, err := os.MkdirTemp("", "rosemaryline-processes-")
+	if err != nil {
+		return nil, err
+	}
+	f := &fleet{daemon: daemon, dir: dir, client: &control.Client{Credential: credential}}
+	for i := range count {
+		if err := f.add(i); err != nil {
+			return f, err
+		}
+	}
+	if err := f.configure(ctx); err != nil {
+		return f, errors.Wrap(err, "configure")
+	}
+	for _, p := range f.processes[1:3] {
+		if err := f.addControl(ctx, p); err != nil {
+			return f, errors.Wrapf(err, "add %s", p.name)
+		}
+	}
+	return f, f.waitInForce(ctx, uint64(count))
+}
+
+func (f *fleet) add(i int) error {
+	p := &process{name: fmt.Sprintf("vm-%d", i)}
+	var addresses [4]string
+	for j := range addresses {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return err
+		}
+		addresses[j] = l.Addr().String()
+		l.Close()
+	}
+	p.peer, p.admin = addresses[0], addresses[1]
+	p.args = []string{
+		"-name", p.name, "-failure-domain", fmt.Sprintf("domain-%d", i%3), "-peer-listen", p.peer,
+		"-admin-listen", p.admin, "-local-listen", addresses[2], "-listen", addresses[3], "-log-level", "error",
+		"-bootstrap-credential-hash", config.HashKey(credential),
+	}
+	if i < 3 {
+		p.dir = filepath.Join(f.dir, p.name)
+		p.args = append(p.args, "-data-dir", p.dir)
+		f.client.Addresses = append(f.client.Addresses, p.admin)
+	}
+	if i == 0 {
+		p.args = append(p.args, "-bootstrap")
+	} else {
+		p.args = append(p.args, "-join", f.processes[0].peer)
+	}
+	f.processes = append(f.processes, p)
+	return f.start(p)
+}
+
+func (f *fleet) start(p *process) error {
+	p.cmd = exec.Command(f.daemon, p.args...)
+	p.cmd.Stderr = os.Stderr
+	return p.cmd.Start()
+}
+
+// kill ends a process as a crash would.
+func (p *process) kill() {
+	// Both errors only say that the process has ended.
+	_ = p.cmd.Process.Kill()
+	_ = p.cmd.Wait()
+}
+
+func (f *fleet) stop() {
+	for _, p := range f.processes {
+		p.kill()
+	}
+	os.RemoveAll(f.dir)
+}
+
+func (f *fleet) configure(ctx context.Context) error {
+	doc := &config.Document{}
+	doc.SetDefaults()
+	for i := range 3 {
+		doc.Domains[fmt.Sprintf("domain-%d", i)] = config.Domain{Region: "local"}
+	}
+	doc.Teams["bench"] = config.Team{Rate: 1, Burst: 1}
+	doc.Operators = map[string]config.Operator{"bench": {Role: config.RoleAdmin, CredentialHash: config.HashKey(credential)}}
+	empty := &config.Document{}
+	empty.SetDefaults()
+	return f.retry(ctx, func() error {
+		_, err := f.apply(ctx, 0, config.Diff(empty, doc))
+		return err
+	})
+}
+
+// apply proposes a change and returns its version.
+func (f *fleet) apply(ctx context.Context, base uint64, change config.Change) (uint64, error) {
+	f.changes++
+	request := control.ApplyRequest{ApplyChange: state.ApplyChange{Change: change, ContentHash: change.Hash()}}
+	request.ChangeID, request.BaseVersion = fmt.Sprintf("change-%d", f.changes), base
+	reply, err := f.client.Change(ctx, "/v1/config", &request)
+	return reply.Version, err
+}
+
+// changeRate makes one small change on top of the current version.
+func (f *fleet) changeRate(ctx context.Context) (uint64, error) {
+	var current control.VersionReply
+	if err := f.client.Get(ctx, "/v1/version", nil, &current); err != nil {
+		return 0, err
+	}
+	change := config.Change{}
+	change.Teams.Set = map[string]config.Team{"bench": {Rate: float64(f.changes + 2), Burst: 1}}
+	return f.apply(ctx, current.Version, change)
+}
+
+func (f *fleet) addControl(ctx context.Context, p *process) error {
+	return f.retry(ctx, func() error {
+		data, err := os.ReadFile(filepath.Join(p.dir, "control", "id"))
+		if err != nil {
+			return err
+		}
+		change := control.GroupChange{Action: control.GroupAdd, ID: string(data[:16]), Address: p.peer}
+		_, err = f.client.PostOnce(ctx, "/v1/group", control.GroupRequest{GroupChange: change})
+		return err
+	})
+}
+
+func (f *fleet) waitInForce(ctx context.Context, version uint64) error {
+	return f.retry(ctx, func() error {
+		var reply control.InForceReply
+		if err := f.client.Get(ctx, fmt.Sprintf("/v1/inforce/%d", version), nil, &reply); err != nil {
+			return err
+		}
+		if !reply.InForce {
+			return errors.Errorf("version %d is not in force: %d processes missing", version, len(reply.Missing))
+		}
+		return nil
+	})
+}
+
+// retry calls f until it succeeds or ctx ends.
+func (f *fleet) retry(ctx context.Context, do func() error) error {
+	for {
+		err := do()
+		if err == nil {
+			return nil
+		}
+		select {
+		case <-time.After(10 * time.Millisecond):
+		case <-ctx.Done():
+			return err
+		}
+	}
+}
--- /dev/null
+++ b/bench/processes/measure.go
@@ -0,0 +1,207 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"rosemaryline.dev/control"
+)
+
+// clockTicks is the unit of processor time in /proc, in ticks a second.
+const clockTicks = 100
+
+// usage is what the kernel counts for a process.
+type usage struct {
+	cpu time.Duration
+	rss uint64
+}
+
+func (p *process) usage() (usage, error) {
+	pid := strconv.Itoa(p.cmd.Process.Pid)
+	stat, err := os.ReadFile("/proc/" + pid + "/stat")
+	if err != nil {
+		return usage{}, err
+	}
+	// The fields after the command name, which ends with the last parenthesis, start with the state.
+	fields := strings.Fields(string(stat[bytes.LastIndexByte(stat, ')')+1:]))
+	var numbers [3]uint64
+	for i, field := range []int{11, 12, 21} {
+		if numbers[i], err = strconv.ParseUint(fields[field], 10, 64); err != nil {
+			return usage{}, err
+		}
+	}
+	ticks := time.Duration(numbers[0] + numbers[1])
+	return usage{cpu: ticks * time.Second / clockTicks, rss: numbers[2] * uint64(os.Getpagesize())}, nil
+}
+
+// loopbackBytes returns the bytes that passed the loopback device since boot.
+func loopbackBytes() (uint64, error) {
+	data, err := os.ReadFile("/proc/net/dev")
+	if err != nil {
+		return 0, err
+	}
+	for _, line := range strings.Split(string(data), "\n") {
+		if name, counters, ok := strings.Cut(line, ":"); ok && strings.TrimSpace(name) == "lo" {
+			return strconv.ParseUint(strings.Fields(counters)[0], 10, 64)
+		}
+	}
+	return 0, errors.New("no loopback device")
+}
+
+// measureIdle prints the mean processor time, memory and traffic of the processes, control VMs apart.
+func (f *fleet) measureIdle(d time.Duration) error {
+	time.Sleep(3 * time.Second) // joins and shard owners settle
+	before := make([]usage, len(f.processes))
+	for i, p := range f.processes {
+		var err error
+		if before[i], err = p.usage(); err != nil {
+			return err
+		}
+	}
+	sent, err := loopbackBytes()
+	if err != nil {
+		return err
+	}
+	time.Sleep(d)
+	total, err := loopbackBytes()
+	if err != nil {
+		return err
+	}
+	for _, group := range []struct {
+		name     string
+		from, to int
+	}{{"control VM", 0, 3}, {"proxy", 3, len(f.processes)}} {
+		if group.from == group.to {
+			continue
+		}
+		if err := f.printUsage(group.name, group.from, group.to, before, d); err != nil {
+			return err
+		}
+	}
+	perProcess := float64(total-sent) / d.Seconds() / float64(len(f.processes))
+	fmt.Printf("idle: %.0f bytes a second sent for each process, with TCP and IP headers, everything on loopback\n", perProcess)
+	return nil
+}
+
+func (f *fleet) printUsage(name string, from, to int, before []usage, d time.Duration) error {
+	var cpu time.Duration
+	var rss uint64
+	for i := from; i < to; i++ {
+		now, err := f.processes[i].usage()
+		if err != nil {
+			return err
+		}
+		cpu += now.cpu - before[i].cpu
+		rss += now.rss
+	}
+	n := to - from
+	fmt.Printf("idle: %s (%d): %.2f%% of a core, %.1f MB resident each\n",
+		name, n, 100*cpu.Seconds()/d.Seconds()/float64(n), float64(rss)/float64(n)/1e6)
+	return nil
+}
+
+// measureChanges prints the time from the proposal of a change to its acceptance and to its being in force everywhere.
+func (f *fleet) measureChanges(ctx context.Context, count int) error {
+	var accepted, inForce []time.Duration
+	for range count {
+		start := time.Now()
+		version, err := f.changeRate(ctx)
+		if err != nil {
+			return err
+		}
+		accepted = append(accepted, time.Since(start))
+		if err := f.waitInForce(ctx, version); err != nil {
+			return err
+		}
+		inForce = append(inForce, time.Since(start))
+	}
+	fmt.Printf("change: accepted after %v (median) and %v (longest), in force after %v and %v, of %d\n",
+		median(accepted), slices.Max(accepted), median(inForce), slices.Max(inForce), count)
+	return nil
+}
+
+func median(list []time.Duration) time.Duration {
+	slices.Sort(list)
+	return list[len(list)/2].Round(100 * time.Microsecond)
+}
+
+// measureLeaderLoss kills the control leader and prints the time until the next change is accepted.
+func (f *fleet) measureLeaderLoss(ctx context.Context) error {
+	leader, err := f.leader(ctx)
+	if err != nil {
+		return err
+	}
+	start := time.Now()
+	leader.kill()
+	err = f.retry(ctx, func() error {
+		_, err := f.changeRate(ctx)
+		return err
+	})
+	if err != nil {
+		return err
+	}
+	fmt.Printf("leader killed: next change accepted after %v\n", time.Since(start).Round(time.Millisecond))
+	return f.start(leader)
+}
+
+func (f *fleet) leader(ctx context.Context) (*process, error) {
+	var group control.GroupStatus
+	if err := f.client.Get(ctx, "/v1/group", nil, &group); err != nil {
+		return nil, err
+	}
+	for _, m := range group.Members {
+		for _, p := range f.processes {
+			if m.ID == group.Leader && p.name == m.VM {
+				return p, nil
+			}
+		}
+	}
+	return nil, errors.Errorf("leader %s is no process of this run", group.Leader)
+}
+
+// measureRestart makes many changes, as fast as one client can, and restarts a control VM.
+func (f *fleet) measureRestart(ctx context.Context, history int) error {
+	start := time.Now()
+	for range history {
+		if err := f.retry(ctx, func() error { _, err := f.changeRate(ctx); return err }); err != nil {
+			return err
+		}
+	}
+	spent := time.Since(start)
+	fmt.Printf("changes: %d by one client in %v, %.0f a second\n", history, spent.Round(time.Millisecond), float64(history)/spent.Seconds())
+	var before control.VersionReply
+	if err := f.client.Get(ctx, "/v1/version", nil, &before); err != nil {
+		return err
+	}
+	p := f.processes[2]
+	p.kill()
+	start = time.Now()
+	if err := f.start(p); err != nil {
+		return err
+	}
+	// The restarted process answers for itself: stale reads need no quorum.
+	own := &control.Client{Addresses: []string{p.admin}, Credential: credential}
+	err := f.retry(ctx, func() error {
+		var status control.StatusReply
+		if err := own.Get(ctx, "/v1/status", map[string][]string{"stale": {"true"}}, &status); err != nil {
+			return err
+		}
+		if status.Version < before.Version {
+			return errors.Errorf("version %d, want %d", status.Version, before.Version)
+		}
+		return nil
+	})
+	if err != nil {
+		return err
+	}
+	fmt.Printf("restart: all %d versions again after %v\n", before.Version, time.Since(start).Round(time.Millisecond))
+	return nil
+}
