--- a/raft/fuzz_test.go
+++ b/raft/fuzz_test.go
@@ -311,3 +311,16 @@
 		f.oracle.checkHistory()
 	})
 }
+
+// Guards against a lease that is still valid when another leader is elected. All clocks run at the same speed here.
+func TestLease(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := newFuzzer(t, map[string]int{})
+		f.lockstep = true
+		t.Repeat(map[string]func(*rapid.T){
+			"step": f.step, "step more": f.step, "calm": f.calm, "deliver": f.deliverSome, "write": f.write,
+			"block": f.block, "heal": f.heal, "crash": f.crashMember, "restart": f.restartMember, "transfer": f.transfer,
+			"restart more": f.restartMember, "change": f.change,
+		})
+	})
+}
--- a/raft/replicate.go
+++ b/raft/replicate.go
@@ -71,9 +71,15 @@
 		limit = 2 * n.cfg.ElectionTicks
 	}
 	waiting := p.state == progressSnapshot || p.paused || len(p.inflight) > 0
-	if waiting && n.ticks-p.advanceTick >= limit && n.isActive(p) {
-		p.probe(p.match + 1)
+	if !waiting || n.ticks-p.advanceTick < limit || !n.isActive(p) {
+		return
+	}
+	if p.state == progressProbe {
+		// match is not known yet; a restart from it would end in a needless snapshot.
+		p.paused = false
+		return
 	}
+	p.probe(p.match + 1)
 }
 
 // stepReply takes a member's answer to an append, snapshot or heartbeat.
