Refuse confirmations from a voter that lost its disk

A paused leader resumed, a voter that had followed a newer leader came back under its ID with an empty disk, and its answer confirmed the former leader. Change: a member without a log says so in heartbeat replies, and a leader counts nothing from such a voter. Conclusion: a founding voter that returns under its ID with an empty disk confirms nothing any more. The design's rule of a new ID for each new disk stays necessary for members that were promoted later.

--- a/raft/change.go
+++ b/raft/change.go
@@ -18,7 +18,7 @@
 		return 0, err
 	}
 	if c.Kind == PromoteLearner && !n.caughtUp(c.ID) {
-		return 0, errors.Wrapf(ErrNotCaughtUp, "learner %016x", uint64(c.ID))
+		return 0, errors.Wrapf(ErrNotCaughtUp, "learner %v", c.ID)
 	}
 	data, err := encodeMembership(next)
 	if err != nil {
--- a/raft/config.go
+++ b/raft/config.go
@@ -13,6 +13,7 @@
 	defaultMaxAppendBytes  = 256 << 10
 	defaultMaxInflight     = 16
 	defaultRetainedEntries = 512
+	defaultMaxUncommitted  = 16 << 20
 )
 
 // Config holds the settings of a Node. Zero values of the numbers mean the default.
@@ -31,6 +32,9 @@
 	// RetainedEntries is the number of entries before a snapshot that stay in memory after Compact, so that a follower
 	// slightly behind needs no snapshot. Default 512 entries.
 	RetainedEntries int
+	// MaxUncommittedBytes bounds the data of a leader's entries that no quorum has synced yet; Propose then fails with
+	// ErrBusy. One entry is always taken. Default 16 MiB.
+	MaxUncommittedBytes int
 	// Rand randomises election timeouts. Required.
 	Rand *rand.Rand
 }
@@ -41,6 +45,7 @@
 	setDefault(&c.MaxAppendBytes, defaultMaxAppendBytes)
 	setDefault(&c.MaxInflight, defaultMaxInflight)
 	setDefault(&c.RetainedEntries, defaultRetainedEntries)
+	setDefault(&c.MaxUncommittedBytes, defaultMaxUncommitted)
 	return c
 }
 
@@ -56,7 +61,7 @@
 		return errors.New("raft: config: ID is 0")
 	case c.Rand == nil:
 		return errors.New("raft: config: Rand is nil")
-	case c.HeartbeatTicks < 0 || c.MaxAppendBytes < 0 || c.MaxInflight < 0 || c.RetainedEntries < 0:
+	case min(c.HeartbeatTicks, c.MaxAppendBytes, c.MaxInflight, c.RetainedEntries, c.MaxUncommittedBytes) < 0:
 		return errors.New("raft: config: negative value")
 	case c.ElectionTicks <= 2*c.HeartbeatTicks:
 		return errors.Errorf("raft: config: ElectionTicks %d must be more than twice HeartbeatTicks %d",
--- a/raft/errors.go
+++ b/raft/errors.go
@@ -10,6 +10,8 @@
 var (
 	// ErrTransferring: a leadership transfer is under way, no proposal is taken.
 	ErrTransferring = errors.New("raft: leadership transfer in progress")
+	// ErrBusy: too much uncommitted data waits for a quorum; see Config.MaxUncommittedBytes.
+	ErrBusy = errors.New("raft: too much uncommitted data")
 	// ErrEmptyProposal: empty data is reserved for the start of a leader's term.
 	ErrEmptyProposal = errors.New("raft: empty proposal")
 	// ErrChangePending: an earlier membership change, or the first entry of the leader's term, is not committed yet.
@@ -39,5 +41,5 @@
 	if e.Leader == 0 {
 		return "raft: not the leader, leader unknown"
 	}
-	return fmt.Sprintf("raft: not the leader, leader is %016x", uint64(e.Leader))
+	return fmt.Sprintf("raft: not the leader, leader is %v", e.Leader)
 }
--- a/raft/follow.go
+++ b/raft/follow.go
@@ -2,10 +2,13 @@
 
 import "github.com/pkg/errors"
 
+// emptyHint is the RejectHint of a member without a log.
+const emptyHint = 1
+
 // stepFromLeader takes a message from the leader of the current term.
 func (n *Node) stepFromLeader(m Message) error {
 	if n.role == Leader {
-		return errors.Wrapf(ErrMalformed, "second leader %016x in term %d", uint64(m.From), m.Term)
+		return errors.Wrapf(ErrMalformed, "second leader %v in term %d", m.From, m.Term)
 	}
 	n.role, n.leader, n.votes, n.starting = Follower, m.From, nil, false
 	n.resetElectionTimer()
@@ -20,7 +23,11 @@
 		return n.stepSnapshot(m)
 	}
 	n.commitTo(min(m.Commit, n.log.last()))
-	n.send(Message{Kind: MessageHeartbeatReply, To: m.From, Context: m.Context})
+	reply := Message{Kind: MessageHeartbeatReply, To: m.From, Context: m.Context}
+	if n.isEmpty() {
+		reply.RejectHint = emptyHint
+	}
+	n.send(reply)
 	return nil
 }
 
@@ -73,10 +80,10 @@
 func (n *Node) stepSnapshot(m Message) error {
 	s := m.Snapshot
 	if s == nil || s.Index == 0 || s.Term > m.Term {
-		return errors.Wrapf(ErrMalformed, "snapshot from %016x", uint64(m.From))
+		return errors.Wrapf(ErrMalformed, "snapshot from %v", m.From)
 	}
 	if n.isEmpty() && s.Membership.IsVoter(n.cfg.ID) {
-		return errors.Wrapf(ErrLostState, "member %016x", uint64(n.cfg.ID))
+		return errors.Wrapf(ErrLostState, "member %v", n.cfg.ID)
 	}
 	if s.Index > n.log.commit && !n.log.matches(s.Index, s.Term) {
 		n.log.reset(*s)
--- a/raft/leader.go
+++ b/raft/leader.go
@@ -12,6 +12,7 @@
 	n.rounds = rounds{due: true}
 	n.leaseGivenUp, n.transferee = false, 0
 	n.peers = map[ID]*progress{}
+	n.uncommitted = n.log.dataBytes(n.log.commit+1, n.log.last())
 	n.termStart = n.appendOwn(EntryCommand, nil)
 	n.addPeers()
 }
@@ -38,12 +39,13 @@
 func (n *Node) appendOwn(kind EntryKind, data []byte) uint64 {
 	e := Entry{Term: n.term, Index: n.log.last() + 1, Kind: kind, Data: data}
 	n.log.entries = append(n.log.entries, e)
+	n.uncommitted += len(data)
 	return e.Index
 }
 
 // Propose appends data to the log. The proposal succeeded when Ready.Committed holds an entry with the returned index
 // and term; an entry of another term at that index means that it was lost. Errors: *NotLeaderError, ErrTransferring,
-// ErrEmptyProposal.
+// ErrEmptyProposal, ErrBusy.
 func (n *Node) Propose(data []byte) (index, term uint64, err error) {
 	if err := n.mayPropose(); err != nil {
 		return 0, 0, err
@@ -51,6 +53,9 @@
 	if len(data) == 0 {
 		return 0, 0, ErrEmptyProposal
 	}
+	if n.uncommitted > 0 && n.uncommitted+len(data) > n.cfg.MaxUncommittedBytes {
+		return 0, 0, ErrBusy
+	}
 	return n.appendOwn(EntryCommand, data), n.term, nil
 }
 
@@ -108,6 +113,7 @@
 	if index <= n.log.commit || !n.log.matches(index, n.term) {
 		return
 	}
+	n.uncommitted -= n.log.dataBytes(n.log.commit+1, index)
 	n.log.commit = index
 	if n.log.config().index <= index {
 		n.finishChange()
--- a/raft/log.go
+++ b/raft/log.go
@@ -149,6 +149,15 @@
 	return l.slice(first, end-1)
 }
 
+// dataBytes sums the data of the entries from first to last, both included.
+func (l *raftLog) dataBytes(first, last uint64) int {
+	sum := 0
+	for index := first; index <= last; index++ {
+		sum += len(l.at(index).Data)
+	}
+	return sum
+}
+
 // firstOfTerm returns the lowest uncommitted index whose entry has the same term as the entry at index.
 func (l *raftLog) firstOfTerm(index uint64) uint64 {
 	term, _ := l.term(index)
--- a/raft/membership.go
+++ b/raft/membership.go
@@ -49,7 +49,7 @@
 	case c.Kind == RemoveMember && m.IsVoter(c.ID) && len(m.Voters) > 1:
 		next.Voters = remove(next.Voters, c.ID)
 	default:
-		return m, errors.Wrapf(ErrBadChange, "kind %d, member %016x", c.Kind, uint64(c.ID))
+		return m, errors.Wrapf(ErrBadChange, "%v %v", c.Kind, c.ID)
 	}
 	return next, nil
 }
--- a/raft/node.go
+++ b/raft/node.go
@@ -32,6 +32,7 @@
 	heartbeatDue int
 	electedTick  int
 	termStart    uint64
+	uncommitted  int // bytes of data after commit
 	rounds       rounds
 	reads        readQueue
 	transferee   ID
--- a/raft/replicate.go
+++ b/raft/replicate.go
@@ -84,6 +84,13 @@
 
 // stepReply takes a member's answer to an append, snapshot or heartbeat.
 func (n *Node) stepReply(m Message, p *progress) {
+	if m.RejectHint == emptyHint && n.membership().IsVoter(m.From) {
+		// A voter without a log lost its disk and forgot its votes and its term. Under this ID it must not confirm a
+		// leader either, since it may have followed a newer one. The comparison leaves out late replies of a learner
+		// that has been promoted since.
+		p.lostState = p.lostState || m.Context > p.ackRound
+		return
+	}
 	n.observeRound(m, p)
 	if m.Kind == MessageAppendReply {
 		if m.Reject {
@@ -121,10 +128,6 @@
 		return
 	case p.state == progressProbe && m.Index+1 != p.next:
 		return
-	case m.RejectHint <= 1 && p.match == 0 && n.membership().IsVoter(m.From):
-		// A voter without a log lost its disk and forgot its votes; it must not regain a voice under this ID.
-		p.lostState = true
-		return
 	}
 	p.probe(max(p.match+1, min(m.RejectHint, m.Index)))
 }
--- a/raft/step.go
+++ b/raft/step.go
@@ -6,7 +6,7 @@
 // no effect.
 func (n *Node) Step(m Message) error {
 	if m.To != n.cfg.ID {
-		return errors.Wrapf(ErrWrongMember, "message from %016x to %016x", uint64(m.From), uint64(m.To))
+		return errors.Wrapf(ErrWrongMember, "message from %v to %v", m.From, m.To)
 	}
 	if n.isEmpty() && isVoteRequest(m.Kind) {
 		return nil
@@ -61,7 +61,7 @@
 			n.campaign(true)
 		}
 	default:
-		return errors.Wrapf(ErrMalformed, "message kind %d", m.Kind)
+		return errors.Wrapf(ErrMalformed, "message kind %v", m.Kind)
 	}
 	return nil
 }
--- a/raft/transfer.go
+++ b/raft/transfer.go
@@ -12,7 +12,7 @@
 		return nil
 	}
 	if !n.membership().IsVoter(to) {
-		return errors.Wrapf(ErrNotVoter, "transfer to %016x", uint64(to))
+		return errors.Wrapf(ErrNotVoter, "transfer to %v", to)
 	}
 	n.transferee, n.transferTick = to, n.ticks
 	n.continueTransfer()
--- a/raft/types.go
+++ b/raft/types.go
@@ -74,7 +74,8 @@
 	Commit  uint64  `json:"commit,omitempty"`
 	Entries []Entry `json:"entries,omitempty"`
 	Reject  bool    `json:"reject,omitempty"`
-	// RejectHint is the index from which the leader may retry. It is 1 when the sender has no log at all.
+	// RejectHint is the index from which the leader may retry. It is 1 when the sender has no log at all,
+	// also in heartbeat replies.
 	RejectHint uint64    `json:"rejectHint,omitempty"`
 	Snapshot   *Snapshot `json:"snapshot,omitempty"`
 	// Context is the number of the leader's confirmation round; replies repeat it.
