--- a/raft/replicate.go
+++ b/raft/replicate.go
@@ -75,13 +75,26 @@
 		limit = 2 * n.cfg.ElectionTicks
 	}
 	waiting := p.state == progressSnapshot || p.paused || len(p.inflight) > 0
-	if waiting && n.ticks-p.advanceTick >= limit && n.isActive(p) {
-		p.probe(p.match + 1)
+	if !waiting || n.ticks-p.advanceTick < limit || !n.isActive(p) {
+		return
+	}
+	if p.state == progressProbe {
+		// match is not known yet; a restart from it would end in a needless snapshot.
+		p.paused = false
+		return
 	}
+	p.probe(p.match + 1)
 }
 
 // stepReply takes a member's answer to an append, snapshot or heartbeat.
 func (n *Node) stepReply(m Message, p *progress) {
+	if m.RejectHint == emptyHint && n.membership().IsVoter(m.From) {
+		// A voter without a log lost its disk and forgot its votes and its term. Under this ID it must not confirm a
+		// leader either, since it may have followed a newer one. The comparison leaves out late replies of a learner
+		// that has been promoted since.
+		p.lostState = p.lostState || m.Context > p.ackRound
+		return
+	}
 	n.observeRound(m, p)
 	if m.Kind == MessageAppendReply {
 		if m.Reject {
@@ -119,10 +132,6 @@
 		return
 	case p.state == progressProbe && m.Index+1 != p.next:
 		return
-	case m.RejectHint <= 1 && p.match == 0 && n.membership().IsVoter(m.From):
-		// A voter without a log lost its disk and forgot its votes; it must not regain a voice under this ID.
-		p.lostState = true
-		return
 	}
 	p.probe(max(p.match+1, min(m.RejectHint, m.Index)))
 }
