--- a/replica/cluster_test.go
+++ b/replica/cluster_test.go
@@ -119,6 +119,7 @@
 	calls           atomic.Int64
 	started         uint64
 	snapshotEntries uint64
+	tick            time.Duration
 }
 
 type member struct {
@@ -130,9 +131,12 @@
 	group   *Group
 }
 
-func newCluster(t testing.TB, size int) *cluster {
+// newCluster takes snapshots so often that tests meet them.
+func newCluster(t testing.TB, size int) *cluster { return newClusterOf(t, size, 20, testTick) }
+
+func newClusterOf(t testing.TB, size int, snapshotEntries uint64, tick time.Duration) *cluster {
 	c := &cluster{t: t, dir: t.TempDir(), groups: map[raft.ID]*Group{}, cut: map[[2]raft.ID]bool{}}
-	c.snapshotEntries = 20
+	c.snapshotEntries, c.tick = snapshotEntries, tick
 	for range size {
 		c.addMember()
 	}
@@ -173,13 +177,13 @@
 	return s, r
 }
 
-// options opens the data folder; snapshots come often so that tests meet them.
+// options opens the data folder.
 func (m *member) options() Options {
 	m.started++
 	s, r := m.open()
 	m.machine = &listMachine{}
 	return Options{
-		Store: s, Recovered: r, StateMachine: m.machine, Transport: linkOf{m}, TickInterval: testTick,
+		Store: s, Recovered: r, StateMachine: m.machine, Transport: linkOf{m}, TickInterval: m.tick,
 		SnapshotEntries: m.snapshotEntries,
 		Rand:            rand.New(rand.NewPCG(m.started, 1)), Logger: &log.Logger{Level: log.PanicLevel},
 	}
--- a/replica/group_test.go
+++ b/replica/group_test.go
@@ -76,13 +76,9 @@
 // Guards against one sync for each proposal: proposals that arrive during a sync must share the next one.
 func TestProposalsShareOneSync(t *testing.T) {
 	const proposals = 200
-	c := newCluster(t, 1)
+	c := newClusterOf(t, 1, 10_000, testTick)
 	m := c.members[0]
 	c.mustPropose("first")
-	m.kill()
-	c.snapshotEntries = 10_000
-	m.start()
-	c.mustPropose("leading")
 	var wg sync.WaitGroup
 	m.fs.hold.Lock()
 	before := m.fs.syncs.Load()
@@ -181,3 +177,20 @@
 	c.mustPropose("c")
 	assert.DeepEqual(t, m.machine.copy(), []string{"a", "b", "c"})
 }
+
+// Guards against taking another leader's entry for the own one: an index can be reused after a change of leader, also
+// while a caller still waits for the first entry there.
+func TestWaitersTellTermsApart(t *testing.T) {
+	w := newWaiters()
+	lost, kept, skipped := make(chan outcome, 1), make(chan outcome, 1), make(chan outcome, 1)
+	w.add(5, 1, lost)
+	w.add(5, 3, kept)
+	w.add(6, 3, skipped)
+	w.resolve(5, 3, []byte("result"))
+	w.skip(6)
+	var notLeader *raft.NotLeaderError
+	assert.Assert(t, errors.As((<-lost).err, &notLeader))
+	assert.DeepEqual(t, (<-kept).result, []byte("result"))
+	var unknown *UnknownError
+	assert.Assert(t, errors.As((<-skipped).err, &unknown))
+}
