--- a/replica/bench_test.go
+++ b/replica/bench_test.go
@@ -67,6 +67,9 @@
 			for i := range entries {
 				c.mustPropose(fmt.Sprintf("%0200d", i))
 			}
+			for tc.snapshotEntries == entries && m.group.Status().FirstIndex <= foundingIndex+1 {
+				time.Sleep(testTick)
+			}
 			for b.Loop() {
 				b.StopTimer()
 				m.kill()
--- a/replica/loop.go
+++ b/replica/loop.go
@@ -41,6 +41,13 @@
 	ticker := time.NewTicker(l.opts.TickInterval)
 	defer ticker.Stop()
 	for {
+		// The first turn applies what was committed before a restart.
+		l.ask()
+		if err := l.advance(); err != nil {
+			l.logger.Error().Err(err).Msg("replica: stopped by an error")
+			return err
+		}
+		l.publishStatus()
 		select {
 		case <-l.tomb.Dying():
 			return nil
@@ -56,12 +63,6 @@
 			f()
 		}
 		l.drain()
-		l.ask()
-		if err := l.advance(); err != nil {
-			l.logger.Error().Err(err).Msg("replica: stopped by an error")
-			return err
-		}
-		l.publishStatus()
 	}
 }
 
