replica: Bound the data of one turn, kill two members at once in the test

Cause: 512 proposals of 8 MiB could share one write; the kill test never took the quorum away; tests of progress failed on a count that depends on the speed of the machine. Change: a turn takes at most 4 MiB of proposals; the test kills one or two members; it waits for 300 outcomes instead of asserting them; leadership transfer is tested.

--- a/replica/cluster_test.go
+++ b/replica/cluster_test.go
@@ -78,7 +78,7 @@
 	return f.File.Sync()
 }
 
-// listMachine is a list of commands; its state is a JSON array. The result of a command is its position.
+// listMachine is a list of commands; its state is a JSON array. The result of a command is the command.
 type listMachine struct {
 	mu   sync.Mutex
 	list []string
@@ -191,6 +191,9 @@
 
 func (m *member) start() {
 	m.t.Helper()
+	if m.group != nil {
+		return
+	}
 	group, err := Join(m.options())
 	assert.NilError(m.t, err)
 	m.group = group
--- a/replica/group_test.go
+++ b/replica/group_test.go
@@ -17,13 +17,14 @@
 	"rosemaryline.dev/storage"
 )
 
-// Guards against lost, doubled or diverging commands and against false "not applied" errors while members are killed
-// in the middle of writes and restarted.
+// Guards against lost, doubled or diverging commands and against false "not applied" errors while one or two
+// members at a time are killed in the middle of writes and restarted.
 func TestKillsDuringProposals(t *testing.T) {
 	const clients, kills = 4, 20
 	c := newCluster(t, 3)
 	var wg sync.WaitGroup
 	var stop atomic.Bool
+	var acknowledged atomic.Int64
 	outcomes := make([]map[string]error, clients)
 	for client := range clients {
 		outcomes[client] = map[string]error{}
@@ -31,12 +32,26 @@
 			for i := 0; !stop.Load(); i++ {
 				command := fmt.Sprintf("%d/%d", client, i)
 				ctx, cancel := context.WithTimeout(t.Context(), 100*testTick)
-				outcomes[client][command] = c.propose(ctx, command)
+				err := c.propose(ctx, command)
 				cancel()
+				outcomes[client][command] = err
+				if err == nil {
+					acknowledged.Add(1)
+				}
 			}
 		})
 	}
-	c.disturb(kills, rand.New(rand.NewPCG(1, 1)), func(m *member) { m.kill(); m.start() })
+	rnd := rand.New(rand.NewPCG(1, 1))
+	c.disturb(kills, rnd, func(m *member) {
+		other := c.members[rnd.IntN(len(c.members))]
+		m.kill()
+		other.kill()
+		m.start()
+		other.start()
+	})
+	for acknowledged.Load() < 300 {
+		time.Sleep(testTick)
+	}
 	stop.Store(true)
 	wg.Wait()
 
@@ -45,13 +60,11 @@
 	for _, command := range list {
 		count[command]++
 	}
-	acknowledged := 0
 	for _, byCommand := range outcomes {
 		for command, err := range byCommand {
 			var unknown *UnknownError
 			switch {
 			case err == nil:
-				acknowledged++
 				assert.Equal(t, count[command], 1, "acknowledged command %s", command)
 			case errors.As(err, &unknown):
 				assert.Assert(t, count[command] <= 1, "command %s with unknown outcome", command)
@@ -60,8 +73,7 @@
 			}
 		}
 	}
-	assert.Assert(t, acknowledged > 300, "acknowledged %d", acknowledged)
-	t.Logf("%d commands acknowledged", acknowledged)
+	t.Logf("%d commands acknowledged", acknowledged.Load())
 }
 
 // disturb calls f on random members, with pauses in which the group may or may not recover.
@@ -141,6 +153,11 @@
 	}
 	c.members[1].kill()
 	list := c.settle(c.members[2], fresh)
+	assert.NilError(t, c.onLeader(ctx, func(g *Group) error { return g.TransferLeadership(ctx, fresh.id) }))
+	for fresh.group.Status().Role != raft.Leader {
+		assert.NilError(t, ctx.Err())
+		time.Sleep(testTick)
+	}
 	assert.Equal(t, len(list), 51)
 	assert.Assert(t, !fresh.group.Status().Membership.Contains(lost.id))
 }
--- a/replica/linear_test.go
+++ b/replica/linear_test.go
@@ -55,6 +55,12 @@
 	unknown int
 }
 
+func (h *history) len() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return len(h.ops)
+}
+
 // record adds a finished access. A write with an unknown outcome may take effect at any later time, and one that was
 // reported as not applied has no place in the history.
 func (h *history) record(client int, in access, call time.Duration, output string, err error) {
@@ -111,11 +117,13 @@
 			}
 		}
 	})
+	for h.len() < 300 {
+		time.Sleep(testTick)
+	}
 	stop.Store(true)
 	wg.Wait()
 	result := porcupine.CheckOperationsTimeout(register, h.ops, 20*time.Second)
 	assert.Equal(t, result, porcupine.Ok, "%d operations", len(h.ops))
-	assert.Assert(t, len(h.ops) > 300, "only %d operations have an outcome", len(h.ops))
 	t.Logf("%d operations, %d with unknown outcome", len(h.ops), h.unknown)
 }
 
--- a/replica/loop.go
+++ b/replica/loop.go
@@ -9,8 +9,12 @@
 	"rosemaryline.dev/storage"
 )
 
-// maxTurn bounds the proposals, reads and messages of each kind that share one sync.
-const maxTurn = 512
+const (
+	// maxTurn bounds the proposals, reads and messages that share one sync.
+	maxTurn = 512
+	// maxTurnBytes bounds the data of proposals that share one sync, except that one larger proposal is taken alone.
+	maxTurnBytes = 4 << 20
+)
 
 // loop owns the node and the store.
 type loop struct {
@@ -19,6 +23,8 @@
 	store *storage.Store
 
 	lastTick time.Time
+	// turnBytes is the data of the proposals taken in this turn.
+	turnBytes int
 	// asking are reads of this turn; they share one confirmation round.
 	asking []*read
 	// confirming holds the reads of each unanswered round by its context.
@@ -48,6 +54,7 @@
 			return err
 		}
 		l.publishStatus()
+		l.turnBytes = 0
 		select {
 		case <-l.tomb.Dying():
 			return nil
@@ -92,9 +99,9 @@
 	l.logger.Warn().Err(err).Msg("replica: message refused")
 }
 
-// openProposals is nil, which takes no proposals, while the state machine is far behind.
+// openProposals is nil, which takes no proposals, while the state machine is far behind and when the turn is full.
 func (l *loop) openProposals() chan *proposal {
-	if l.applier.isBehind() {
+	if l.turnBytes >= maxTurnBytes || l.applier.isBehind() {
 		return nil
 	}
 	return l.proposals
--- a/replica/propose.go
+++ b/replica/propose.go
@@ -11,6 +11,7 @@
 
 // proposal is a request for a new entry.
 type proposal struct {
+	bytes int
 	// start appends the entry to the leader's log.
 	start func(*raft.Node) (index, term uint64, err error)
 	// taken is set by the loop before it calls start, or by a caller who gives up before that.
@@ -32,16 +33,18 @@
 	if len(data) > g.opts.MaxProposalBytes {
 		return nil, errors.Wrapf(ErrTooLarge, "%d bytes", len(data))
 	}
-	return g.propose(ctx, func(n *raft.Node) (uint64, uint64, error) { return n.Propose(data) })
+	p := newProposal(len(data), func(n *raft.Node) (uint64, uint64, error) { return n.Propose(data) })
+	return g.propose(ctx, p)
 }
 
 // ChangeMembership adds, promotes or removes a member and returns once the change is committed. Errors are those of
 // Propose, and raft.ErrChangePending, raft.ErrBadChange and raft.ErrNotCaughtUp without effect.
 func (g *Group) ChangeMembership(ctx context.Context, change raft.MemberChange) error {
-	_, err := g.propose(ctx, func(n *raft.Node) (uint64, uint64, error) {
+	p := newProposal(0, func(n *raft.Node) (uint64, uint64, error) {
 		index, err := n.ChangeMembership(change)
 		return index, n.Status().Term, err
 	})
+	_, err := g.propose(ctx, p)
 	return errors.WithMessagef(err, "change member %s", formatID(change.ID))
 }
 
@@ -55,8 +58,11 @@
 	return err
 }
 
-func (g *Group) propose(ctx context.Context, start func(*raft.Node) (uint64, uint64, error)) ([]byte, error) {
-	p := &proposal{start: start, done: make(chan outcome, 1)}
+func newProposal(bytes int, start func(*raft.Node) (uint64, uint64, error)) *proposal {
+	return &proposal{bytes: bytes, start: start, done: make(chan outcome, 1)}
+}
+
+func (g *Group) propose(ctx context.Context, p *proposal) ([]byte, error) {
 	select {
 	case g.proposals <- p:
 	case <-ctx.Done():
@@ -91,6 +97,7 @@
 	if !p.taken.CompareAndSwap(false, true) {
 		return
 	}
+	l.turnBytes += p.bytes
 	index, term, err := p.start(l.node)
 	if err != nil {
 		p.done <- outcome{err: err}
