--- a/replica/group_test.go
+++ b/replica/group_test.go
@@ -17,13 +17,14 @@
 	"rosemaryline.dev/storage"
 )
 
-// Guards against lost, doubled or diverging commands and against false "not applied" errors while members are killed
-// in the middle of writes and restarted.
+// Guards against lost, doubled or diverging commands and against false "not applied" errors while one or two
+// members at a time are killed in the middle of writes and restarted.
 func TestKillsDuringProposals(t *testing.T) {
 	const clients, kills = 4, 20
 	c := newCluster(t, 3)
 	var wg sync.WaitGroup
 	var stop atomic.Bool
+	var acknowledged atomic.Int64
 	outcomes := make([]map[string]error, clients)
 	for client := range clients {
 		outcomes[client] = map[string]error{}
@@ -31,12 +32,26 @@
 			for i := 0; !stop.Load(); i++ {
 				command := fmt.Sprintf("%d/%d", client, i)
 				ctx, cancel := context.WithTimeout(t.Context(), 100*testTick)
-				outcomes[client][command] = c.propose(ctx, command)
+				err := c.propose(ctx, command)
 				cancel()
+				outcomes[client][command] = err
+				if err == nil {
+					acknowledged.Add(1)
+				}
 			}
 		})
 	}
-	c.disturb(kills, rand.New(rand.NewPCG(1, 1)), func(m *member) { m.kill(); m.start() })
+	rnd := rand.New(rand.NewPCG(1, 1))
+	c.disturb(kills, rnd, func(m *member) {
+		other := c.members[rnd.IntN(len(c.members))]
+		m.kill()
+		other.kill()
+		m.start()
+		other.start()
+	})
+	for acknowledged.Load() < 300 {
+		time.Sleep(testTick)
+	}
 	stop.Store(true)
 	wg.Wait()
 
@@ -45,13 +60,11 @@
 	for _, command := range list {
 		count[command]++
 	}
-	acknowledged := 0
 	for _, byCommand := range outcomes {
 		for command, err := range byCommand {
 			var unknown *UnknownError
 			switch {
 			case err == nil:
-				acknowledged++
 				assert.Equal(t, count[command], 1, "acknowledged command %s", command)
 			case errors.As(err, &unknown):
 				assert.Assert(t, count[command] <= 1, "command %s with unknown outcome", command)
@@ -60,8 +73,7 @@
 			}
 		}
 	}
-	assert.Assert(t, acknowledged > 300, "acknowledged %d", acknowledged)
-	t.Logf("%d commands acknowledged", acknowledged)
+	t.Logf("%d commands acknowledged", acknowledged.Load())
 }
 
 // disturb calls f on random members, with pauses in which the group may or may not recover.
@@ -76,13 +88,9 @@
 // Guards against one sync for each proposal: proposals that arrive during a sync must share the next one.
 func TestProposalsShareOneSync(t *testing.T) {
 	const proposals = 200
-	c := newCluster(t, 1)
+	c := newClusterOf(t, 1, 10_000, testTick)
 	m := c.members[0]
 	c.mustPropose("first")
-	m.kill()
-	c.snapshotEntries = 10_000
-	m.start()
-	c.mustPropose("leading")
 	var wg sync.WaitGroup
 	m.fs.hold.Lock()
 	before := m.fs.syncs.Load()
@@ -145,6 +153,11 @@
 	}
 	c.members[1].kill()
 	list := c.settle(c.members[2], fresh)
+	assert.NilError(t, c.onLeader(ctx, func(g *Group) error { return g.TransferLeadership(ctx, fresh.id) }))
+	for fresh.group.Status().Role != raft.Leader {
+		assert.NilError(t, ctx.Err())
+		time.Sleep(testTick)
+	}
 	assert.Equal(t, len(list), 51)
 	assert.Assert(t, !fresh.group.Status().Membership.Contains(lost.id))
 }
@@ -181,3 +194,20 @@
 	c.mustPropose("c")
 	assert.DeepEqual(t, m.machine.copy(), []string{"a", "b", "c"})
 }
+
+// Guards against taking another leader's entry for the own one: an index can be reused after a change of leader, also
+// while a caller still waits for the first entry there.
+func TestWaitersTellTermsApart(t *testing.T) {
+	w := newWaiters()
+	lost, kept, skipped := make(chan outcome, 1), make(chan outcome, 1), make(chan outcome, 1)
+	w.add(5, 1, lost)
+	w.add(5, 3, kept)
+	w.add(6, 3, skipped)
+	w.resolve(5, 3, []byte("result"))
+	w.skip(6)
+	var notLeader *raft.NotLeaderError
+	assert.Assert(t, errors.As((<-lost).err, &notLeader))
+	assert.DeepEqual(t, (<-kept).result, []byte("result"))
+	var unknown *UnknownError
+	assert.Assert(t, errors.As((<-skipped).err, &unknown))
+}
