--- a/idempotency/attempt.go
+++ b/idempotency/attempt.go
@@ -76,7 +76,7 @@
 	// final is the command that records how the attempt ended.
 	final *Command
 	// owed is the reply that waits for final. A "not run" waits, so that a retry elsewhere finds the key free.
-	owed Reply
+	owed  Reply
 	retry time.Duration
 	pause time.Duration
 	// inFlight is true while a proposal has no result.
--- a/idempotency/store.go
+++ b/idempotency/store.go
@@ -36,7 +36,7 @@
 // Store is the replicated state machine of the records.
 type Store struct {
 	records map[Key]*record
-	// released remembers released claims with the store's clock, so that a late claim command is not granted.
+	// released remembers released and refused claims with the store's clock, so that a late claim command is not granted.
 	released map[ClaimID]time.Duration
 	// clock is the time that Expire commands counted. It never runs ahead of real time, so wall clock jumps expire
 	// nothing early.
@@ -108,6 +108,16 @@
 		}
 		return Result{Outcome: Granted}
 	}
+	result := r.answer(c)
+	if r.Status == statusRunning && result.Outcome != Granted {
+		// A repeated claim command must not be granted once the key is free: its claimer has got this answer.
+		s.released[c.ClaimID] = s.clock
+	}
+	return result
+}
+
+// answer is the result for a claim of a key that has a record.
+func (r *record) answer(c *Claim) Result {
 	if r.Digest != c.Digest {
 		return Result{Outcome: Mismatch}
 	}
