admission: grow the ramp only on normal latency

Cause: a cold backend server that bears one more request for every 15 successes got more than it could bear. A success at up to 3 times the normal latency counted towards growth. Change: only successes at up to 1.5 times the normal latency grow the ramp. A test with a server that collapses while cold covers half, full and double load and restarts without notice. After an unannounced restart 1 to 2 collapses remain, because the first overload is what shows it.

--- a/admission/ramp.go
+++ b/admission/ramp.go
@@ -5,6 +5,9 @@
 const (
 	// slowFactor times the normal latency is slow. Below it, ordinary variance between requests would halve the slots.
 	slowFactor = 3
+	// growFactor times the normal latency is still normal. Successes between it and slowFactor neither grow nor halve,
+	// because a backend server at its limit first answers a little slower.
+	growFactor = 1.5
 	// coldFactor times the normal latency is a sign of a cold backend server.
 	coldFactor = 8
 	// windowResults is the number of results that are judged together, so that one slow request changes nothing.
@@ -63,9 +66,9 @@
 		r.halve()
 		return
 	}
-	slow, cold := r.judge(latency, result)
+	normal, slow, cold := r.judge(latency, result)
 	r.window.add(slow, cold)
-	if !slow {
+	if normal {
 		r.grow()
 	}
 	if r.window.results < windowResults {
@@ -82,15 +85,16 @@
 }
 
 // judge compares one result with the normal latency and updates it. A failure counts as cold and slow.
-func (r *ramp) judge(latency time.Duration, result Result) (slow, cold bool) {
+func (r *ramp) judge(latency time.Duration, result Result) (normal, slow, cold bool) {
 	if result == Failed {
-		return true, true
+		return false, true, true
 	}
 	sample := float64(latency)
 	if r.normal == 0 {
 		r.normal = sample
-		return false, false
+		return true, false, false
 	}
+	normal = sample <= growFactor*r.normal
 	slow = sample > slowFactor*r.normal
 	cold = sample > coldFactor*r.normal
 	weight := normalRise
@@ -98,7 +102,7 @@
 		weight = normalFall
 	}
 	r.normal += weight * (sample - r.normal)
-	return slow, cold
+	return normal, slow, cold
 }
 
 func (r *ramp) grow() {
