--- a/quota/config.go
+++ b/quota/config.go
@@ -55,8 +55,8 @@
 }
 
 // lifetime is how long a holder may spend the answer to a request, counted from when it first asked.
-func (c Config) lifetime(r GrantRequest) time.Duration {
-	if r.Brief {
+func (c Config) lifetime(brief bool) time.Duration {
+	if brief {
 		return c.NeedLifetime
 	}
 	return c.Lifetime
--- a/quota/holder.go
+++ b/quota/holder.go
@@ -7,8 +7,8 @@
 const (
 	// sweepInterval is the time between two looks at all active teams, which renew, return and resend.
 	sweepInterval = 25 * time.Millisecond
-	// idleDemand is the rate, in requests a second, below which a team without tokens is forgotten.
-	idleDemand = 0.1
+	// forgetAfter is the time without a request after which a team without tokens is forgotten.
+	forgetAfter = time.Second
 	// minRetry keeps callers from retrying in a busy loop where the owner is in the same process.
 	minRetry = time.Millisecond
 	// firstRoundTrip is the assumed time of an answer before one was measured.
@@ -20,8 +20,10 @@
 	cfg    Config
 	teams  map[string]*holding
 	lastID uint64
+	// order holds the teams in the order of their first request, so that a run is repeatable without sorting.
+	order []*holding
 	// low lists the teams that need a request before the next sweep.
-	low   []string
+	low   []*holding
 	swept time.Duration
 	// roundTrip is a moving mean of the answer times.
 	roundTrip time.Duration
@@ -29,6 +31,7 @@
 
 // holding is the state of one active team at a Holder.
 type holding struct {
+	team    string
 	tokens  int
 	expires time.Duration
 	demand  demand
@@ -42,8 +45,8 @@
 	// blockedUntil is when the owner expects to have tokens again.
 	blockedUntil time.Duration
 
-	// pending is the request in flight; ID 0 means none.
-	pending GrantRequest
+	// pending is the request in flight; id 0 means none.
+	pending pendingRequest
 	asked   time.Duration
 	sent    time.Duration
 }
@@ -62,14 +65,15 @@
 func (h *Holder) Take(now time.Duration, team string) (ok bool, retryAfter time.Duration) {
 	t := h.teams[team]
 	if t == nil {
-		t = &holding{demand: demand{updated: now}}
+		t = &holding{team: team, demand: demand{updated: now}}
 		h.teams[team] = t
+		h.order = append(h.order, t)
 	}
 	t.demand.add(now)
-	if h.spend(now, team, t) {
+	if h.spend(now, t) {
 		return true, 0
 	}
-	return false, h.miss(now, team, t)
+	return false, h.miss(now, t)
 }
 
 // Retry spends one token for a request whose Take or Retry failed. It does not count as new demand. Call it for every
@@ -79,33 +83,33 @@
 	if t == nil {
 		return h.Take(now, team)
 	}
-	if h.spend(now, team, t) {
+	if h.spend(now, t) {
 		return true, 0
 	}
-	if t.pending.ID != 0 {
+	if t.pending.id != 0 {
 		return false, h.retryAfter(now, t)
 	}
-	return false, h.miss(now, team, t)
+	return false, h.miss(now, t)
 }
 
 // miss counts a request without a token towards the next grant request, unless the owner has none for now.
-func (h *Holder) miss(now time.Duration, team string, t *holding) time.Duration {
+func (h *Holder) miss(now time.Duration, t *holding) time.Duration {
 	if now >= t.blockedUntil {
 		t.short++
-		h.list(team, t)
+		h.list(t)
 	}
 	return h.retryAfter(now, t)
 }
 
-func (h *Holder) spend(now time.Duration, team string, t *holding) bool {
+func (h *Holder) spend(now time.Duration, t *holding) bool {
 	t.expire(now)
 	if t.tokens == 0 {
 		return false
 	}
 	t.tokens--
 	t.unreported++
-	if t.pending.ID == 0 && (t.tokens < h.target(t)/2 || t.reportDue()) {
-		h.list(team, t)
+	if t.pending.id == 0 && (t.tokens < h.target(t)/2 || t.reportDue()) {
+		h.list(t)
 	}
 	return true
 }
@@ -115,7 +119,7 @@
 		return wait
 	}
 	wait := h.roundTrip
-	if t.pending.ID != 0 {
+	if t.pending.id != 0 {
 		wait = t.sent + h.roundTrip - now
 	}
 	return max(wait, minRetry)
@@ -124,13 +128,9 @@
 // Poll returns the requests to send now. Call it after a Take that failed and at least every 25ms.
 func (h *Holder) Poll(now time.Duration) []GrantRequest {
 	var requests []GrantRequest
-	for _, team := range h.low {
-		t := h.teams[team]
-		if t == nil {
-			continue
-		}
+	for _, t := range h.low {
 		t.listed = false
-		requests = h.ask(now, team, t, requests)
+		requests = h.ask(now, t, requests)
 	}
 	h.low = h.low[:0]
 	if now < h.swept+sweepInterval {
@@ -141,12 +141,12 @@
 }
 
 // list marks a team for the next Poll.
-func (h *Holder) list(team string, t *holding) {
+func (h *Holder) list(t *holding) {
 	if t.listed {
 		return
 	}
 	t.listed = true
-	h.low = append(h.low, team)
+	h.low = append(h.low, t)
 }
 
 // target is the number of tokens to keep for the observed demand.
--- a/quota/owner.go
+++ b/quota/owner.go
@@ -61,7 +61,7 @@
 	o.settle(b, a, r, &reply)
 	o.grant(b, a, r, limit, &reply)
 	a.reply = reply
-	a.expires = now + o.cfg.ownerLifetime(o.cfg.lifetime(r))
+	a.expires = now + o.cfg.ownerLifetime(o.cfg.lifetime(r.Brief))
 	if len(b.accounts) == 1 || a.expires < b.nextExpiry {
 		b.nextExpiry = a.expires
 	}
