quota: keep the accounts of an active team in a sorted slice

Cause: an active team cost 515 bytes at its owner, most of it for a map with one holder and a copy of the last reply. Change: accounts are values in a slice sorted by holder, found by binary search, and keep the numbers of the last reply.

--- a/quota/bucket.go
+++ b/quota/bucket.go
@@ -1,6 +1,10 @@
 package quota
 
-import "time"
+import (
+	"cmp"
+	"slices"
+	"time"
+)
 
 // holderKey identifies one life of a holder.
 type holderKey struct {
@@ -8,14 +12,45 @@
 	incarnation uint64
 }
 
+func (k holderKey) compare(other holderKey) int {
+	return cmp.Or(cmp.Compare(k.incarnation, other.incarnation), cmp.Compare(k.process, other.process))
+}
+
 // account is what an owner knows of one holder of a team's tokens.
 type account struct {
+	holder holderKey
 	// outstanding is at least the number of tokens that the holder can still spend.
 	outstanding int
 	// expires is when the holder can no longer spend them.
 	expires time.Duration
-	// reply answers a repeated request.
-	reply GrantReply
+	// id is the last request and answer its reply, for when the request is repeated.
+	id     uint64
+	answer accountAnswer
+}
+
+// accountAnswer is what an account keeps of a GrantReply. Its size counts for every holder of every active team.
+type accountAnswer struct {
+	granted, confirmed int32
+	tight              bool
+	retryAfter         time.Duration
+}
+
+func keepAnswer(r GrantReply) accountAnswer {
+	return accountAnswer{
+		granted:    int32(r.Granted),
+		confirmed:  int32(r.Confirmed),
+		tight:      r.Tight,
+		retryAfter: r.RetryAfter,
+	}
+}
+
+// restore fills in the reply to a repeated request.
+func (a accountAnswer) restore(r GrantReply) GrantReply {
+	r.Granted = int(a.granted)
+	r.Confirmed = int(a.confirmed)
+	r.Tight = a.tight
+	r.RetryAfter = a.retryAfter
+	return r
 }
 
 // bucket is the state of one active team at its owner.
@@ -27,7 +62,13 @@
 	refilled    time.Duration
 	// nextExpiry is no later than the earliest expiry of an account.
 	nextExpiry time.Duration
-	accounts   map[holderKey]*account
+	// accounts are sorted by holder. Most teams have few, for which a map costs several times the memory.
+	accounts []account
+}
+
+// find returns the position of a holder's account, or where it belongs.
+func (b *bucket) find(key holderKey) (int, bool) {
+	return slices.BinarySearchFunc(b.accounts, key, func(a account, key holderKey) int { return a.holder.compare(key) })
 }
 
 // refill adds the tokens of the time since the last call, at most up to burst - outstanding.
@@ -64,15 +105,15 @@
 // expire removes the accounts that have expired and finds the next expiry.
 func (b *bucket) expire(now time.Duration) {
 	first := true
-	for key, a := range b.accounts {
+	b.accounts = slices.DeleteFunc(b.accounts, func(a account) bool {
 		if now >= a.expires {
 			b.outstanding -= a.outstanding
-			delete(b.accounts, key)
-			continue
+			return true
 		}
 		if first || a.expires < b.nextExpiry {
 			b.nextExpiry = a.expires
 			first = false
 		}
-	}
+		return false
+	})
 }
--- a/quota/owner.go
+++ b/quota/owner.go
@@ -1,6 +1,9 @@
 package quota
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // tightShare is the inverse of the part of a burst above which outstanding tokens hold back the refill.
 const tightShare = 4
@@ -44,23 +47,26 @@
 		reply.Unknown = true
 		return reply
 	}
-	b := o.bucket(now, r.Team, limit)
+	b := o.bucket(r.Team)
 	b.advance(now, o.rate(limit), limit.Burst)
 	key := holderKey{r.Process, r.Incarnation}
-	a := b.accounts[key]
+	i, known := b.find(key)
+	if !known {
+		b.accounts = slices.Insert(b.accounts, i, account{holder: key})
+	}
+	a := &b.accounts[i]
 	switch {
-	case a == nil:
-		a = &account{}
-		b.accounts[key] = a
-	case r.ID == a.reply.ID:
-		return a.reply
-	case r.ID < a.reply.ID:
+	case !known:
+	case r.ID == a.id:
+		return a.answer.restore(reply)
+	case r.ID < a.id:
 		reply.Stale = true
 		return reply
 	}
 	o.settle(b, a, r, &reply)
 	o.grant(b, a, r, limit, &reply)
-	a.reply = reply
+	a.id = r.ID
+	a.answer = keepAnswer(reply)
 	a.expires = now + o.cfg.ownerLifetime(o.cfg.lifetime(r.Brief))
 	if len(b.accounts) == 1 || a.expires < b.nextExpiry {
 		b.nextExpiry = a.expires
@@ -111,12 +117,12 @@
 
 // bucket returns a team's bucket. A team without one has had no grants outstanding since it was last full, or since
 // the Owner opened, so its level follows from the time since then.
-func (o *Owner) bucket(now time.Duration, team string, limit Limit) *bucket {
+func (o *Owner) bucket(team string) *bucket {
 	b := o.buckets[team]
 	if b != nil {
 		return b
 	}
-	b = &bucket{refilled: o.opens, accounts: make(map[holderKey]*account)}
+	b = &bucket{refilled: o.opens}
 	o.buckets[team] = b
 	return b
 }
