quota: report spent tokens from an eighth of the burst on

Cause: with a burst of 5 one spent token held back the refill for 51 ms without being reported. Change: a reply is tight when more than an eighth of the burst is outstanding, before a quarter.

--- a/quota/owner.go
+++ b/quota/owner.go
@@ -9,7 +9,7 @@
 const maxTurn = 20 * time.Millisecond
 
 // tightShare is the inverse of the part of a burst above which outstanding tokens hold back the refill.
-const tightShare = 4
+const tightShare = 8
 
 // Owner grants the tokens of a shard's teams. Only teams with requests within the last lifetimes cost memory.
 type Owner struct {
