admission: change the settings of a running gate

Cause: slots, ramp and queue are part of the fleet configuration and change while requests run. Change: Reconfigure keeps requests in flight and queued ones, and refuses those that may no longer wait.

--- a/admission/gate.go
+++ b/admission/gate.go
@@ -25,7 +25,7 @@
 
 // run is an admitted request.
 type run struct {
-	level int
+	depth int
 	epoch uint32
 }
 
@@ -38,10 +38,7 @@
 		running:  make(map[Ticket]run),
 		waiting:  make(map[Ticket]*waiter),
 		inFlight: make([]int, cfg.NestedLevels+1),
-		queues:   make([]*fairQueue, cfg.NestedLevels+1),
-	}
-	for level := range g.queues {
-		g.queues[level] = newFairQueue()
+		queues:   newFairQueues(cfg.NestedLevels + 1),
 	}
 	return g
 }
@@ -54,10 +51,10 @@
 	if r.Deadline != 0 && now >= r.Deadline {
 		return refuse(ReasonDeadline)
 	}
-	level := min(max(r.Depth, 0), g.cfg.NestedLevels)
+	level := g.level(r.Depth)
 	if g.queues[level].size == 0 && g.free(level) {
 		ticket := g.newTicket()
-		g.start(ticket, level)
+		g.start(ticket, r.Depth)
 		return Decision{Verdict: Admitted, Ticket: ticket}
 	}
 	// A call deeper than the reserved levels could wait on its own ancestors.
@@ -88,7 +85,7 @@
 		ticket:   g.newTicket(),
 		team:     r.Team,
 		weight:   r.weight(),
-		level:    level,
+		depth:    level,
 		queuedAt: now,
 		expires:  now + g.cfg.MaxWait,
 		reason:   ReasonMaxWait,
@@ -109,7 +106,7 @@
 		return nil
 	}
 	delete(g.running, ticket)
-	g.inFlight[r.level]--
+	g.inFlight[g.level(r.depth)]--
 	g.ramp.observe(r.epoch, latency, result)
 	return g.grant(now)
 }
@@ -122,7 +119,7 @@
 		return g.Done(now, ticket, 0, Cancelled)
 	}
 	delete(g.waiting, ticket)
-	g.queues[w.level].remove(w)
+	g.queues[w.depth].remove(w)
 	return nil
 }
 
@@ -180,6 +177,31 @@
 	return refusals
 }
 
+// Reconfigure puts new settings in force. Requests in flight go on, also where they exceed the new slots. Queued requests
+// keep their deadlines; those that may no longer wait are refused.
+func (g *Gate) Reconfigure(now time.Duration, cfg Config) ([]Grant, []Refusal) {
+	former := g.queues
+	g.cfg = cfg.withDefaults()
+	g.ramp.configure(g.cfg)
+	g.inFlight = make([]int, g.cfg.NestedLevels+1)
+	for _, r := range g.running {
+		g.inFlight[g.level(r.depth)]++
+	}
+	g.queues = newFairQueues(g.cfg.NestedLevels + 1)
+	var refusals []Refusal
+	for _, q := range former {
+		for _, w := range q.all() {
+			if w.depth <= g.cfg.NestedLevels {
+				g.queues[w.depth].push(w)
+				continue
+			}
+			delete(g.waiting, w.ticket)
+			refusals = append(refusals, Refusal{Ticket: w.ticket, Reason: ReasonNested})
+		}
+	}
+	return g.grant(now), refusals
+}
+
 // SetInstance records the backend server's instance id. A new id is a cold start.
 func (g *Gate) SetInstance(instance string) {
 	if instance == g.instance {
@@ -215,16 +237,21 @@
 			}
 			q.pop()
 			delete(g.waiting, w.ticket)
-			g.start(w.ticket, level)
+			g.start(w.ticket, w.depth)
 			grants = append(grants, Grant{Ticket: w.ticket, Wait: now - w.queuedAt})
 		}
 	}
 	return grants
 }
 
-func (g *Gate) start(ticket Ticket, level int) {
-	g.running[ticket] = run{level: level, epoch: g.ramp.epoch}
-	g.inFlight[level]++
+func (g *Gate) start(ticket Ticket, depth int) {
+	g.running[ticket] = run{depth: depth, epoch: g.ramp.epoch}
+	g.inFlight[g.level(depth)]++
+}
+
+// level is the class of a call depth: calls deeper than the reserved levels share the deepest one.
+func (g *Gate) level(depth int) int {
+	return min(max(depth, 0), g.cfg.NestedLevels)
 }
 
 // free reports whether a request of the level may start. Requests up to each level leave one slot for every deeper
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -4,10 +4,11 @@
 
 // waiter is a queued request.
 type waiter struct {
-	ticket   Ticket
-	team     string
-	weight   float64
-	level    int
+	ticket Ticket
+	team   string
+	weight float64
+	// depth is at most Config.NestedLevels and so is the index of the waiter's queue.
+	depth    int
 	queuedAt time.Duration
 	// expires is the last moment at which the waiter may be granted.
 	expires time.Duration
@@ -41,6 +42,14 @@
 	size   int
 }
 
+func newFairQueues(n int) []*fairQueue {
+	queues := make([]*fairQueue, n)
+	for i := range queues {
+		queues[i] = newFairQueue()
+	}
+	return queues
+}
+
 func newFairQueue() *fairQueue {
 	return &fairQueue{teams: make(map[string]*teamQueue)}
 }
--- a/admission/ramp.go
+++ b/admission/ramp.go
@@ -46,6 +46,14 @@
 	}
 }
 
+// configure changes the bounds. More slots are reached by growth.
+func (r *ramp) configure(cfg Config) {
+	r.initial = cfg.InitialSlots
+	r.slots = cfg.Slots
+	r.perSlot = cfg.SuccessesPerSlot
+	r.effective = min(r.effective, r.slots)
+}
+
 // reset returns to the cold state. The normal latency stays known where the backend server is the same instance.
 func (r *ramp) reset(keepNormal bool) {
 	r.effective = r.initial
