quota: name a retry time during an owner's wait and for unknown teams

Cause: a new owner that waits for its predecessor's tokens, and an owner that does not know a team yet, told holders to ask again at once. Change: the retry time includes the rest of the wait; an unknown team waits one lifetime.

--- a/quota/fuzz_test.go
+++ b/quota/fuzz_test.go
@@ -386,6 +386,39 @@
 	}
 }
 
+// TestRetryAfter guards against callers that are told to retry before a token can come.
+func TestRetryAfter(t *testing.T) {
+	cases := []struct {
+		desc  string
+		start time.Duration
+		team  string
+		least time.Duration
+	}{
+		{"owner waits for its predecessor's tokens", time.Minute, "one", 500 * time.Millisecond},
+		{"bucket is empty", 0, "one", 450 * time.Millisecond},
+		{"team is unknown", 0, "nobody", 450 * time.Millisecond},
+	}
+	for _, c := range cases {
+		t.Run(c.desc, func(t *testing.T) {
+			o := NewOwner(Config{Start: c.start})
+			o.SetTeam("one", fuzzLimits["one"])
+			h := NewHolder(Config{Process: "p", Incarnation: 1})
+			now := time.Minute
+			for range 2 {
+				h.Take(now, c.team)
+			}
+			for _, r := range h.Poll(now) {
+				h.Receive(now, o.Request(now, r))
+			}
+			h.Retry(now, c.team)
+			ok, after := h.Retry(now, c.team)
+			if ok || after < c.least || after > 2*time.Second {
+				t.Fatalf("got %v after %v, want a refusal after at least %v", ok, after, c.least)
+			}
+		})
+	}
+}
+
 // TestMessagesAsJSON guards against message fields that get lost between processes.
 func TestMessagesAsJSON(t *testing.T) {
 	request := GrantRequest{"p", 3, "team", 9, 1, 2, 4, true, 5}
--- a/quota/holder.go
+++ b/quota/holder.go
@@ -125,7 +125,8 @@
 	return max(wait, minRetry)
 }
 
-// Poll returns the requests to send now. Call it after a Take that failed and at least every 25ms.
+// Poll returns the requests to send now. Call it after every Take, Retry and Receive, where it costs little when nothing
+// is due, and at least every 25ms.
 func (h *Holder) Poll(now time.Duration) []GrantRequest {
 	var requests []GrantRequest
 	for _, t := range h.low {
--- a/quota/messages.go
+++ b/quota/messages.go
@@ -31,7 +31,7 @@
 	Granted int `json:"granted,omitempty"`
 	// Confirmed is the number of held tokens whose lifetime starts again; the holder drops the others.
 	Confirmed int `json:"confirmed,omitempty"`
-	// RetryAfter is the time until another request is worthwhile; 0 when Granted covers Need.
+	// RetryAfter is the time until another request is worthwhile; 0 where nothing was missing.
 	RetryAfter time.Duration `json:"retryAfter,omitempty"`
 	// Tight asks the holder to report spent tokens at once, because they hold back the refill.
 	Tight bool `json:"tight,omitempty"`
--- a/quota/owner.go
+++ b/quota/owner.go
@@ -21,7 +21,7 @@
 	swept   time.Duration
 }
 
-// NewOwner returns an Owner without teams.
+// NewOwner returns an Owner without teams. A process that gets a shard again needs a new Owner with a new Config.Start.
 func NewOwner(cfg Config) *Owner {
 	cfg = cfg.withDefaults()
 	return &Owner{
@@ -48,6 +48,7 @@
 	limit, ok := o.limits[r.Team]
 	if !ok {
 		reply.Unknown = true
+		reply.RetryAfter = o.cfg.Lifetime
 		return reply
 	}
 	b := o.bucket(r.Team)
@@ -67,7 +68,7 @@
 		return reply
 	}
 	o.settle(b, a, r, &reply)
-	o.grant(b, a, r, limit, &reply)
+	o.grant(now, b, a, r, limit, &reply)
 	a.id = r.ID
 	a.answer = keepAnswer(reply)
 	a.expires = now + o.cfg.ownerLifetime(o.cfg.lifetime(r.Brief))
@@ -87,7 +88,7 @@
 }
 
 // grant moves tokens from the level to the holder. Spare tokens leave half of the burst for other holders.
-func (o *Owner) grant(b *bucket, a *account, r GrantRequest, limit Limit, reply *GrantReply) {
+func (o *Owner) grant(now time.Duration, b *bucket, a *account, r GrantRequest, limit Limit, reply *GrantReply) {
 	available := int(b.level)
 	need := max(r.Need, 0)
 	spare := min(max(r.Spare, 0), max(available-need-(limit.Burst+1)/2, 0))
@@ -97,12 +98,12 @@
 	a.outstanding += reply.Granted
 	reply.Tight = tightShare*b.outstanding > limit.Burst
 	if wanted := need + max(r.Spare, 0); wanted > 0 && reply.Granted < max(need, 1) {
-		reply.RetryAfter = o.retryAfter(b, limit)
+		reply.RetryAfter = o.retryAfter(now, b, limit)
 	}
 }
 
 // retryAfter is the time until the level reaches one token, or until each competing holder had a turn.
-func (o *Owner) retryAfter(b *bucket, limit Limit) time.Duration {
+func (o *Owner) retryAfter(now time.Duration, b *bucket, limit Limit) time.Duration {
 	if limit.Burst < 1 || limit.Rate <= 0 {
 		return time.Hour
 	}
@@ -112,7 +113,8 @@
 	}
 	token := float64(time.Second) / o.rate(limit)
 	turn := min(time.Duration(float64(len(b.accounts))*token), maxTurn)
-	return max(time.Duration(missing*token), turn, minRetry)
+	closed := max(o.opens-now, 0)
+	return closed + max(time.Duration(missing*token), turn, minRetry)
 }
 
 // rate is the refill rate on the owner's clock, which may be fast.
