--- a/quota/owner.go
+++ b/quota/owner.go
@@ -1,9 +1,15 @@
 package quota
 
-import "time"
+import (
+	"slices"
+	"time"
+)
+
+// maxTurn bounds the wait for the other holders of an empty bucket. Longer waits would refuse requests inside the rate.
+const maxTurn = 20 * time.Millisecond
 
 // tightShare is the inverse of the part of a burst above which outstanding tokens hold back the refill.
-const tightShare = 4
+const tightShare = 8
 
 // Owner grants the tokens of a shard's teams. Only teams with requests within the last lifetimes cost memory.
 type Owner struct {
@@ -15,7 +21,7 @@
 	swept   time.Duration
 }
 
-// NewOwner returns an Owner without teams.
+// NewOwner returns an Owner without teams. A process that gets a shard again needs a new Owner with a new Config.Start.
 func NewOwner(cfg Config) *Owner {
 	cfg = cfg.withDefaults()
 	return &Owner{
@@ -42,26 +48,30 @@
 	limit, ok := o.limits[r.Team]
 	if !ok {
 		reply.Unknown = true
+		reply.RetryAfter = o.cfg.Lifetime
 		return reply
 	}
-	b := o.bucket(now, r.Team, limit)
+	b := o.bucket(r.Team)
 	b.advance(now, o.rate(limit), limit.Burst)
 	key := holderKey{r.Process, r.Incarnation}
-	a := b.accounts[key]
+	i, known := b.find(key)
+	if !known {
+		b.accounts = slices.Insert(b.accounts, i, account{holder: key})
+	}
+	a := &b.accounts[i]
 	switch {
-	case a == nil:
-		a = &account{}
-		b.accounts[key] = a
-	case r.ID == a.reply.ID:
-		return a.reply
-	case r.ID < a.reply.ID:
+	case !known:
+	case r.ID == a.id:
+		return a.answer.restore(reply)
+	case r.ID < a.id:
 		reply.Stale = true
 		return reply
 	}
 	o.settle(b, a, r, &reply)
-	o.grant(b, a, r, limit, &reply)
-	a.reply = reply
-	a.expires = now + o.cfg.ownerLifetime(o.cfg.lifetime(r))
+	o.grant(now, b, a, r, limit, &reply)
+	a.id = r.ID
+	a.answer = keepAnswer(reply)
+	a.expires = now + o.cfg.ownerLifetime(o.cfg.lifetime(r.Brief))
 	if len(b.accounts) == 1 || a.expires < b.nextExpiry {
 		b.nextExpiry = a.expires
 	}
@@ -78,7 +88,7 @@
 }
 
 // grant moves tokens from the level to the holder. Spare tokens leave half of the burst for other holders.
-func (o *Owner) grant(b *bucket, a *account, r GrantRequest, limit Limit, reply *GrantReply) {
+func (o *Owner) grant(now time.Duration, b *bucket, a *account, r GrantRequest, limit Limit, reply *GrantReply) {
 	available := int(b.level)
 	need := max(r.Need, 0)
 	spare := min(max(r.Spare, 0), max(available-need-(limit.Burst+1)/2, 0))
@@ -88,12 +98,12 @@
 	a.outstanding += reply.Granted
 	reply.Tight = tightShare*b.outstanding > limit.Burst
 	if wanted := need + max(r.Spare, 0); wanted > 0 && reply.Granted < max(need, 1) {
-		reply.RetryAfter = o.retryAfter(b, limit)
+		reply.RetryAfter = o.retryAfter(now, b, limit)
 	}
 }
 
-// retryAfter is the time until the level reaches one token.
-func (o *Owner) retryAfter(b *bucket, limit Limit) time.Duration {
+// retryAfter is the time until the level reaches one token, or until each competing holder had a turn.
+func (o *Owner) retryAfter(now time.Duration, b *bucket, limit Limit) time.Duration {
 	if limit.Burst < 1 || limit.Rate <= 0 {
 		return time.Hour
 	}
@@ -101,7 +111,10 @@
 	if missing <= 0 {
 		return 0
 	}
-	return max(time.Duration(missing/o.rate(limit)*float64(time.Second)), minRetry)
+	token := float64(time.Second) / o.rate(limit)
+	turn := min(time.Duration(float64(len(b.accounts))*token), maxTurn)
+	closed := max(o.opens-now, 0)
+	return closed + max(time.Duration(missing*token), turn, minRetry)
 }
 
 // rate is the refill rate on the owner's clock, which may be fast.
@@ -111,12 +124,12 @@
 
 // bucket returns a team's bucket. A team without one has had no grants outstanding since it was last full, or since
 // the Owner opened, so its level follows from the time since then.
-func (o *Owner) bucket(now time.Duration, team string, limit Limit) *bucket {
+func (o *Owner) bucket(team string) *bucket {
 	b := o.buckets[team]
 	if b != nil {
 		return b
 	}
-	b = &bucket{refilled: o.opens, accounts: make(map[holderKey]*account)}
+	b = &bucket{refilled: o.opens}
 	o.buckets[team] = b
 	return b
 }
