outlier: confirm moderate slowness longer and great slowness sooner

Change: the least time to confirm applies from 8 times the peers' median instead of 10, and the time grows with the eighth power instead of the fourth, up to 10 s.

--- a/outlier/detector.go
+++ b/outlier/detector.go
@@ -216,13 +216,15 @@
 func (d *Detector) confirmTime(cause Cause, factor float64) time.Duration {
 	const (
 		least      = 300 * time.Millisecond
-		fullFactor = 10 // from here on, the least time is enough
-		power      = 4
+		fullFactor = 8 // from here on, the least time is enough
+		power      = 8
+		most       = 10 * time.Second
 	)
 	if cause != CauseSlow || factor >= fullFactor {
 		return least
 	}
-	return time.Duration(float64(least) * math.Pow(math.Log(fullFactor)/math.Log(max(factor, 1.1)), power))
+	wait := float64(least) * math.Pow(math.Log(fullFactor)/math.Log(max(factor, 1.1)), power)
+	return time.Duration(min(wait, float64(most)))
 }
 
 func (d *Detector) compare(s *server, peers []Digest, now time.Duration) Verdict {
