outlier: confirm strong evidence by new samples

Cause: at 1 req/s the time to confirm passes without any new sample, so that it confirms nothing; 6 servers with wide times had a false ejection. Change: strong evidence needs 3 samples after it became strong, or requests that still run after 1 s.

--- a/outlier/detector.go
+++ b/outlier/detector.go
@@ -60,6 +60,8 @@
 	window        window
 	running       map[uint64]time.Duration // start times by request id
 	strongSince   time.Duration            // since when the evidence is strong, or never
+	evidence      int                      // samples so far
+	strongAt      int                      // evidence at strongSince
 	askedAt       time.Duration            // last request for fresh digests
 }
 
@@ -144,6 +146,7 @@
 // Observe records a request or probe that ended now and took latency. Times exclude the queue of the gate.
 func (d *Detector) Observe(name string, now, latency time.Duration, failed bool) {
 	if s := d.servers[name]; s != nil {
+		s.evidence++
 		s.window.add(sample{at: now, latency: latency, failed: failed})
 	}
 }
@@ -191,9 +194,10 @@
 	}
 	if s.strongSince == never {
 		s.strongSince = now
+		s.strongAt = s.evidence
 	}
 	v.Health = Suspect
-	if now-s.strongSince < d.confirmTime(v.Cause, v.factor) {
+	if now-s.strongSince < d.confirmTime(v.Cause, v.factor) || !s.confirmed(v.Cause, now) {
 		return v
 	}
 	fresh := d.comparable(s, now, min(d.cfg.FreshAge, now-s.strongSince))
@@ -207,6 +211,22 @@
 	return v
 }
 
+const (
+	// confirmSamples is the number of new samples that strong evidence must last for. At low rates time alone brings no
+	// new evidence.
+	confirmSamples = 3
+	// confirmRunning is the time after which requests that still run are new evidence by themselves.
+	confirmRunning = time.Second
+)
+
+// confirmed tells whether there is new evidence since the evidence became strong. Hanging requests give it as they age.
+func (s *server) confirmed(cause Cause, now time.Duration) bool {
+	if cause == CauseHanging || s.evidence-s.strongAt >= confirmSamples {
+		return true
+	}
+	return len(s.running) > 0 && now-s.strongSince >= confirmRunning
+}
+
 // askAgain is the time between two requests for fresh digests of peers.
 const askAgain = 200 * time.Millisecond
 
