outlier: let probes of suspects count as evidence

Change: two bad samples in a row make a suspect; its probes, at most 5% of the server's time, count as requests whose time has the same ratio to the peers' median as the probe has to 25 ms. ProbeOK judges a probe for readmission.

--- a/outlier/detector.go
+++ b/outlier/detector.go
@@ -151,6 +151,34 @@
 	}
 }
 
+// ObserveProbe records a probe. Probes take another time than requests, so the probe counts as a request whose time has
+// the same ratio to the peers' median as the probe has to ProbeCost.
+func (d *Detector) ObserveProbe(name string, now, latency time.Duration, failed bool) {
+	s := d.servers[name]
+	if s == nil {
+		return
+	}
+	usual := d.usual(d.comparable(s, now, d.cfg.DigestAge))
+	if usual <= 0 {
+		return
+	}
+	d.Observe(name, now, time.Duration(float64(latency)/float64(ProbeCost)*float64(usual)), failed)
+}
+
+// usual returns the median of the peers' medians, or 0 with too few peers.
+func (d *Detector) usual(peers []Digest) time.Duration {
+	var times []float64
+	for _, p := range peers {
+		if p.P50 > 0 {
+			times = append(times, float64(p.P50))
+		}
+	}
+	if len(times) < d.cfg.MinPeers {
+		return 0
+	}
+	return time.Duration(median(times))
+}
+
 // PeerDigest records the digest of a backend server of the service on another VM. asOf is a time after which the peer
 // made the digest: for an answer the time at which it was asked for, and for membership metadata, whose way takes some
 // seconds, the time of receipt less 5 s. A digest older than the known one is ignored.
@@ -190,6 +218,7 @@
 	v := d.compare(s, d.comparable(s, now, d.cfg.DigestAge), now)
 	if v.Health != Faulty {
 		s.strongSince = never
+		d.suspectEarly(&v, s, now)
 		return v
 	}
 	if s.strongSince == never {
@@ -211,6 +240,33 @@
 	return v
 }
 
+// suspectEarly makes a server a suspect when its newest samples all are bad, long before there are enough of them to
+// judge at low rates. The suspicion itself has no effect but probes, which bring more samples.
+func (d *Detector) suspectEarly(v *Verdict, s *server, now time.Duration) {
+	const (
+		inRow = 2
+		score = 0.5
+	)
+	newest := s.window.newest(now, 0, inRow)
+	if v.Health != Healthy || s.warming || len(newest) < inRow {
+		return
+	}
+	slow := time.Duration(d.cfg.SlowFactor * float64(d.usual(d.comparable(s, now, d.cfg.DigestAge))))
+	if slow <= 0 {
+		return
+	}
+	cause := CauseFailing
+	for _, sample := range newest[:inRow] {
+		if !sample.failed && sample.latency < slow {
+			return
+		}
+		if !sample.failed {
+			cause = CauseSlow
+		}
+	}
+	v.Health, v.Cause, v.Score = Suspect, cause, score
+}
+
 const (
 	// confirmSamples is the number of new samples that strong evidence must last for. At low rates time alone brings no
 	// new evidence.
--- a/outlier/ejector.go
+++ b/outlier/ejector.go
@@ -13,7 +13,7 @@
 	ActionEject ActionKind = iota
 	// ActionReadmit lets a server back in through the ramp.
 	ActionReadmit
-	// ActionProbe sends one probe; report it with ProbeResult and with Detector.Observe.
+	// ActionProbe sends one probe; report it with ProbeResult and with Detector.ObserveProbe.
 	ActionProbe
 )
 
@@ -38,15 +38,12 @@
 	ProbeSuccesses int
 	// ProbeShare is the share of a server's time that probes may take. Default 0.05.
 	ProbeShare float64
-	// ProbeCost is the time that a probe takes at the server. Default 25ms.
-	ProbeCost time.Duration
 }
 
 func (c EjectorConfig) withDefaults() EjectorConfig {
 	setDuration(&c.FirstBackoff, 5*time.Second)
 	setDuration(&c.MaxBackoff, 5*time.Minute)
 	setDuration(&c.ForgiveAfter, time.Minute)
-	setDuration(&c.ProbeCost, 25*time.Millisecond)
 	setInt(&c.ProbeSuccesses, 3)
 	setFloat(&c.ProbeShare, 0.05)
 	return c
@@ -161,8 +158,8 @@
 	return actions
 }
 
-// ProbeResult records the end of a probe that ActionProbe asked for. ok means that it was answered without failure and
-// about as fast as the probes of a healthy server.
+// ProbeResult records the end of a probe that ActionProbe asked for. ok is the result of
+// ProbeOK.
 func (e *Ejector) ProbeResult(name string, ok bool, now time.Duration) {
 	s := e.servers[name]
 	if s == nil {
@@ -193,7 +190,7 @@
 		s.cause = v.Cause
 		e.holder.Want(name, s.service, s.slots)
 	case v.Health == Suspect && s.probes.take(now):
-		return []Action{{Kind: ActionProbe, Server: name, Service: s.service, Reason: "suspect"}}
+		return []Action{{Kind: ActionProbe, Server: name, Service: s.service, Cause: v.Cause, Reason: "suspect"}}
 	}
 	return nil
 }
--- a/outlier/measure_sim_test.go
+++ b/outlier/measure_sim_test.go
@@ -213,13 +213,19 @@
 }
 
 func (s *detectSim) probe(g *simGate) {
-	latency := s.serviceTime(g)
-	fails := false
+	latency := time.Duration(float64(ProbeCost) * math.Exp(0.3*s.rnd.NormFloat64()))
+	if s.c.factor != nil {
+		latency = time.Duration(float64(latency) * s.c.factor(s, g))
+	}
+	failed := false
 	if s.c.outcome != nil {
-		f, h := s.c.outcome(s, g)
-		fails = f || h
+		fails, hangs := s.c.outcome(s, g)
+		failed = fails || hangs
+	}
+	g.ejector.ProbeResult(g.name, ProbeOK(latency, failed), s.now)
+	if d, ok := g.detect.(*Detector); ok {
+		d.ObserveProbe(g.name, s.now, latency, failed)
 	}
-	g.ejector.ProbeResult(g.name, !fails && latency < 4*s.c.base, s.now)
 }
 
 // sendDigests sends the regular digests by gossip, which takes up to 3 s.
