--- a/outlier/detector.go
+++ b/outlier/detector.go
@@ -60,6 +60,8 @@
 	window        window
 	running       map[uint64]time.Duration // start times by request id
 	strongSince   time.Duration            // since when the evidence is strong, or never
+	evidence      int                      // samples so far
+	strongAt      int                      // evidence at strongSince
 	askedAt       time.Duration            // last request for fresh digests
 }
 
@@ -144,10 +146,39 @@
 // Observe records a request or probe that ended now and took latency. Times exclude the queue of the gate.
 func (d *Detector) Observe(name string, now, latency time.Duration, failed bool) {
 	if s := d.servers[name]; s != nil {
+		s.evidence++
 		s.window.add(sample{at: now, latency: latency, failed: failed})
 	}
 }
 
+// ObserveProbe records a probe. Probes take another time than requests, so the probe counts as a request whose time has
+// the same ratio to the peers' median as the probe has to ProbeCost.
+func (d *Detector) ObserveProbe(name string, now, latency time.Duration, failed bool) {
+	s := d.servers[name]
+	if s == nil {
+		return
+	}
+	usual := d.usual(d.comparable(s, now, d.cfg.DigestAge))
+	if usual <= 0 {
+		return
+	}
+	d.Observe(name, now, time.Duration(float64(latency)/float64(ProbeCost)*float64(usual)), failed)
+}
+
+// usual returns the median of the peers' medians, or 0 with too few peers.
+func (d *Detector) usual(peers []Digest) time.Duration {
+	var times []float64
+	for _, p := range peers {
+		if p.P50 > 0 {
+			times = append(times, float64(p.P50))
+		}
+	}
+	if len(times) < d.cfg.MinPeers {
+		return 0
+	}
+	return time.Duration(median(times))
+}
+
 // PeerDigest records the digest of a backend server of the service on another VM. asOf is a time after which the peer
 // made the digest: for an answer the time at which it was asked for, and for membership metadata, whose way takes some
 // seconds, the time of receipt less 5 s. A digest older than the known one is ignored.
@@ -187,13 +218,15 @@
 	v := d.compare(s, d.comparable(s, now, d.cfg.DigestAge), now)
 	if v.Health != Faulty {
 		s.strongSince = never
+		d.suspectEarly(&v, s, now)
 		return v
 	}
 	if s.strongSince == never {
 		s.strongSince = now
+		s.strongAt = s.evidence
 	}
 	v.Health = Suspect
-	if now-s.strongSince < d.confirmTime(v.Cause, v.factor) {
+	if now-s.strongSince < d.confirmTime(v.Cause, v.factor) || !s.confirmed(v.Cause, now) {
 		return v
 	}
 	fresh := d.comparable(s, now, min(d.cfg.FreshAge, now-s.strongSince))
@@ -207,6 +240,49 @@
 	return v
 }
 
+// suspectEarly makes a server a suspect when its newest samples all are bad, long before there are enough of them to
+// judge at low rates. The suspicion itself has no effect but probes, which bring more samples.
+func (d *Detector) suspectEarly(v *Verdict, s *server, now time.Duration) {
+	const (
+		inRow = 2
+		score = 0.5
+	)
+	newest := s.window.newest(now, 0, inRow)
+	if v.Health != Healthy || s.warming || len(newest) < inRow {
+		return
+	}
+	slow := time.Duration(d.cfg.SlowFactor * float64(d.usual(d.comparable(s, now, d.cfg.DigestAge))))
+	if slow <= 0 {
+		return
+	}
+	cause := CauseFailing
+	for _, sample := range newest[:inRow] {
+		if !sample.failed && sample.latency < slow {
+			return
+		}
+		if !sample.failed {
+			cause = CauseSlow
+		}
+	}
+	v.Health, v.Cause, v.Score = Suspect, cause, score
+}
+
+const (
+	// confirmSamples is the number of new samples that strong evidence must last for. At low rates time alone brings no
+	// new evidence.
+	confirmSamples = 3
+	// confirmRunning is the time after which requests that still run are new evidence by themselves.
+	confirmRunning = time.Second
+)
+
+// confirmed tells whether there is new evidence since the evidence became strong. Hanging requests give it as they age.
+func (s *server) confirmed(cause Cause, now time.Duration) bool {
+	if cause == CauseHanging || s.evidence-s.strongAt >= confirmSamples {
+		return true
+	}
+	return len(s.running) > 0 && now-s.strongSince >= confirmRunning
+}
+
 // askAgain is the time between two requests for fresh digests of peers.
 const askAgain = 200 * time.Millisecond
 
@@ -216,13 +292,15 @@
 func (d *Detector) confirmTime(cause Cause, factor float64) time.Duration {
 	const (
 		least      = 300 * time.Millisecond
-		fullFactor = 10 // from here on, the least time is enough
-		power      = 4
+		fullFactor = 8 // from here on, the least time is enough
+		power      = 8
+		most       = 10 * time.Second
 	)
 	if cause != CauseSlow || factor >= fullFactor {
 		return least
 	}
-	return time.Duration(float64(least) * math.Pow(math.Log(fullFactor)/math.Log(max(factor, 1.1)), power))
+	wait := float64(least) * math.Pow(math.Log(fullFactor)/math.Log(max(factor, 1.1)), power)
+	return time.Duration(min(wait, float64(most)))
 }
 
 func (d *Detector) compare(s *server, peers []Digest, now time.Duration) Verdict {
