quota: shorten the lifetime of grants to 250 ms

Cause: a new owner grants nothing for one lifetime, because the former owner's tokens may still be unspent. One move of the owner in 15 s cost 3.2 to 3.5% of the requests inside the rate. Change: 250 ms instead of 500 ms. The target holds with an owner that grants, so it does not bound this case.

--- a/quota/config.go
+++ b/quota/config.go
@@ -4,7 +4,9 @@
 
 // Defaults of Config.
 const (
-	DefaultLifetime = 500 * time.Millisecond
+	// DefaultLifetime is also the time for which a new owner grants nothing. Below 250ms the renewals cost more messages
+	// than the shorter wait is worth.
+	DefaultLifetime = 250 * time.Millisecond
 	DefaultDrift    = 0.01
 	DefaultSpare    = 100 * time.Millisecond
 	// DefaultNeedLifetime covers a round trip between regions. Longer ones keep the spent tokens of processes that ask
@@ -22,7 +24,7 @@
 	// Start is the time on the owner's clock since when no other process grants tokens for its teams. An Owner grants
 	// nothing before Start + Lifetime + margin.
 	Start time.Duration
-	// Lifetime is how long a holder may spend a grant after it asked for it. Default 500ms.
+	// Lifetime is how long a holder may spend a grant after it asked for it. Default 250ms.
 	Lifetime time.Duration
 	// NeedLifetime is the same for a grant that only serves waiting requests. Default 50ms.
 	NeedLifetime time.Duration
