admission: refuse at once what would expire in the queue

Cause: while a backend server is cold, queued requests waited for their whole deadline and were then refused, too late to run elsewhere. Change: a request is refused at once when its place in the queue times the recent latency passes its deadline.

--- a/admission/cold_test.go
+++ b/admission/cold_test.go
@@ -38,6 +38,8 @@
 	collapses int
 	served    int
 	offered   int
+	// expired counts the requests that waited in the queue in vain.
+	expired int
 }
 
 // runCold offers Poisson traffic at a rate to a cold server for 30 s. restart makes it cold again without notice.
@@ -76,7 +78,7 @@
 				out.recovered = f.at
 			}
 		}
-		gate.Expire(now)
+		out.expired += len(gate.Expire(now))
 		out.offered++
 		d := gate.Offer(now, Request{Team: fmt.Sprint(out.offered % 3), Deadline: now + simDeadline})
 		if d.Verdict == Admitted {
@@ -101,7 +103,7 @@
 		{"unannounced restart at 10s, full load", 250, 10 * time.Second},
 		{"unannounced restart at 10s, double load", 500, 10 * time.Second},
 	}
-	t.Logf("%-40s %-8s %10s %10s %9s", "case", "ramp", "recovered", "collapses", "served %")
+	t.Logf("%-40s %-8s %10s %10s %9s %9s", "case", "ramp", "recovered", "collapses", "served %", "expired")
 	for _, c := range cases {
 		for _, initial := range []int{simSlots, 1} {
 			run := runCold(Config{Slots: simSlots, InitialSlots: initial}, c.load, c.restart)
@@ -109,8 +111,8 @@
 			if initial == 1 {
 				kind = "from 1"
 			}
-			t.Logf("%-40s %-8s %10v %10d %9.1f", c.desc, kind, run.recovered.Round(10*time.Millisecond), run.collapses,
-				100*float64(run.served)/float64(run.offered))
+			t.Logf("%-40s %-8s %10v %10d %9.1f %9d", c.desc, kind, run.recovered.Round(10*time.Millisecond), run.collapses,
+				100*float64(run.served)/float64(run.offered), run.expired)
 			if initial == 1 && run.recovered == 0 {
 				t.Errorf("%s: not recovered after 30 s", c.desc)
 			}
--- a/admission/gate.go
+++ b/admission/gate.go
@@ -71,6 +71,9 @@
 	if q.teamSize(r.Team) >= g.cfg.teamLength() {
 		return refuse(ReasonTeamShare)
 	}
+	if r.Deadline != 0 && now+g.ramp.wait(q.position(r.Team)) >= r.Deadline {
+		return refuse(ReasonDeadline)
+	}
 	var displaced []Refusal
 	if q.size >= g.cfg.QueueLength {
 		victim := q.displaceable(r.Team, r.weight())
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -62,6 +62,11 @@
 	return len(t.waiters)
 }
 
+// position is the number of requests that would start up to and including a new one of the team, with equal turns.
+func (q *fairQueue) position(team string) int {
+	return min(q.size+1, (q.teamSize(team)+1)*max(len(q.ring), 1))
+}
+
 func (q *fairQueue) push(w *waiter) {
 	t := q.teams[w.team]
 	if t == nil {
@@ -147,6 +152,9 @@
 func (q *fairQueue) drop(t *teamQueue) {
 	delete(q.teams, t.team)
 	q.weight -= t.weight
+	if len(q.teams) == 0 {
+		q.weight = 0 // rounding errors must not add up
+	}
 	for i, other := range q.ring {
 		if other == t {
 			q.ring = append(q.ring[:i:i], q.ring[i+1:]...)
--- a/admission/ramp.go
+++ b/admission/ramp.go
@@ -27,6 +27,8 @@
 	successes int
 	// normal is the latency of requests that were not slow, in nanoseconds; 0 before the first one.
 	normal float64
+	// recent is a moving mean of all latencies, in nanoseconds.
+	recent float64
 	window resultWindow
 	// epoch counts the reductions. Results of requests that started before the last one do not reduce again.
 	epoch uint32
@@ -67,7 +69,11 @@
 
 // observe records the end of a request that started in the given epoch.
 func (r *ramp) observe(epoch uint32, latency time.Duration, result Result) {
-	if result == Cancelled || epoch != r.epoch {
+	if result == Cancelled {
+		return
+	}
+	r.recent += (float64(latency) - r.recent) / 8
+	if epoch != r.epoch {
 		return
 	}
 	if result == Overloaded {
@@ -113,6 +119,11 @@
 	return normal, slow, cold
 }
 
+// wait estimates how long the last of n queued requests waits for its slot.
+func (r *ramp) wait(n int) time.Duration {
+	return time.Duration(float64(n) * r.recent / float64(r.effective))
+}
+
 func (r *ramp) grow() {
 	r.successes++
 	if r.successes < r.perSlot {
