outlier: drop old evidence on readmission, bound the excuse of warming, and test the ejection state machine

Cause: evidence from before an ejection would count again after it, and a server in a ramp that never ends would never be judged. Change: Detector.Reset, to call on ActionReadmit; warming excuses slowness for at most 30 s. New cases: one gate that pauses, and long pauses at low rates.

--- a/outlier/detector.go
+++ b/outlier/detector.go
@@ -3,7 +3,6 @@
 import (
 	"math"
 	"slices"
-	"strings"
 	"time"
 )
 
@@ -26,6 +25,8 @@
 	// HangMargin is the same for the ratio of hanging requests. It is lower, as a few hanging requests fill all slots.
 	// Default 0.05.
 	HangMargin float64
+	// WarmingTime is the longest time for which the slowness of a warming server is excused. Default 30s.
+	WarmingTime time.Duration
 	// DigestAge is the age from which a peer's digest is not used any more. Default 10s.
 	DigestAge time.Duration
 	// FreshAge is the age up to which a digest counts for a judgement that can eject. Default 500ms.
@@ -34,6 +35,7 @@
 
 func (c Config) withDefaults() Config {
 	setDuration(&c.Interval, 100*time.Millisecond)
+	setDuration(&c.WarmingTime, 30*time.Second)
 	setDuration(&c.DigestAge, 10*time.Second)
 	setDuration(&c.FreshAge, 500*time.Millisecond)
 	setInt(&c.MinPeers, 3)
@@ -57,6 +59,7 @@
 type server struct {
 	name, service string
 	warming       bool
+	firstJudged   time.Duration // first evaluation, or never
 	window        window
 	running       map[uint64]time.Duration // start times by request id
 	strongSince   time.Duration            // since when the evidence is strong, or never
@@ -92,6 +95,7 @@
 		warming: warming,
 		running: make(map[uint64]time.Duration),
 
+		firstJudged: never,
 		strongSince: never,
 		askedAt:     never,
 	}
@@ -107,13 +111,23 @@
 	d.names = slices.Delete(d.names, i, i+1)
 }
 
-// SetWarming tells whether the server is in its ramp. A warming server is expected to be slow.
+// SetWarming tells whether the server is in the ramp after a new instance or a readmission. Its slowness is not judged
+// then, for at most Config.WarmingTime. A ramp that started anew because the server became slow must not be reported
+// here, since it would hide the fault.
 func (d *Detector) SetWarming(name string, warming bool) {
 	if s := d.servers[name]; s != nil {
 		s.warming = warming
 	}
 }
 
+// Reset drops the evidence about a server. Call it on ActionReadmit, so that evidence from before the ejection does not
+// count again.
+func (d *Detector) Reset(name string) {
+	if s := d.servers[name]; s != nil {
+		d.AddServer(name, s.service, s.warming)
+	}
+}
+
 // Start records that a request was sent to a server, so that requests that never end count as evidence too. Ids are
 // unique among the running requests of the server.
 func (d *Detector) Start(name string, id uint64, now time.Duration) {
@@ -215,10 +229,11 @@
 // judge compares a server with what is known of its peers. Strong evidence must last, and then only a comparison with
 // fresh digests makes a server faulty: when a whole service becomes slow, each server looks slow next to older digests.
 func (d *Detector) judge(s *server, now time.Duration) Verdict {
-	v := d.compare(s, d.comparable(s, now, d.cfg.DigestAge), now)
+	peers := d.comparable(s, now, d.cfg.DigestAge)
+	v := d.compare(s, peers, now)
 	if v.Health != Faulty {
 		s.strongSince = never
-		d.suspectEarly(&v, s, now)
+		d.suspectEarly(&v, s, peers, now)
 		return v
 	}
 	if s.strongSince == never {
@@ -242,16 +257,16 @@
 
 // suspectEarly makes a server a suspect when its newest samples all are bad, long before there are enough of them to
 // judge at low rates. The suspicion itself has no effect but probes, which bring more samples.
-func (d *Detector) suspectEarly(v *Verdict, s *server, now time.Duration) {
+func (d *Detector) suspectEarly(v *Verdict, s *server, peers []Digest, now time.Duration) {
 	const (
 		inRow = 2
 		score = 0.5
 	)
 	newest := s.window.newest(now, 0, inRow)
-	if v.Health != Healthy || s.warming || len(newest) < inRow {
+	if v.Health != Healthy || d.excused(s, now) || len(newest) < inRow {
 		return
 	}
-	slow := time.Duration(d.cfg.SlowFactor * float64(d.usual(d.comparable(s, now, d.cfg.DigestAge))))
+	slow := time.Duration(d.cfg.SlowFactor * float64(d.usual(peers)))
 	if slow <= 0 {
 		return
 	}
@@ -311,7 +326,7 @@
 	}
 	v.grade(CauseFailing, d.ratioScore(d.cfg.FailureMargin, own, peers, Digest.failRatio))
 	v.grade(CauseHanging, d.ratioScore(d.cfg.HangMargin, own, peers, Digest.hangRatio))
-	if !s.warming {
+	if !d.excused(s, now) {
 		score, factor := d.slowScore(own, peers)
 		v.grade(CauseSlow, score)
 		v.factor = factor
@@ -319,6 +334,14 @@
 	return v
 }
 
+// excused tells whether the server may be slow because it is warming.
+func (d *Detector) excused(s *server, now time.Duration) bool {
+	if s.firstJudged == never {
+		s.firstJudged = now
+	}
+	return s.warming && now-s.firstJudged < d.cfg.WarmingTime
+}
+
 // grade raises the verdict to the score of a cause.
 func (v *Verdict) grade(cause Cause, score float64) {
 	const suspectScore = 0.5
@@ -331,8 +354,8 @@
 	}
 }
 
-// comparable returns the digests up to an age that a server is judged by, sorted by name: those of its peers on other
-// VMs and of other local servers of the service.
+// comparable returns the digests up to an age that a server is judged by, in no order: those of its peers on other VMs
+// and of other local servers of the service.
 func (d *Detector) comparable(s *server, now, age time.Duration) []Digest {
 	var digests []Digest
 	for _, p := range d.peers[s.service] {
@@ -345,9 +368,7 @@
 			digests = append(digests, o.digest(now, d.cfg.MinSamples))
 		}
 	}
-	digests = slices.DeleteFunc(digests, func(p Digest) bool { return p.Warming || p.Count < d.cfg.MinSamples })
-	slices.SortFunc(digests, func(a, b Digest) int { return strings.Compare(a.Server, b.Server) })
-	return digests
+	return slices.DeleteFunc(digests, func(p Digest) bool { return p.Warming || p.Count < d.cfg.MinSamples })
 }
 
 func (d *Detector) dropOldDigests(now time.Duration) {
--- a/outlier/measure_sim_test.go
+++ b/outlier/measure_sim_test.go
@@ -202,6 +202,10 @@
 		switch a.Kind {
 		case ActionEject:
 			g.ejects = append(g.ejects, s.now)
+		case ActionReadmit:
+			if d, ok := g.detect.(*Detector); ok {
+				d.Reset(g.name)
+			}
 		case ActionProbe:
 			s.probe(g)
 		}
--- a/outlier/measure_test.go
+++ b/outlier/measure_test.go
@@ -105,6 +105,11 @@
 	pauses := func(s *detectSim, g *simGate) bool {
 		return (s.now+time.Duration(g.i)*700*ms)%(7*time.Second) < time.Duration(g.spread*float64(time.Second))
 	}
+	// Only one gate pauses here, so that its peers show usual times.
+	onePauses := func(s *detectSim, g *simGate) bool { return g.i == 0 && s.now%(3*time.Second) < 1500*ms }
+	longPauses := func(s *detectSim, g *simGate) bool {
+		return g.i == 0 && (s.now+time.Duration(g.i)*1300*ms)%(6*time.Second) < time.Duration(g.spread*3*float64(time.Second))
+	}
 	oneWay := func(from, to *simGate) bool { return from.i%3 == 0 || to.i%3 != 0 }
 	const slowName = "10 times slower"
 	many := detectCase{servers: 12, rate: 20, base: 20 * ms, width: 0.5}
@@ -134,7 +139,9 @@
 		with(few, "6 servers, slower", func(c *detectCase) { c.faulty, c.factor = true, slowBy(10) }),
 		with(few, "6 servers, errors", func(c *detectCase) { c.faulty, c.outcome = true, one(1, false) }),
 		with(few, "6 servers, wide times", func(c *detectCase) { c.noFalse, c.width = true, 1.2 }),
+		with(few, "6 servers, long pauses", func(c *detectCase) { c.noFalse, c.paused = true, longPauses }),
 		with(many, "own pauses", func(c *detectCase) { c.noFalse, c.paused = true, pauses }),
+		with(many, "own pauses, one gate", func(c *detectCase) { c.noFalse, c.paused = true, onePauses }),
 		with(many, "own pauses, slower", func(c *detectCase) { c.faulty, c.factor, c.paused = true, slowBy(10), pauses }),
 	}
 }
