node: let measurements replace the dial function

Measurements with delays between processes need to wrap the connections that one process opens to another. Options.Dial reaches rpc.Client and the proxy's client for gates. Backend servers are on the gate's own VM, so the connections to them have no hook. Without Dial nothing changes.

--- a/node/node.go
+++ b/node/node.go
@@ -101,6 +101,10 @@
 	})
 	n.ejections.gate = n.gate
 	n.peers = proxy.NewPeerClient(o.PeerClientTLS)
+	if o.Dial != nil {
+		n.client.Dial = o.Dial
+		n.peers.SetDial(o.Dial)
+	}
 	n.entry = proxy.NewEntry(proxy.EntryOptions{
 		VM: o.Name, Domain: o.Domain, Fleet: n.fleet, Clock: n.clock, Log: o.Log,
 		Limiter: n.limiter, Admitter: n, Directory: n.directory, Gate: n.gate, Peers: n.peers,
--- a/node/options.go
+++ b/node/options.go
@@ -1,7 +1,9 @@
 package node
 
 import (
+	"context"
 	"crypto/tls"
+	"net"
 	"time"
 
 	"github.com/phuslu/log"
@@ -31,6 +33,10 @@
 	PeerServerTLS *tls.Config
 	PeerClientTLS *tls.Config
 
+	// Dial opens connections to peers, for measurements with delays. Default: a net.Dialer. Calls between processes use
+	// it without PeerClientTLS only.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+
 	// DataDir is the data folder. A process with one has the control role.
 	DataDir string
 	// Bootstrap creates a new control group with this process as its only member, where DataDir is empty.
--- a/proxy/remote.go
+++ b/proxy/remote.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/tls"
 	"fmt"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -39,6 +40,11 @@
 	}
 }
 
+// SetDial replaces the function that opens connections to peers. It is called before the first request.
+func (c *PeerClient) SetDial(dial func(ctx context.Context, network, address string) (net.Conn, error)) {
+	c.transport.DialContext = dial
+}
+
 // Gate returns a Runner for the gate at address.
 func (c *PeerClient) Gate(address string) Runner {
 	return &remoteGate{client: c, address: address}
--- a/rpc/client.go
+++ b/rpc/client.go
@@ -16,6 +16,8 @@
 // Client keeps one connection a peer and opens it when it is needed.
 type Client struct {
 	tls *tls.Config
+	// Dial opens plain connections. It is set before the first call. Default: a net.Dialer.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 
 	mu    sync.Mutex // guards the fields below and all peers; never held while connecting
 	peers map[string]*peer
@@ -37,7 +39,7 @@
 
 // NewClient returns a Client. tlsConfig is nil for plain connections.
 func NewClient(tlsConfig *tls.Config) *Client {
-	return &Client{tls: tlsConfig, peers: map[string]*peer{}}
+	return &Client{tls: tlsConfig, Dial: (&net.Dialer{}).DialContext, peers: map[string]*peer{}}
 }
 
 // Call sends a request to the peer at address and waits for its result. Errors are of type *PeerError; the cause is a
@@ -117,7 +119,7 @@
 
 // open runs one attempt to connect.
 func (c *Client) open(address string, p *peer, a *attempt) {
-	a.conn, a.err = dial(address, c.tls)
+	a.conn, a.err = c.dial(address)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	p.attempt = nil
@@ -167,10 +169,10 @@
 	}
 }
 
-func dial(address string, tlsConfig *tls.Config) (*jsonrpc2.Conn, error) {
+func (c *Client) dial(address string) (*jsonrpc2.Conn, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), handshakeTimeout)
 	defer cancel()
-	conn, err := dialConn(ctx, address, tlsConfig)
+	conn, err := c.dialConn(ctx, address)
 	if err != nil {
 		return nil, err
 	}
@@ -183,11 +185,11 @@
 	return jsonrpc2.NewConn(context.Background(), stream, refuseCalls{}, jsonrpc2.SetLogger(discardLogger{})), nil
 }
 
-func dialConn(ctx context.Context, address string, tlsConfig *tls.Config) (net.Conn, error) {
-	if tlsConfig == nil {
-		return (&net.Dialer{}).DialContext(ctx, "tcp", address)
+func (c *Client) dialConn(ctx context.Context, address string) (net.Conn, error) {
+	if c.tls == nil {
+		return c.Dial(ctx, "tcp", address)
 	}
-	dialer := &tls.Dialer{Config: tlsConfig}
+	dialer := &tls.Dialer{Config: c.tls}
 	return dialer.DialContext(ctx, "tcp", address)
 }
 
