--- /dev/null
+++ b/bench/table.go
@@ -0,0 +1,72 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"strings"
+	"text/tabwriter"
+)
+
+// printTable writes a Markdown table for each user.
+func printTable(w io.Writer, report *Report) {
+	fmt.Fprintf(w, "Command: `%s`, commit %s, seed %d, %.0f s a scenario.\n", report.Command, report.Commit, report.Seed, report.Seconds)
+	for _, u := range users {
+		var rows []*Result
+		for _, r := range report.Results {
+			if r.User == u.name {
+				rows = append(rows, r)
+			}
+		}
+		if len(rows) > 0 {
+			printUser(w, u.name, rows)
+		}
+	}
+}
+
+func printUser(w io.Writer, name string, rows []*Result) {
+	fmt.Fprintf(w, "\n### %s\n\n", name)
+	t := tabwriter.NewWriter(w, 0, 0, 1, ' ', 0)
+	columns := []string{
+		"scenario", "system", "detected s", "for most s", "at faulty", "false ej. (servers)", "worst team", "in time", "p99 ms",
+		"refused inside rate", "above rate", "during in time", "during p99 ms", "after in time", "bad s",
+	}
+	fmt.Fprintf(t, "| %s\t|\n", strings.Join(columns, "\t| "))
+	fmt.Fprintf(t, "|%s\n", strings.Repeat("---\t|", len(columns)))
+	for _, r := range rows {
+		fmt.Fprintf(t, "| %s\t|\n", strings.Join(cells(r), "\t| "))
+	}
+	// The destination is a terminal or a file; a failed write shows by itself.
+	_ = t.Flush()
+}
+
+func cells(r *Result) []string {
+	atFaulty := "-"
+	if r.Gray {
+		atFaulty = fmt.Sprint(r.GrayRuns)
+	}
+	worst := r.Teams[r.WorstTeam]
+	return []string{
+		r.Scenario, r.System, detected(r, r.DetectFirst), detected(r, r.DetectMost), atFaulty,
+		fmt.Sprintf("%d (%d)", r.FalseEjections, r.FalseServers),
+		r.WorstTeam,
+		fmt.Sprintf("%.2f%% of %d", 100*r.WorstShare, worst.Offered),
+		fmt.Sprintf("%.0f", r.WorstP99),
+		fmt.Sprintf("%d of %d", r.RefusedInside, r.Inside),
+		fmt.Sprint(r.AdmittedOutside),
+		fmt.Sprintf("%.2f%% of %d", 100*r.During.Share, r.During.Offered),
+		fmt.Sprintf("%.0f", r.During.P99),
+		fmt.Sprintf("%.2f%%", 100*r.After.Share),
+		fmt.Sprint(r.BadSeconds),
+	}
+}
+
+func detected(r *Result, seconds float64) string {
+	switch {
+	case !r.Gray:
+		return "-"
+	case seconds < 0:
+		return "never"
+	default:
+		return fmt.Sprintf("%.1f", seconds)
+	}
+}
