--- a/bench/caller.go
+++ b/bench/caller.go
@@ -18,15 +18,17 @@
 	system system
 	client *http.Client
 	run    string // makes request ids and idempotency keys unique
+	// lines takes a line for each request that is not answered, except those over the rate; nil means none.
+	lines io.Writer
 }
 
-func newCaller(u *user, s system, run string) *caller {
+func newCaller(u *user, s system, run string, lines io.Writer) *caller {
 	transport := &http.Transport{
 		DialContext:         u.callerDialer().DialContext,
 		MaxIdleConnsPerHost: maxIdleConns,
 		DisableCompression:  true,
 	}
-	return &caller{system: s, client: &http.Client{Transport: transport}, run: run}
+	return &caller{system: s, client: &http.Client{Transport: transport}, run: run, lines: lines}
 }
 
 // send sends the schedule open-loop from start on and returns when each request has ended.
@@ -57,14 +59,30 @@
 	}
 	resp, err := c.client.Do(req)
 	if err != nil {
+		c.note(req, failed, err.Error())
 		return failed
 	}
 	defer resp.Body.Close()
 	body, err := io.ReadAll(resp.Body)
 	if err != nil {
+		c.note(req, failed, err.Error())
 		return failed
 	}
-	return judge(resp.StatusCode, string(body))
+	o := judge(resp.StatusCode, string(body))
+	if o != answered && o != overRate {
+		c.note(req, o, fmt.Sprintf("%s %s", resp.Status, body))
+	}
+	return o
+}
+
+// note writes a line about a request that was not answered.
+func (c *caller) note(req *http.Request, o outcome, detail string) {
+	if c.lines == nil {
+		return
+	}
+	// The log is an aid; a failed write changes no measure.
+	_, _ = fmt.Fprintf(c.lines, "caller: %s %s %s %s %s: %q\n", time.Now().UTC().Format("15:04:05.000"), o,
+		req.Header.Get(requestID), req.Method, req.URL, detail)
 }
 
 func (c *caller) build(ctx context.Context, i int, a *arrival) (*http.Request, error) {
--- a/bench/record.go
+++ b/bench/record.go
@@ -68,6 +68,15 @@
 	return float64(t.inTime) / float64(t.offered)
 }
 
+// admittedShare returns the share answered in time of the requests that were not refused for the rate.
+func (t *tally) admittedShare() float64 {
+	admitted := t.offered - t.ended[overRate]
+	if admitted == 0 {
+		return 1
+	}
+	return float64(t.inTime) / float64(admitted)
+}
+
 // p99 returns the 99th percentile in milliseconds.
 func (t *tally) p99() float64 { return float64(t.latency.ValueAtQuantile(99)) / 1000 }
 
--- a/bench/result.go
+++ b/bench/result.go
@@ -46,15 +46,17 @@
 
 // Service counts how requests ended.
 type Service struct {
-	Offered int            `json:"offered"`
-	InTime  int            `json:"inTime"`
-	Share   float64        `json:"shareInTime"`
-	P99     float64        `json:"p99Ms"`
-	Ended   map[string]int `json:"ended"`
+	Offered int     `json:"offered"`
+	InTime  int     `json:"inTime"`
+	Share   float64 `json:"shareInTime"`
+	P99     float64 `json:"p99Ms"`
+	// AdmittedShare leaves out the requests that were refused for the rate.
+	AdmittedShare float64        `json:"admittedShareInTime"`
+	Ended         map[string]int `json:"ended"`
 }
 
 func newService(t *tally) Service {
-	s := Service{Offered: t.offered, InTime: t.inTime, Share: t.share(), P99: t.p99(), Ended: map[string]int{}}
+	s := Service{Offered: t.offered, InTime: t.inTime, Share: t.share(), P99: t.p99(), AdmittedShare: t.admittedShare(), Ended: map[string]int{}}
 	for o, n := range t.ended {
 		if n > 0 {
 			s.Ended[outcome(o).String()] = n
--- a/bench/run.go
+++ b/bench/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"os"
 	"time"
 
@@ -37,7 +38,7 @@
 		return nil, err
 	}
 	defer b.stop()
-	return runSystems(ctx, ready, s, u, sc, []system{f, b})
+	return runSystems(ctx, ready, s, u, sc, []system{f, b}, lines)
 }
 
 func openLog(prefix, user, scenario string) (*os.File, error) {
@@ -47,10 +48,10 @@
 	return os.Create(fmt.Sprintf("%s-%s-%s.log", prefix, user, scenario))
 }
 
-func runSystems(ctx, ready context.Context, s *settings, u *user, sc scenario, list []system) ([]*Result, error) {
+func runSystems(ctx, ready context.Context, s *settings, u *user, sc scenario, list []system, lines *os.File) ([]*Result, error) {
 	runs := make([]*run, len(list))
 	for i, sys := range list {
-		runs[i] = newRun(s, u, sc, sys)
+		runs[i] = newRun(s, u, sc, sys, lines)
 		if err := runs[i].caller.waitReady(ready, u); err != nil {
 			return nil, err
 		}
@@ -89,12 +90,16 @@
 	recorder *recorder
 }
 
-func newRun(s *settings, u *user, sc scenario, sys system) *run {
+func newRun(s *settings, u *user, sc scenario, sys system, lines *os.File) *run {
 	t := newTimes(s.duration)
 	except := ""
 	if sc.flood {
 		except = u.floodTeam
 	}
+	var notes io.Writer
+	if lines != nil {
+		notes = lines
+	}
 	victim := 0
 	for i, v := range u.vms() {
 		if v.service == u.grayService {
@@ -105,7 +110,7 @@
 	return &run{
 		user: u, scenario: sc, times: t,
 		stage:    &stage{user: u, system: sys, victim: victim, domain: leavingDomain},
-		caller:   newCaller(u, sys, fmt.Sprintf("%s-%s-%d", sys.name(), sc.name, s.seed)),
+		caller:   newCaller(u, sys, fmt.Sprintf("%s-%s-%d", sys.name(), sc.name, s.seed), notes),
 		recorder: newRecorder(u, t, s.inTime, except),
 	}
 }
