--- a/node/gossip.go
+++ b/node/gossip.go
@@ -75,6 +75,8 @@
 	// published is the encoded form of own.
 	published []byte
 	members   map[string]peerInfo // the other members
+	// changes counts the changes of members and of the own metadata.
+	changes uint64
 }
 
 // peerInfo is a member with its decoded metadata.
@@ -158,6 +160,7 @@
 // takeEvents updates the table of members. The caller holds mu.
 func (g *gossip) takeEvents() {
 	for _, e := range g.node.Events() {
+		g.changes++
 		if e.Kind == membership.EventRemoved {
 			delete(g.members, e.Member.Name)
 			continue
@@ -201,6 +204,13 @@
 	return all
 }
 
+// changeCount grows with each change of what list returns.
+func (g *gossip) changeCount() uint64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.changes
+}
+
 // member returns one member by name.
 func (g *gossip) member(name string) (peerInfo, bool) {
 	g.mu.Lock()
@@ -223,6 +233,7 @@
 	g.own = meta
 	if !bytes.Equal(data, g.published) {
 		g.published = data
+		g.changes++
 		g.node.SetMeta(data)
 	}
 	return nil
--- a/node/node.go
+++ b/node/node.go
@@ -44,9 +44,11 @@
 	source    *control.Source
 	servers   []*server
 	// admitUntil is the time until which the last look at the right to admit holds, on the node's clock.
-	admitUntil  atomic.Int64
-	admitted    bool // used by refreshRight only, guarded by rightMu
-	rightMu     sync.Mutex
+	admitUntil atomic.Int64
+	admitted   bool // used by refreshRight only, guarded by rightMu
+	rightMu    sync.Mutex
+	// seenChanges is the gossip change count of the last rebuild; used by refreshDirectory only.
+	seenChanges uint64
 	loads       loadSteps // used by refreshDirectory only
 	stopOnce    sync.Once
 	stopErr     error
@@ -175,6 +177,11 @@
 func (n *Node) refreshDirectory() {
 	n.gate.Sweep()
 	n.publishMeta()
+	changes := n.gossip.changeCount()
+	if changes == n.seenChanges {
+		return
+	}
+	n.seenChanges = changes
 	n.directory.rebuild(n.gossip.list())
 }
 
