--- a/quota/measure_test.go
+++ b/quota/measure_test.go
@@ -153,9 +153,7 @@
 			if c.setup != nil {
 				c.setup(f)
 			}
-			for _, a := range arrivals {
-				f.at(a.at, func() { f.arrive(a) })
-			}
+			f.offer(arrivals)
 			f.run(simDuration + time.Second)
 			report(t, c, f, arrivals)
 		}
--- a/quota/sim_test.go
+++ b/quota/sim_test.go
@@ -1,32 +1,17 @@
 package quota
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"sort"
 	"time"
 )
 
-// event is an action at a point in virtual time; seq keeps the order of equal times.
+// event is an action at a point in virtual time.
 type event struct {
-	at  time.Duration
-	seq int
-	do  func()
-}
-
-type eventQueue []event
-
-func (q eventQueue) Len() int { return len(q) }
-func (q eventQueue) Less(i, j int) bool {
-	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].seq < q[j].seq
-}
-func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q *eventQueue) Push(x any)   { *q = append(*q, x.(event)) }
-func (q *eventQueue) Pop() any {
-	last := (*q)[len(*q)-1]
-	*q = (*q)[:len(*q)-1]
-	return last
+	at time.Duration
+	do func()
 }
 
 // arrival is one request of a team at a process.
@@ -44,8 +29,7 @@
 // simFleet runs holders and one owner in virtual time.
 type simFleet struct {
 	now      time.Duration
-	queue    eventQueue
-	seq      int
+	queue    []event // in order of time
 	delay    time.Duration
 	holders  []*Holder
 	owner    *Owner
@@ -93,18 +77,30 @@
 }
 
 func (f *simFleet) at(when time.Duration, do func()) {
-	f.seq++
-	heap.Push(&f.queue, event{when, f.seq, do})
+	i := sort.Search(len(f.queue), func(i int) bool { return f.queue[i].at > when })
+	f.queue = slices.Insert(f.queue, i, event{when, do})
 }
 
 func (f *simFleet) run(until time.Duration) {
 	for len(f.queue) > 0 && f.queue[0].at < until {
-		e := heap.Pop(&f.queue).(event)
+		e := f.queue[0]
+		f.queue = f.queue[1:]
 		f.now = e.at
 		e.do()
 	}
 }
 
+// offer schedules the arrivals one after the other.
+func (f *simFleet) offer(arrivals []arrival) {
+	if len(arrivals) == 0 {
+		return
+	}
+	f.at(arrivals[0].at, func() {
+		f.arrive(arrivals[0])
+		f.offer(arrivals[1:])
+	})
+}
+
 func (f *simFleet) join(p int) {
 	f.lives++
 	f.holders[p] = NewHolder(Config{Process: fmt.Sprint(p), Incarnation: f.lives})
