Assign shards to processes without the control role where there are any

Control alone can name other owners. Change: control VMs own shards only in fleets without other processes; tests of shard owners and their handover.

--- a/node/limiter.go
+++ b/node/limiter.go
@@ -146,6 +146,7 @@
 		return
 	}
 	l.receive(reply)
+	l.poll()
 }
 
 func (l *limiter) receive(reply quota.GrantReply) {
--- a/node/roster.go
+++ b/node/roster.go
@@ -129,16 +129,27 @@
 	return state.Command{AssignShards: &state.AssignShards{Owners: owners}}, true
 }
 
-// staying returns the names of the processes in the roster that are alive and not leaving.
+// staying returns the names of the processes in the roster that are alive and not leaving. Processes with the control
+// role come into question only where there are no others: an owner that fails together with control cannot be replaced
+// until control is back.
 func (c *controlRole) staying(members []peerInfo) []string {
-	var names []string
+	var proxies, control []string
 	c.machine.View(func(s *state.State) {
 		for _, m := range members {
-			if _, ok := s.Process(m.Name); ok && m.Status == membership.StatusAlive {
-				names = append(names, m.Name)
+			_, listed := s.Process(m.Name)
+			switch {
+			case !listed || m.Status != membership.StatusAlive:
+			case m.meta.Control != 0:
+				control = append(control, m.Name)
+			default:
+				proxies = append(proxies, m.Name)
 			}
 		}
 	})
+	names := proxies
+	if len(names) == 0 {
+		names = control
+	}
 	sort.Strings(names)
 	return names
 }
--- /dev/null
+++ b/node/shards_test.go
@@ -0,0 +1,163 @@
+package node
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"rosemaryline.dev/control"
+	"rosemaryline.dev/fleet/config"
+	"rosemaryline.dev/fleet/state"
+	"rosemaryline.dev/membership"
+	"rosemaryline.dev/proxy"
+)
+
+// fleetFixture is a copy of the fleet state that a test changes by commands.
+type fleetFixture struct {
+	t     *testing.T
+	copy  *control.Copy
+	other *state.State
+	fleet *proxy.Fleet
+}
+
+func newFleetFixture(t *testing.T, vms ...string) *fleetFixture {
+	t.Helper()
+	f := &fleetFixture{t: t, copy: control.NewCopy(), other: state.New()}
+	f.fleet = proxy.NewFleet(f.copy)
+	change := config.Change{}
+	change.Domains.Set = map[string]config.Domain{"dom": {Region: "region"}}
+	f.propose(state.Command{Apply: &state.ApplyChange{Change: change, ContentHash: change.Hash()}})
+	for _, vm := range vms {
+		f.propose(state.Command{Join: &state.Process{Name: vm, Address: vm + ":1", Domain: "dom"}})
+	}
+	return f
+}
+
+func (f *fleetFixture) propose(c state.Command) {
+	f.t.Helper()
+	before := f.other.Version()
+	c.ChangeID, c.Operator = fmt.Sprint("change-", before), "test"
+	data, err := c.Encode()
+	assert.NilError(f.t, err)
+	result, err := state.DecodeResult(f.other.Apply(data))
+	assert.NilError(f.t, err)
+	assert.Assert(f.t, result.Err == nil, "%v", result.Err)
+	deltas, ok := f.other.Since(before)
+	assert.Assert(f.t, ok)
+	_, err = f.copy.Apply(deltas)
+	assert.NilError(f.t, err)
+	f.fleet.Refresh()
+}
+
+func (f *fleetFixture) assign(shard int, vm string) {
+	f.t.Helper()
+	f.propose(state.Command{AssignShards: &state.AssignShards{Owners: map[int]string{shard: vm}}})
+}
+
+// Guards against two owners of one shard that act at the same time: a team would get its rate twice, and ejections
+// could pass the floor.
+func TestShardOwnerWaitsForFormerOwner(t *testing.T) {
+	const shard = 7
+	now := time.Duration(0)
+	may := true
+	f := newFleetFixture(t, "vm-a", "vm-b")
+	s := newShards("vm-b", func() time.Duration { return now }, f.fleet, func() bool { return may })
+	s.update()
+	owns := func() bool {
+		_, ok := s.owns(shard)
+		return ok
+	}
+	assert.Assert(t, !owns(), "no owner is named")
+
+	f.assign(shard, "vm-a")
+	s.update()
+	f.assign(shard, "vm-b")
+	s.update()
+	assert.Assert(t, !owns(), "vm-a may still act")
+	now += handoverWait - time.Millisecond
+	assert.Assert(t, !owns(), "vm-a may still act")
+	now += time.Millisecond
+	assert.Assert(t, owns())
+	may = false
+	assert.Assert(t, !owns(), "this process has lost the right to act")
+	may = true
+
+	f.assign(shard, "vm-a")
+	s.update()
+	assert.Assert(t, !owns())
+	f.assign(shard, "vm-b")
+	s.update()
+	s.setInForce(f.fleet.Version() - 1)
+	assert.Assert(t, !owns(), "the version that names vm-b is not in force")
+	s.setInForce(f.fleet.Version())
+	assert.Assert(t, owns())
+}
+
+// Guards against a restarted process that acts for its shards at once: its copy may be so old that another process owns
+// them by now.
+func TestRestartedShardOwnerWaits(t *testing.T) {
+	const shard = 7
+	now := time.Duration(0)
+	f := newFleetFixture(t, "vm-a")
+	f.assign(shard, "vm-a")
+	s := newShards("vm-a", func() time.Duration { return now }, f.fleet, func() bool { return true })
+	s.update()
+	_, ok := s.owns(shard)
+	assert.Assert(t, !ok)
+	now = handoverWait
+	since, ok := s.owns(shard)
+	assert.Assert(t, ok)
+	assert.Equal(t, since, handoverWait)
+}
+
+// Guards against shard owners that fail together with control: nobody could name others while control is away.
+func TestShardOwnersAvoidControlVMs(t *testing.T) {
+	f := newFleetFixture(t, "control-1", "proxy-1", "proxy-2")
+	c := &controlRole{machine: &controlMachine{state: f.other}}
+	member := func(name string, control bool, status membership.Status) peerInfo {
+		info := peerInfo{Member: membership.Member{Name: name, Status: status}}
+		if control {
+			info.meta.Control = 1
+		}
+		return info
+	}
+	for _, test := range []struct {
+		desc    string
+		members []peerInfo
+		want    []string
+	}{
+		{
+			desc: "proxies are there",
+			members: []peerInfo{
+				member("control-1", true, membership.StatusAlive),
+				member("proxy-1", false, membership.StatusAlive),
+				member("proxy-2", false, membership.StatusLeaving),
+				member("stranger", false, membership.StatusAlive),
+			},
+			want: []string{"proxy-1"},
+		},
+		{
+			desc:    "only control VMs are there",
+			members: []peerInfo{member("control-1", true, membership.StatusAlive)},
+			want:    []string{"control-1"},
+		},
+	} {
+		t.Run(test.desc, func(t *testing.T) {
+			assert.DeepEqual(t, c.staying(test.members), test.want)
+		})
+	}
+}
+
+// Guards against moving more shards than those of the process that left.
+func TestRendezvousMovesOnlyLostShards(t *testing.T) {
+	all := []string{"vm-a", "vm-b", "vm-c", "vm-d"}
+	rest := all[:3]
+	for shard := range state.Shards {
+		before := rendezvous(all, shard)
+		if before != "vm-d" {
+			assert.Equal(t, rendezvous(rest, shard), before)
+		}
+	}
+}
