--- a/raft/cluster_test.go
+++ b/raft/cluster_test.go
@@ -97,6 +97,8 @@
 	// lockstep is set while all clocks run at the same speed, so that leases must hold.
 	lockstep bool
 	rejects  int
+	// wasted counts append messages on blocked links.
+	wasted int
 }
 
 func newCluster(t rapid.TB, seed uint64, voters ...ID) *cluster {
@@ -185,6 +187,9 @@
 	c.net = slices.Delete(c.net, i, i+1)
 	to := c.members[msg.To]
 	if to == nil || to.node == nil || c.paused[msg.To] || c.blocked[link{msg.From, msg.To}] {
+		if msg.Kind == MessageAppend {
+			c.wasted++
+		}
 		return
 	}
 	if err := to.node.Step(msg); err != nil {
--- a/raft/node.go
+++ b/raft/node.go
@@ -25,7 +25,7 @@
 	// lastContact is the tick of the last message from a leader. It is 0 after a start, because the member may have
 	// answered a leader just before.
 	lastContact int
-	votes    map[ID]bool
+	votes       map[ID]bool
 
 	// The following fields are used by a leader only.
 	peers        map[ID]*progress
--- a/raft/raft_test.go
+++ b/raft/raft_test.go
@@ -165,7 +165,8 @@
 	assert.Equal(t, leader.node.term, term)
 }
 
-// Guards against slow catch-up: one round trip for each entry, or a snapshot although the entries are there.
+// Guards against slow catch-up: one round trip for each entry, or a snapshot although the entries are there. Also guards
+// against entries that are sent to a silent member again and again.
 func TestCatchUp(t *testing.T) {
 	for _, tt := range []struct {
 		desc      string
@@ -185,7 +186,9 @@
 			for i := range tt.entries {
 				c.propose(leader, fmt.Sprint("v", i))
 			}
-			c.run(2)
+			c.run(60)
+			// A full window, then a retry each half election timeout while the member counts as active.
+			assert.Assert(t, c.wasted <= 3+2, "%d appends to a silent member", c.wasted)
 			if tt.compact {
 				c.compact(leader)
 			}
@@ -290,5 +293,6 @@
 		assert.NilError(t, n.Step(m))
 		assert.NilError(t, n.Step(Message{Kind: MessageSnapshot, From: 1, To: self, Term: 2, Snapshot: s}))
 		assert.Equal(t, n.log.last(), uint64(11), "a snapshot of a matching log drops nothing")
+		assert.Equal(t, n.messages[len(n.messages)-1].Index, uint64(10), "entry 11 is not part of the snapshot")
 	}
 }
