replica: Test acknowledgements against the loss of all members

Change: half of the faults hold one member's writes while a second one is down, then kill all and start the other two first.

--- a/replica/cluster_test.go
+++ b/replica/cluster_test.go
@@ -34,7 +34,8 @@
 	storage.OS
 	killed atomic.Bool
 	syncs  atomic.Int64
-	// hold delays syncs while a test holds its write lock.
+	writes atomic.Int64
+	// hold delays writes while a test holds its write lock.
 	hold sync.RWMutex
 }
 
@@ -61,6 +62,9 @@
 }
 
 func (f killFile) Write(p []byte) (int, error) {
+	f.fs.writes.Add(1)
+	f.fs.hold.RLock()
+	defer f.fs.hold.RUnlock()
 	if f.fs.killed.Load() {
 		n, _ := f.File.Write(p[:len(p)/2])
 		return n, errKilled
@@ -70,8 +74,6 @@
 
 func (f killFile) Sync() error {
 	f.fs.syncs.Add(1)
-	f.fs.hold.RLock()
-	defer f.fs.hold.RUnlock()
 	if f.fs.killed.Load() {
 		return errKilled
 	}
@@ -229,6 +231,24 @@
 	}
 }
 
+// loseQuorum kills all members after a phase in which only one member and another whose writes are held were running.
+// The former starts last, so whatever the latter acknowledged before it was written is lost.
+func (c *cluster) loseQuorum(rnd *rand.Rand) {
+	order := rnd.Perm(len(c.members))
+	held, down, last := c.members[order[0]], c.members[order[1]], c.members[order[2]]
+	down.kill()
+	held.fs.hold.Lock()
+	time.Sleep(5 * testTick)
+	held.fs.killed.Store(true)
+	held.fs.hold.Unlock()
+	last.kill()
+	held.kill()
+	held.start()
+	down.start()
+	time.Sleep(30 * testTick)
+	last.start()
+}
+
 // cutPath cuts the path in one direction.
 func (c *cluster) cutPath(from, to *member) {
 	c.mu.Lock()
@@ -243,7 +263,7 @@
 	clear(c.cut)
 }
 
-// pauseIsolated stops a member's loop at its next sync, while the others elect a leader, and then lets it go on for a
+// pauseIsolated stops a member's loop at its next write, while the others elect a leader, and then lets it go on for a
 // while without contact. A leader then has to find out by itself that it is deposed.
 func (m *member) pauseIsolated() {
 	for _, other := range m.members {
--- a/replica/group_test.go
+++ b/replica/group_test.go
@@ -17,8 +17,8 @@
 	"rosemaryline.dev/storage"
 )
 
-// Guards against lost, doubled or diverging commands and against false "not applied" errors while one or two
-// members at a time are killed in the middle of writes and restarted.
+// Guards against lost, doubled or diverging commands and against false "not applied" errors while one or all
+// members are killed in the middle of writes and restarted.
 func TestKillsDuringProposals(t *testing.T) {
 	const clients, kills = 4, 20
 	c := newCluster(t, 3)
@@ -43,11 +43,12 @@
 	}
 	rnd := rand.New(rand.NewPCG(1, 1))
 	c.disturb(kills, rnd, func(m *member) {
-		other := c.members[rnd.IntN(len(c.members))]
+		if rnd.IntN(2) == 0 {
+			c.loseQuorum(rnd)
+			return
+		}
 		m.kill()
-		other.kill()
 		m.start()
-		other.start()
 	})
 	for acknowledged.Load() < 300 {
 		time.Sleep(testTick)
@@ -93,9 +94,9 @@
 	c.mustPropose("first")
 	var wg sync.WaitGroup
 	m.fs.hold.Lock()
-	before := m.fs.syncs.Load()
+	before, writes := m.fs.syncs.Load(), m.fs.writes.Load()
 	wg.Go(func() { c.mustPropose("held") })
-	for m.fs.syncs.Load() == before {
+	for m.fs.writes.Load() == writes {
 		time.Sleep(testTick)
 	}
 	for i := range proposals {
