--- a/outlier/detector.go
+++ b/outlier/detector.go
@@ -306,12 +306,16 @@
 // faster within seconds.
 func (d *Detector) confirmTime(cause Cause, factor float64) time.Duration {
 	const (
-		least      = 300 * time.Millisecond
+		others     = 300 * time.Millisecond
+		least      = 400 * time.Millisecond
 		fullFactor = 8 // from here on, the least time is enough
 		power      = 8
 		most       = 10 * time.Second
 	)
-	if cause != CauseSlow || factor >= fullFactor {
+	switch {
+	case cause != CauseSlow:
+		return others
+	case factor >= fullFactor:
 		return least
 	}
 	wait := float64(least) * math.Pow(math.Log(fullFactor)/math.Log(max(factor, 1.1)), power)
