bench: add gray failure while control is away, count ejections after the fault

Ejections outside the time of the fault now count as false. Shards whose owner is a control VM have no permit arbiter while control is away, so a scenario combines both.

--- a/bench/detect.go
+++ b/bench/detect.go
@@ -11,13 +11,13 @@
 	falseEvents, falseServers int
 }
 
-// detect reads the ejections. victim is the faulty backend server or "".
-func detect(list []ejection, victim string, began time.Time, entries int) detection {
+// detect reads the ejections. victim is the faulty backend server or "", which is healthy outside the time of the fault.
+func detect(list []ejection, victim string, began, ended time.Time, entries int) detection {
 	d := detection{first: -1, most: -1}
 	wrong := map[string]bool{}
 	seen := map[int]bool{}
 	for _, e := range list {
-		if e.server != victim || e.at.Before(began) {
+		if e.server != victim || e.at.Before(began) || e.at.After(ended) {
 			wrong[e.server] = true
 			d.falseEvents++
 			continue
--- a/bench/measures_test.go
+++ b/bench/measures_test.go
@@ -88,23 +88,25 @@
 	assert.Equal(t, worstTeam(teams, ""), "b")
 }
 
-// Guards against counting an ejection before the fault, or of another backend server, as the detection.
+// Guards against counting an ejection before or after the fault, or of another backend server, as the detection.
 func TestDetect(t *testing.T) {
 	began := time.Unix(100, 0)
 	at := func(d time.Duration) time.Time { return began.Add(d) }
+	ended := at(10 * time.Second)
 	fleet := []ejection{
 		{server: "a", at: at(-time.Second), entry: -1},
 		{server: "b", at: at(time.Second), entry: -1},
 		{server: "a", at: at(2 * time.Second), entry: -1},
+		{server: "a", at: at(11 * time.Second), entry: -1},
 	}
-	assert.Equal(t, detect(fleet, "a", began, 4), detection{first: 2 * time.Second, most: 2 * time.Second, falseEvents: 2, falseServers: 2})
+	assert.Equal(t, detect(fleet, "a", began, ended, 4), detection{first: 2 * time.Second, most: 2 * time.Second, falseEvents: 3, falseServers: 2})
 	entries := []ejection{
 		{server: "a", at: at(time.Second), entry: 0},
 		{server: "a", at: at(2 * time.Second), entry: 0},
 		{server: "a", at: at(3 * time.Second), entry: 3},
 	}
-	assert.Equal(t, detect(entries, "a", began, 4), detection{first: time.Second, most: 3 * time.Second})
-	assert.Equal(t, detect(nil, "a", began, 4), detection{first: -1, most: -1})
+	assert.Equal(t, detect(entries, "a", began, ended, 4), detection{first: time.Second, most: 3 * time.Second})
+	assert.Equal(t, detect(nil, "a", began, ended, 4), detection{first: -1, most: -1})
 }
 
 // Guards against traffic that differs between two runs with the same seed, or leaves the rate.
--- a/bench/result.go
+++ b/bench/result.go
@@ -33,9 +33,11 @@
 	RefusedInside   int     `json:"refusedInsideRate"`
 	Inside          int     `json:"offeredInsideRate"`
 	AdmittedOutside int     `json:"admittedOutsideRate"`
-	LateRuns        int     `json:"runsInDomainThatLeft"`
-	BadSeconds      int     `json:"badSeconds"`
-	LateSends       int     `json:"lateSends"`
+	// NoCapacity counts requests of teams inside their rate that were refused with 503.
+	NoCapacity int `json:"noCapacity"`
+	LateRuns   int `json:"runsInDomainThatLeft"`
+	BadSeconds int `json:"badSeconds"`
+	LateSends  int `json:"lateSends"`
 
 	Before Service            `json:"before"`
 	During Service            `json:"during"`
@@ -80,6 +82,9 @@
 		res.RefusedInside += t.refusedInside()
 		res.Inside += t.inside
 		res.AdmittedOutside += t.admittedOutside()
+		if team != rec.except {
+			res.NoCapacity += t.ended[noCapacity]
+		}
 	}
 	res.WorstTeam = worstTeam(rec.teams, rec.except)
 	worst := rec.teams[res.WorstTeam]
@@ -94,7 +99,7 @@
 		victim = r.user.vms()[r.stage.victim].name
 		res.GrayRuns = r.stage.grayRuns
 	}
-	d := detect(r.stage.system.ejections(), victim, r.stage.began, r.user.servers())
+	d := detect(r.stage.system.ejections(), victim, r.stage.began, r.stage.ended, r.user.servers())
 	res.DetectFirst = seconds(d.first)
 	res.DetectMost = seconds(d.most)
 	res.FalseEjections = d.falseEvents
--- a/bench/run.go
+++ b/bench/run.go
@@ -132,6 +132,7 @@
 		}
 	}
 	time.Sleep(time.Until(start.Add(r.times.faultTo)))
+	r.stage.ended = time.Now()
 	if r.scenario.end != nil {
 		return r.scenario.end(ctx, r.stage)
 	}
--- a/bench/scenario.go
+++ b/bench/scenario.go
@@ -31,6 +31,7 @@
 	lateRuns int
 	grayRuns int
 	began    time.Time // of the fault
+	ended    time.Time // of the fault
 }
 
 const (
@@ -49,6 +50,7 @@
 	{name: "domain", begin: takeOut, end: bringBack},
 	{name: "cold", begin: restartCold},
 	{name: "control-away", begin: stopControl},
+	{name: "control-away-gray", gray: true, begin: stopControlAndSlow, end: setGray(standin.Faults{})},
 }
 
 func scenarioNames() []string {
@@ -123,3 +125,9 @@
 	st.system.stopControl()
 	return nil
 }
+
+// stopControlAndSlow needs an ejection that control cannot help with.
+func stopControlAndSlow(ctx context.Context, st *stage) error {
+	st.system.stopControl()
+	return setGray(standin.Faults{SlowFactor: slowFactor})(ctx, st)
+}
--- a/bench/settings.go
+++ b/bench/settings.go
@@ -16,7 +16,7 @@
 	// maxRate bounds the traffic of each system in requests a second.
 	maxRate = 1000
 	// defaultLoad is the default traffic as a share of the sum of the teams' rates.
-	defaultLoad = 0.7
+	defaultLoad = 0.8
 )
 
 // settings are the flags of a run.
@@ -39,7 +39,7 @@
 	userName := flags.String("user", "all", "glashelder, akmola or all")
 	names := flags.String("scenarios", "all", "names separated by commas, or all: "+strings.Join(scenarioNames(), ","))
 	seconds := flags.Float64("seconds", 20, "measured time of each scenario in seconds, 10 to 300")
-	flags.Float64Var(&s.rate, "rate", 0, "requests a second to each system, at most 1000; 0 means 70% of the teams' rates")
+	flags.Float64Var(&s.rate, "rate", 0, "requests a second to each system, at most 1000; 0 means 80% of the teams' rates")
 	flags.DurationVar(&s.inTime, "in-time", time.Second, "time within which an answer counts as in time")
 	flags.Uint64Var(&s.seed, "seed", 1, "seed of traffic and fault switches")
 	flags.StringVar(&s.examples, "examples", "examples", "folder with the users' configuration files")
