Test traffic without control; give each test VM an address of its own

Cause: nothing proved that traffic goes on while control is away; a port that was free a moment ago was taken by another connection and failed one run. Change: nine processes, all three control VMs killed, requests through six proxies, one of which restarts and gets the state from its peers; a keyed request is refused as not run. Test VMs use loopback addresses of their own and fixed low ports.

--- a/bench/processes/fleet.go
+++ b/bench/processes/fleet.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -59,19 +58,12 @@
 
 func (f *fleet) add(i int) error {
 	p := &process{name: fmt.Sprintf("vm-%d", i)}
-	var addresses [4]string
-	for j := range addresses {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return err
-		}
-		addresses[j] = l.Addr().String()
-		l.Close()
-	}
-	p.peer, p.admin = addresses[0], addresses[1]
+	// An address of its own and ports below those that the system hands out keep others from taking them.
+	host := fmt.Sprintf("127.%d.%d.%d", 128+os.Getpid()/250%64, os.Getpid()%250+1, i+1)
+	p.peer, p.admin = host+":7001", host+":7003"
 	p.args = []string{
 		"-name", p.name, "-failure-domain", fmt.Sprintf("domain-%d", i%3), "-peer-listen", p.peer,
-		"-admin-listen", p.admin, "-local-listen", addresses[2], "-listen", addresses[3], "-log-level", "error",
+		"-admin-listen", p.admin, "-local-listen", host + ":7002", "-listen", host + ":8080", "-log-level", "error",
 		"-bootstrap-credential-hash", config.HashKey(credential),
 	}
 	if i < 3 {
--- a/cmd/rosemarylined/fleet_test.go
+++ b/cmd/rosemarylined/fleet_test.go
@@ -6,11 +6,11 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -60,11 +60,9 @@
 	t.Helper()
 	f := &testFleet{t: t, binary: buildDaemon(t)}
 	for i, domain := range []string{"dom-a", "dom-b", "dom-c"} {
-		vm := &testVM{
-			name: "vm-" + domain[4:], domain: domain, bootstrap: i == 0,
-			dataDir: filepath.Join(t.TempDir(), domain),
-			peer:    freeAddress(t), local: freeAddress(t), admin: freeAddress(t), caller: freeAddress(t),
-		}
+		vm := newVM("vm-"+domain[4:], domain)
+		vm.bootstrap = i == 0
+		vm.dataDir = filepath.Join(t.TempDir(), domain)
 		f.vms = append(f.vms, vm)
 		f.start(vm)
 	}
@@ -81,21 +79,42 @@
 	return f
 }
 
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	defer l.Close()
-	return l.Addr().String()
+// addProxies starts processes without the control role.
+func (f *testFleet) addProxies(count int) (proxies []*testVM) {
+	f.t.Helper()
+	domains := []string{"dom-a", "dom-b", "dom-c"}
+	for i := range count {
+		vm := newVM(fmt.Sprintf("proxy-%d", i), domains[i%len(domains)])
+		f.vms = append(f.vms, vm)
+		f.start(vm)
+		proxies = append(proxies, vm)
+	}
+	return proxies
+}
+
+// vmCount numbers the VMs of all tests of this process.
+var vmCount atomic.Int32
+
+// newVM returns a VM with a loopback address of its own and ports below those that the system hands out, so that no other
+// connection can take them between two starts of the process.
+func newVM(name, domain string) *testVM {
+	host := fmt.Sprintf("127.%d.%d.%d", 64+os.Getpid()/250%64, os.Getpid()%250+1, vmCount.Add(1))
+	return &testVM{
+		name: name, domain: domain,
+		caller: host + ":8080", peer: host + ":7001", local: host + ":7002", admin: host + ":7003",
+	}
 }
 
 func (f *testFleet) start(vm *testVM) {
 	f.t.Helper()
 	args := []string{
 		"-name", vm.name, "-failure-domain", vm.domain, "-listen", vm.caller, "-peer-listen", vm.peer,
-		"-local-listen", vm.local, "-admin-listen", vm.admin, "-data-dir", vm.dataDir, "-log-level", "warn",
+		"-local-listen", vm.local, "-admin-listen", vm.admin, "-log-level", "warn",
 		"-bootstrap-credential-hash", config.HashKey(testCredential),
 	}
+	if vm.dataDir != "" {
+		args = append(args, "-data-dir", vm.dataDir)
+	}
 	if vm.bootstrap {
 		args = append(args, "-bootstrap")
 	}
@@ -227,9 +246,9 @@
 	return string(bytes.Fields(data)[0]), nil
 }
 
-func (f *testFleet) startStandins() {
+func (f *testFleet) startStandins(vms []*testVM) {
 	f.t.Helper()
-	for i, vm := range f.vms {
+	for i, vm := range vms {
 		s, err := standin.Start(standin.Options{
 			Name: vm.name + "-rounds", Service: "rounds", Listen: "127.0.0.1:0", Slots: 5,
 			ServiceTime: 5 * time.Millisecond, Announce: "http://" + vm.local, Seed: uint64(i + 1),
@@ -336,7 +355,7 @@
 func TestFleetServesAndObeysOperators(t *testing.T) {
 	f := startFleet(t)
 	f.issueKey("demo", "key-1")
-	f.startStandins()
+	f.startStandins(f.vms)
 	for _, vm := range f.vms {
 		f.waitServing(vm, "key-1")
 	}
@@ -391,7 +410,7 @@
 func TestGracefulStopFinishesRequests(t *testing.T) {
 	f := startFleet(t)
 	f.issueKey("demo", "key-1")
-	f.startStandins()
+	f.startStandins(f.vms)
 	vm := f.vms[2]
 	f.waitServing(vm, "key-1")
 	vm.standin.SetFaults(standin.Faults{SlowFactor: 100})
@@ -424,3 +443,30 @@
 	assert.Equal(t, a.status, http.StatusOK, string(a.body))
 	assert.NilError(t, vm.cmd.Wait())
 }
+
+// Guards against a fleet that stops when control is away: all control VMs are killed, requests go on, also through a
+// process that restarts meanwhile and can get the fleet state only from its peers.
+func TestTrafficGoesOnWithoutControl(t *testing.T) {
+	f := startFleet(t)
+	f.issueKey("demo", "key-1")
+	proxies := f.addProxies(6)
+	f.startStandins(proxies)
+	for _, vm := range proxies {
+		f.waitServing(vm, "key-1")
+	}
+	for _, vm := range f.vms[:3] {
+		f.kill(vm)
+	}
+	// A process keeps the right to admit by its last beat for 3 s; after that it depends on its peers.
+	time.Sleep(5 * time.Second)
+	for _, vm := range proxies {
+		f.waitServing(vm, "key-1")
+	}
+	f.kill(proxies[0])
+	f.start(proxies[0])
+	f.waitServing(proxies[0], "key-1")
+	keyed, err := request(proxies[1], http.MethodPost, "/rounds/book", "key-1", "booking-1")
+	assert.NilError(t, err)
+	assert.Equal(t, keyed.status, http.StatusServiceUnavailable)
+	assert.Equal(t, keyed.outcome, "not-run")
+}
