storage: Document what happens to a damaged last frame

Cause: recovery cannot tell damage of the last frame from a torn write, which the package comment did not say. Change: the package comment says it and names Recovered.TornBytes.

--- a/storage/doc.go
+++ b/storage/doc.go
@@ -9,4 +9,7 @@
 //
 // Each change is one checksummed frame, so that it is recovered completely or not at all. New files are written under
 // a temporary name, synced and renamed, and the folder is synced after each rename.
+//
+// A damaged last frame of a log cannot be told from a write that was never synced. It is cut off, and its size is
+// reported in Recovered.TornBytes.
 package storage
