--- a/outlier/detector.go
+++ b/outlier/detector.go
@@ -23,7 +23,7 @@
 	// Default 0.15.
 	FailureMargin float64
 	// HangMargin is the same for the ratio of hanging requests. It is lower, as a few hanging requests fill all slots.
-	// Default 0.05.
+	// Default 0.04.
 	HangMargin float64
 	// WarmingTime is the longest time for which the slowness of a warming server is excused. Default 30s.
 	WarmingTime time.Duration
@@ -43,7 +43,7 @@
 	setFloat(&c.SlowFactor, 3)
 	setFloat(&c.Deviations, 5)
 	setFloat(&c.FailureMargin, 0.15)
-	setFloat(&c.HangMargin, 0.05)
+	setFloat(&c.HangMargin, 0.04)
 	return c
 }
 
@@ -328,8 +328,8 @@
 	if own.Count+own.Hanging < d.cfg.MinSamples || len(peers) < d.cfg.MinPeers {
 		return v
 	}
-	v.grade(CauseFailing, d.ratioScore(d.cfg.FailureMargin, own, peers, Digest.failRatio))
-	v.grade(CauseHanging, d.ratioScore(d.cfg.HangMargin, own, peers, Digest.hangRatio))
+	v.grade(CauseFailing, d.ratioScore(d.cfg.FailureMargin, failDeviation, own, peers, Digest.failRatio))
+	v.grade(CauseHanging, d.ratioScore(d.cfg.HangMargin, hangDeviation, own, peers, Digest.hangRatio))
 	if !d.excused(s, now) {
 		score, factor := d.slowScore(own, peers)
 		v.grade(CauseSlow, score)
--- a/outlier/score.go
+++ b/outlier/score.go
@@ -43,10 +43,18 @@
 	return medianFactor * width / math.Sqrt(float64(max(n, 1)))
 }
 
+// Least deviations of ratios. With a larger one for hanging requests, one request in five that hangs took more than 3 s
+// to show in some runs, since few requests hang before all slots are taken.
+const (
+	failDeviation = 0.01
+	hangDeviation = 0.008
+)
+
 // ratioScore compares ratios of requests. The deviation counts at least as the error that chance alone gives the ratio
 // of so few requests: the ratios of a few peers can agree by chance.
-func (d *Detector) ratioScore(margin float64, own Digest, peers []Digest, of func(Digest) float64) float64 {
-	const leastDeviation = 0.01
+func (d *Detector) ratioScore(
+	margin, leastDeviation float64, own Digest, peers []Digest, of func(Digest) float64,
+) float64 {
 	var ratios []float64
 	count := own.Count
 	for _, p := range peers {
