--- a/proxy/fleet.go
+++ b/proxy/fleet.go
@@ -19,8 +19,8 @@
 	viewer Viewer
 	// routesVersion is the version whose routes the table holds; used by Refresh only.
 	routesVersion uint64
-	table   atomic.Pointer[routing.Table]
-	version atomic.Uint64
+	table         atomic.Pointer[routing.Table]
+	version       atomic.Uint64
 }
 
 // NewFleet returns a Fleet for a copy of the fleet state. Refresh must be called after each change of the copy.
