--- a/node/controlrole.go
+++ b/node/controlrole.go
@@ -23,6 +23,7 @@
 	groups  map[groupName]*replica.Group
 	// transports send the groups' messages.
 	transports map[groupName]*raftTransport
+	parts      *snapshotParts
 
 	controlID raft.ID
 	recordsID raft.ID
@@ -41,6 +42,7 @@
 		machine:    newControlMachine(),
 		groups:     map[groupName]*replica.Group{},
 		transports: map[groupName]*raftTransport{},
+		parts:      newSnapshotParts(),
 	}
 	c.beats = newBeats(c)
 	c.expirer = idempotency.NewExpirer(0)
@@ -54,6 +56,7 @@
 		return err
 	}
 	rpc.Register(n.rpc, methodRaft, c.receive)
+	rpc.Register(n.rpc, methodSnapshotPart, c.receivePart)
 	rpc.Register(n.rpc, methodPropose, c.servePropose)
 	control.RegisterConfirmations(n.rpc, c.beats)
 	return nil
@@ -66,6 +69,10 @@
 	if err != nil {
 		return 0, errors.Wrapf(err, "open %s", dir)
 	}
+	if recovered.TornBytes > 0 {
+		c.node.opts.Log.Warn().Str("group", string(name)).Int64("bytes", recovered.TornBytes).
+			Msg("control: cut off an incomplete last write.")
+	}
 	if recovered.Empty() && c.node.opts.Bootstrap {
 		recovered, err = replica.Initialise(store, recovered, []raft.ID{recovered.ID}, raft.Snapshot{})
 		if err != nil {
--- /dev/null
+++ b/node/snapshotparts.go
@@ -0,0 +1,140 @@
+package node
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"rosemaryline.dev/raft"
+	"rosemaryline.dev/rpc"
+)
+
+const (
+	methodSnapshotPart = "raft.snapshot"
+	// snapshotPartBytes bounds the data of one message; the limit of package rpc holds for its encoded form.
+	snapshotPartBytes = 1 << 20
+	// snapshotPartTimeout bounds sending one part.
+	snapshotPartTimeout = 5 * time.Second
+	// maxSnapshotBytes bounds what a member collects.
+	maxSnapshotBytes = 1 << 30
+)
+
+// snapshotPart is a part of the snapshot in a message that is too large for one call. Parts are sent in order, each
+// after the answer to the one before.
+type snapshotPart struct {
+	Group groupName `json:"group"`
+	From  string    `json:"from"`
+	// Message is the message without the snapshot's data.
+	Message raft.Message `json:"message"`
+	Offset  int          `json:"offset"`
+	Total   int          `json:"total"`
+	Data    []byte       `json:"data"`
+}
+
+// splitSnapshot returns the parts of a message with a large snapshot, or nil where it fits into one call.
+func splitSnapshot(group groupName, from string, m raft.Message) []snapshotPart {
+	if m.Snapshot == nil || len(m.Snapshot.Data) <= snapshotPartBytes {
+		return nil
+	}
+	data := m.Snapshot.Data
+	head := *m.Snapshot
+	head.Data = nil
+	m.Snapshot = &head
+	var parts []snapshotPart
+	for offset := 0; offset < len(data); offset += snapshotPartBytes {
+		end := min(offset+snapshotPartBytes, len(data))
+		parts = append(parts, snapshotPart{
+			Group: group, From: from, Message: m, Offset: offset, Total: len(data), Data: data[offset:end],
+		})
+	}
+	return parts
+}
+
+// startSnapshot sends a large snapshot besides the other messages to a member, so that heartbeats do not wait for it. A
+// second one to the same member is dropped while the first is on its way.
+func (t *raftTransport) startSnapshot(to raft.ID, address string, parts []snapshotPart) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.snapshots[to] {
+		return
+	}
+	t.snapshots[to] = true
+	t.tomb.Go(func() error {
+		t.sendSnapshot(address, parts)
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		delete(t.snapshots, to)
+		return nil
+	})
+}
+
+// sendSnapshot sends a large snapshot. After a failure raft sends it again as a whole.
+func (t *raftTransport) sendSnapshot(address string, parts []snapshotPart) {
+	for _, part := range parts {
+		ctx, cancel := context.WithTimeout(t.tomb.Context(context.Background()), snapshotPartTimeout)
+		err := t.client.Call(ctx, address, methodSnapshotPart, part, &struct{}{})
+		cancel()
+		if err != nil {
+			return
+		}
+	}
+}
+
+// snapshotParts collects the parts of one snapshot a group.
+type snapshotParts struct {
+	mu      sync.Mutex // guards pending
+	pending map[groupName]*partialSnapshot
+}
+
+type partialSnapshot struct {
+	message raft.Message
+	data    []byte
+}
+
+func newSnapshotParts() *snapshotParts {
+	return &snapshotParts{pending: map[groupName]*partialSnapshot{}}
+}
+
+// add takes a part. It returns the whole message with the last part. A part that does not follow the one before is an
+// error; the sender then starts again.
+func (p *snapshotParts) add(part *snapshotPart) (raft.Message, bool, error) {
+	if part.Message.Snapshot == nil || part.Total > maxSnapshotBytes || part.Offset+len(part.Data) > part.Total {
+		return raft.Message{}, false, &rpc.RemoteError{Code: rpc.CodeInvalid, Message: "malformed part of a snapshot"}
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if part.Offset == 0 {
+		p.pending[part.Group] = &partialSnapshot{message: part.Message}
+	}
+	partial := p.pending[part.Group]
+	if partial == nil || !partial.takes(part) {
+		return raft.Message{}, false, &rpc.RemoteError{Code: rpc.CodeInvalid, Message: "part of a snapshot out of order"}
+	}
+	partial.data = append(partial.data, part.Data...)
+	if len(partial.data) < part.Total {
+		return raft.Message{}, false, nil
+	}
+	delete(p.pending, part.Group)
+	snapshot := *partial.message.Snapshot
+	snapshot.Data = partial.data
+	whole := partial.message
+	whole.Snapshot = &snapshot
+	return whole, true, nil
+}
+
+// takes tells whether a part belongs to the same message and follows the parts before.
+func (p *partialSnapshot) takes(part *snapshotPart) bool {
+	return part.Offset == len(p.data) &&
+		part.Message.From == p.message.From &&
+		part.Message.Term == p.message.Term &&
+		part.Message.Snapshot.Index == p.message.Snapshot.Index
+}
+
+// receivePart takes a part of a large snapshot and delivers the message with the last one.
+func (c *controlRole) receivePart(_ context.Context, _ string, part snapshotPart) (struct{}, error) {
+	whole, complete, err := c.parts.add(&part)
+	if err != nil || !complete {
+		return struct{}{}, err
+	}
+	return c.receive(context.Background(), "", raftEnvelope{Group: part.Group, From: part.From, Message: whole})
+}
--- a/node/transport.go
+++ b/node/transport.go
@@ -47,12 +47,14 @@
 	mu     sync.Mutex // guards the fields below
 	queues map[raft.ID]chan raft.Message
 	heard  map[raft.ID]string // addresses that messages came from
+	// snapshots holds the members that a large snapshot is on its way to.
+	snapshots map[raft.ID]bool
 }
 
 func newRaftTransport(group groupName, self string, client *rpc.Client, resolve func(groupName, raft.ID) (string, bool), t *tomb.Tomb) *raftTransport {
 	return &raftTransport{
 		group: group, self: self, client: client, resolve: resolve, tomb: t,
-		queues: map[raft.ID]chan raft.Message{}, heard: map[raft.ID]string{},
+		queues: map[raft.ID]chan raft.Message{}, heard: map[raft.ID]string{}, snapshots: map[raft.ID]bool{},
 	}
 }
 
@@ -110,6 +112,10 @@
 	if !ok {
 		return
 	}
+	if parts := splitSnapshot(t.group, t.self, m); parts != nil {
+		t.startSnapshot(to, address, parts)
+		return
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), raftSendTimeout)
 	defer cancel()
 	// Delivery is best effort.
