outlier: take the usual time only where a request may hang

Cause: each digest sorted up to 128 samples for a median that is needed only for requests that run for over 500 ms.

--- a/outlier/summary.go
+++ b/outlier/summary.go
@@ -17,7 +17,6 @@
 func (s *server) digest(now time.Duration, least int) Digest {
 	failing := s.window.newest(now, failAge, least)
 	times := latencies(s.window.newest(now, slowAge, least))
-	usual := quantile(latencies(s.window.newest(now, windowAge, least)), 0.5)
 	median := quantile(times, 0.5)
 	d := Digest{
 		Server:  s.name,
@@ -27,7 +26,7 @@
 	}
 	for _, start := range s.running {
 		age := now - start
-		if age > max(hangAge, hangFactor*usual) {
+		if age > hangAge && age > hangFactor*s.usual(now) {
 			d.Hanging++
 		}
 		if age > median {
@@ -40,6 +39,11 @@
 	return d
 }
 
+// usual is the median time over all that the window holds.
+func (s *server) usual(now time.Duration) time.Duration {
+	return quantile(latencies(s.window.newest(now, windowAge, 0)), 0.5)
+}
+
 // failRatio is the share of failed requests.
 func (d Digest) failRatio() float64 { return ratio(d.Failed, d.Count) }
 
