outlier: give the permit back when the evidence became weak

Cause: a server that stayed a suspect kept its permit without an ejection, and the arbiter counted its capacity as out. Change: the permit goes back one second after the last faulty verdict. Config.Interval, which the detector did not use, is now the constant EvaluateInterval.

--- a/outlier/detector.go
+++ b/outlier/detector.go
@@ -8,8 +8,6 @@
 
 // Config sets the detector. Zero values mean the defaults.
 type Config struct {
-	// Interval is the time between two calls of Evaluate. Default 100ms.
-	Interval time.Duration
 	// MinPeers is the number of peers with recent digests that a judgement by comparison needs. Default 3.
 	MinPeers int
 	// MinSamples is the number of finished requests that a judgement needs. Default 8.
@@ -34,7 +32,6 @@
 }
 
 func (c Config) withDefaults() Config {
-	setDuration(&c.Interval, 100*time.Millisecond)
 	setDuration(&c.WarmingTime, 30*time.Second)
 	setDuration(&c.DigestAge, 10*time.Second)
 	setDuration(&c.FreshAge, 500*time.Millisecond)
@@ -216,6 +213,9 @@
 	return s.digest(now, d.cfg.MinSamples), true
 }
 
+// EvaluateInterval is the time between two calls of Detector.Evaluate, Ejector.Step and Holder.Poll.
+const EvaluateInterval = 100 * time.Millisecond
+
 // Evaluate judges all local servers and returns one verdict for each, sorted by name.
 func (d *Detector) Evaluate(now time.Duration) []Verdict {
 	d.dropOldDigests(now)
--- a/outlier/doc.go
+++ b/outlier/doc.go
@@ -6,6 +6,9 @@
 //	Holder    holds the permits without which nothing is ejected
 //	Ejector   decides on ejection, probes, back-off and readmission
 //
+// Each EvaluateInterval the gate passes Detector.Evaluate's verdicts to Ejector.Step, takes the actions, and sends what
+// Holder.Poll returns. Where a verdict has WantPeers set, it asks other gates of the service for fresh digests.
+//
 // The process that owns a service's shard runs an Arbiter for it, which grants permits against the floor.
 //
 // The package is pure: time and messages are arguments, and there are no clocks, sockets or goroutines. No type is safe
--- a/outlier/ejector.go
+++ b/outlier/ejector.go
@@ -89,7 +89,8 @@
 	phase     Phase
 	since     time.Duration // start of the phase
 	cause     Cause
-	level     int // number of doublings of the back-off
+	faultyAt  time.Duration // last verdict Faulty
+	level     int           // number of doublings of the back-off
 	backoff   time.Duration
 	forgiven  time.Duration // last time that a doubling was forgotten
 	successes int
@@ -188,6 +189,7 @@
 	case v.Health == Faulty:
 		s.enter(PhaseAsking, now)
 		s.cause = v.Cause
+		s.faultyAt = now
 		e.holder.Want(name, s.service, s.slots)
 	case v.Health == Suspect && s.probes.take(now):
 		return []Action{{Kind: ActionProbe, Server: name, Service: s.service, Cause: v.Cause, Reason: "suspect"}}
@@ -196,6 +198,9 @@
 }
 
 func (e *Ejector) stepAsking(name string, s *ejection, v Verdict, now time.Duration) []Action {
+	if v.Health == Faulty {
+		s.faultyAt = now
+	}
 	if e.holder.Holds(name, now) && v.Health == Faulty {
 		s.enter(PhaseEjected, now)
 		s.cause = v.Cause
@@ -211,7 +216,7 @@
 		}}
 	}
 	const settle = time.Second // a verdict may flicker around its threshold
-	if v.Health == Healthy && now-s.since >= settle {
+	if now-s.faultyAt >= settle {
 		s.enter(PhaseServing, now)
 		e.holder.Drop(name)
 	}
--- a/outlier/ejector_test.go
+++ b/outlier/ejector_test.go
@@ -102,3 +102,17 @@
 	assert.Equal(t, len(r.returned), 1)
 	assert.Assert(t, r.returned[0]-stopped <= PermitLifetime+100*time.Millisecond)
 }
+
+// Guards against a permit that is kept, and takes capacity from other ejections, after the evidence became weak.
+func TestPermitIsDroppedWithoutFault(t *testing.T) {
+	h := NewHolder("vm", 1)
+	e := NewEjector(EjectorConfig{}, h)
+	e.AddServer("b", "s", 5, 0)
+	e.Step(0, []Verdict{{Server: "b", Health: Faulty}})
+	assert.Equal(t, e.Phase("b"), PhaseAsking)
+	assert.Equal(t, len(h.Poll(0)), 1)
+	e.Step(2*time.Second, []Verdict{{Server: "b", Health: Suspect}})
+	assert.Equal(t, e.Phase("b"), PhaseServing)
+	released := h.Poll(2 * time.Second)
+	assert.Assert(t, len(released) == 1 && released[0].Release)
+}
