Ask a quota owner for all teams in one call; start no goroutine while stopping

Cause: quota messages are the largest miss of the traffic budget; a request that outlives a graceful stop could start a goroutine on a dead tomb, which panics. The messages were not counted again.

--- a/node/claims.go
+++ b/node/claims.go
@@ -166,11 +166,13 @@
 		<-c.claims.pending
 		return
 	}
-	c.claims.tomb.Go(func() error {
+	started := spawn(c.claims.tomb, func() {
 		defer func() { <-c.claims.pending }()
 		c.recordAll(step)
-		return nil
 	})
+	if !started {
+		<-c.claims.pending
+	}
 }
 
 func (c *claim) recordAll(step idempotency.Step) {
--- a/node/digests.go
+++ b/node/digests.go
@@ -34,10 +34,7 @@
 			continue
 		}
 		for _, address := range e.samplePeers(s.Service, digestFanout) {
-			e.tomb.Go(func() error {
-				e.pushDigest(address, push)
-				return nil
-			})
+			spawn(e.tomb, func() { e.pushDigest(address, push) })
 		}
 	}
 }
@@ -101,10 +98,7 @@
 // askDigests asks other gates of the service, because a server may only be judged by what its peers show now.
 func (e *ejections) askDigests(service string) {
 	for _, address := range e.samplePeers(service, outlier.PeersToAsk) {
-		e.tomb.Go(func() error {
-			e.askDigest(address, service)
-			return nil
-		})
+		spawn(e.tomb, func() { e.askDigest(address, service) })
 	}
 }
 
--- a/node/ejections.go
+++ b/node/ejections.go
@@ -61,7 +61,7 @@
 	return &ejections{
 		vm: vm, clock: clock, fleet: fleet, client: client, gossip: g, directory: d, owners: o, log: logger, tomb: t,
 		probing:  &http.Client{Timeout: probeTimeout, Transport: &http.Transport{DisableKeepAlives: true}},
-		detector: outlier.NewDetector(outlier.Config{Interval: evaluateInterval}),
+		detector: outlier.NewDetector(outlier.Config{}),
 		holder:   holder,
 		ejector:  outlier.NewEjector(outlier.EjectorConfig{}, holder),
 		services: map[string]string{},
@@ -160,10 +160,7 @@
 		e.log.Info().Str("server", a.Server).Str("service", a.Service).Str("reason", a.Reason).
 			Msg("outlier: readmitted backend server.")
 	case outlier.ActionProbe:
-		e.tomb.Go(func() error {
-			e.probe(a.Server, a.Service)
-			return nil
-		})
+		spawn(e.tomb, func() { e.probe(a.Server, a.Service) })
 	}
 }
 
@@ -173,20 +170,22 @@
 		e.receive(e.decide(r, since))
 		return
 	}
-	e.tomb.Go(func() error {
-		address, ok := e.owners.ownerOf(r.Service)
-		if !ok {
-			return nil
-		}
-		ctx, cancel := context.WithTimeout(e.tomb.Context(context.Background()), permitTimeout)
-		defer cancel()
-		var reply outlier.PermitReply
-		// Without an answer the holder asks again; without a permit nothing is ejected.
-		if err := e.client.Call(ctx, address, methodPermit, r, &reply); err == nil {
-			e.receive(reply)
-		}
-		return nil
-	})
+	spawn(e.tomb, func() { e.askArbiter(r) })
+}
+
+// askArbiter asks the arbiter in another process. Without an answer the holder asks again; without a permit nothing is
+// ejected.
+func (e *ejections) askArbiter(r outlier.PermitRequest) {
+	address, ok := e.owners.ownerOf(r.Service)
+	if !ok {
+		return
+	}
+	ctx, cancel := context.WithTimeout(e.tomb.Context(context.Background()), permitTimeout)
+	defer cancel()
+	var reply outlier.PermitReply
+	if err := e.client.Call(ctx, address, methodPermit, r, &reply); err == nil {
+		e.receive(reply)
+	}
 }
 
 func (e *ejections) receive(reply outlier.PermitReply) {
--- a/node/gossip.go
+++ b/node/gossip.go
@@ -274,6 +274,19 @@
 	g.send(g.node.Leave(g.clock()))
 }
 
+// spawn runs f in a goroutine of the tomb. It does nothing and returns false once the tomb is dying: a tomb takes no
+// goroutines when its last one has ended.
+func spawn(t *tomb.Tomb, f func()) bool {
+	if !t.Alive() {
+		return false
+	}
+	t.Go(func() error {
+		f()
+		return nil
+	})
+	return true
+}
+
 // every calls f at an interval until the tomb dies.
 func every(t *tomb.Tomb, interval time.Duration, f func()) error {
 	ticker := time.NewTicker(interval)
--- a/node/limiter.go
+++ b/node/limiter.go
@@ -14,7 +14,7 @@
 )
 
 const (
-	methodGrant = "quota.request"
+	methodGrant = "quota.requests"
 	// quotaTick is the time between two calls of quota.Holder.Poll.
 	quotaTick = 25 * time.Millisecond
 	// grantTimeout bounds one request to an owner. The holder sends it again earlier.
@@ -116,36 +116,47 @@
 	return c
 }
 
-// poll sends the requests that are due.
+// poll sends the requests that are due, in one call for each owner.
 func (l *limiter) poll() {
 	l.mu.Lock()
 	requests := l.holder.Poll(l.clock())
 	l.mu.Unlock()
+	byOwner := map[string][]quota.GrantRequest{}
 	for _, r := range requests {
 		if since, ok := l.owners.owns(state.ShardOf(r.Team)); ok {
 			l.receive(l.grant(r, since))
 			continue
 		}
-		l.tomb.Go(func() error {
-			l.ask(r)
-			return nil
-		})
+		if address, ok := l.owners.ownerOf(r.Team); ok {
+			byOwner[address] = append(byOwner[address], r)
+		}
+	}
+	for address, batch := range byOwner {
+		spawn(l.tomb, func() { l.ask(address, batch) })
 	}
 }
 
-// ask sends one request to the team's owner. The holder repeats what is lost.
-func (l *limiter) ask(r quota.GrantRequest) {
-	address, ok := l.owners.ownerOf(r.Team)
-	if !ok {
-		return
-	}
+// grantBatch carries requests to one owner; grantReplies its answers. A request for a team that the process does not own
+// gets no answer.
+type grantBatch struct {
+	Requests []quota.GrantRequest `json:"requests"`
+}
+
+type grantReplies struct {
+	Replies []quota.GrantReply `json:"replies"`
+}
+
+// ask sends requests to the owner of their teams. The holder repeats what is lost.
+func (l *limiter) ask(address string, batch []quota.GrantRequest) {
 	ctx, cancel := context.WithTimeout(l.tomb.Context(context.Background()), grantTimeout)
 	defer cancel()
-	var reply quota.GrantReply
-	if err := l.client.Call(ctx, address, methodGrant, r, &reply); err != nil {
+	var answer grantReplies
+	if err := l.client.Call(ctx, address, methodGrant, grantBatch{Requests: batch}, &answer); err != nil {
 		return
 	}
-	l.receive(reply)
+	for _, reply := range answer.Replies {
+		l.receive(reply)
+	}
 	l.poll()
 }
 
@@ -159,13 +170,15 @@
 	}
 }
 
-// serveGrant answers a peer's request where this process owns the team's shard.
-func (l *limiter) serveGrant(_ context.Context, _ string, r quota.GrantRequest) (quota.GrantReply, error) {
-	since, ok := l.owners.owns(state.ShardOf(r.Team))
-	if !ok {
-		return quota.GrantReply{}, &rpc.RemoteError{Code: rpc.CodeUnavailable, Message: "not the owner of team " + r.Team}
+// serveGrant answers a peer's requests for teams whose shards this process owns.
+func (l *limiter) serveGrant(_ context.Context, _ string, batch grantBatch) (grantReplies, error) {
+	var answer grantReplies
+	for _, r := range batch.Requests {
+		if since, ok := l.owners.owns(state.ShardOf(r.Team)); ok {
+			answer.Replies = append(answer.Replies, l.grant(r, since))
+		}
 	}
-	return l.grant(r, since), nil
+	return answer, nil
 }
 
 func (l *limiter) grant(r quota.GrantRequest, since time.Duration) quota.GrantReply {
