--- a/membership/gossip.go
+++ b/membership/gossip.go
@@ -33,7 +33,7 @@
 
 // sends is the number of times a status is passed on from here; with it, a status reaches nearly all processes.
 func (n *Node) sends() int {
-	return 4 * int(math.Ceil(math.Log10(float64(len(n.names)+1))))
+	return 4 + 4*int(math.Ceil(math.Log10(float64(len(n.names)+1))))
 }
 
 func (n *Node) announce(r *record) {
--- a/membership/merge.go
+++ b/membership/merge.go
@@ -140,3 +140,20 @@
 	}
 	return known
 }
+
+// correct answers accusations that were refuted already. Otherwise an accuser that the refutation did not reach would
+// declare a healthy member dead.
+func (n *Node) correct(now time.Duration, from string, p *Packet) []Outgoing {
+	answer := Packet{Kind: KindUpdates}
+	for i := range p.Updates {
+		u := &p.Updates[i]
+		accuses := u.Status == StatusSuspect || u.Status == StatusDead
+		if r := n.members[u.Name]; accuses && r != nil && r.Incarnation > u.Incarnation {
+			answer.Updates = append(answer.Updates, Update{Member: r.withoutMeta()})
+		}
+	}
+	if len(answer.Updates) == 0 {
+		return nil
+	}
+	return []Outgoing{n.packet(from, n.members[p.From], now, answer)}
+}
--- a/membership/node.go
+++ b/membership/node.go
@@ -41,6 +41,7 @@
 	Member
 	accusers    map[string]bool // processes that could not reach the member in this incarnation
 	suspectedAt time.Duration
+	repeated    bool // the suspicion was announced a second time
 	deadAt      time.Duration
 	askedAt     time.Duration // last request for newer metadata
 	answeredAt  time.Duration // send time of the newest ping that the member answered directly
@@ -154,7 +155,8 @@
 	for i := range p.Updates {
 		n.merge(&p.Updates[i], now)
 	}
-	return append(n.handle(now, from, &p), n.askForMeta(now, from, &p)...)
+	out := append(n.handle(now, from, &p), n.askForMeta(now, from, &p)...)
+	return append(out, n.correct(now, from, &p)...)
 }
 
 func (n *Node) handle(now time.Duration, from string, p *Packet) []Outgoing {
--- a/membership/suspicion.go
+++ b/membership/suspicion.go
@@ -24,6 +24,7 @@
 func (n *Node) suspect(r *record, accuser string, now time.Duration) {
 	r.Status = StatusSuspect
 	r.suspectedAt = now
+	r.repeated = false
 	r.accusers = make(map[string]bool)
 	n.event(EventStatus, r)
 	n.accuse(r, accuser)
@@ -76,7 +77,15 @@
 	timeout := n.suspicionTimeout()
 	for _, name := range n.names {
 		r := n.members[name]
-		if r.Status != StatusSuspect || now-r.suspectedAt < timeout {
+		if r.Status != StatusSuspect {
+			continue
+		}
+		if !r.repeated && now-r.suspectedAt >= timeout/2 {
+			// Whoever knows of a refutation answers with it.
+			r.repeated = true
+			n.announce(r)
+		}
+		if now-r.suspectedAt < timeout {
 			continue
 		}
 		if len(r.accusers) >= n.accusersNeeded() {
