Count a confirmation in a majority for 3 s, dated by the beat that its sender knew

Cause: a process that restarts forgets what it confirmed. The right to admit counts it in a majority again 3 s after its start, which is safe only if control stops counting its former confirmation by then. A late confirmation looked recent. Change: confirmations carry the newest beat that the process knew; control dates them by the issue of that beat. Urgent changes of metadata are gossiped at once; the detector forgets evidence from before a readmission.

--- a/control/api_test.go
+++ b/control/api_test.go
@@ -154,7 +154,7 @@
 	go func() {
 		done <- client.Get(context.Background(), "/v1/inforce/2", url.Values{"waitMillis": {"30000"}}, &reply)
 	}()
-	confirmations.Confirm("vm1", 1, 2)
+	confirmations.Confirm(ProcessConfirmation{Process: "vm1", Incarnation: 1, Version: 2})
 	assert.NilError(t, <-done)
 	assert.Assert(t, reply.InForce)
 	var status StatusReply
--- a/control/confirmations.go
+++ b/control/confirmations.go
@@ -11,8 +11,18 @@
 type Confirmations struct {
 	now func() time.Duration
 
-	mu      sync.Mutex // guards tracker
+	mu      sync.Mutex // guards the fields below
 	tracker *Tracker
+	beats   [beatsKept]issuedBeat
+	newest  int
+}
+
+// beatsKept is the number of beats by which confirmations can be dated. Older ones are of no use.
+const beatsKept = 16
+
+type issuedBeat struct {
+	number uint64
+	at     time.Duration
 }
 
 // NewConfirmations returns Confirmations with an empty roster. now is a monotonic clock.
@@ -20,11 +30,30 @@
 	return &Confirmations{now: now, tracker: NewTracker()}
 }
 
-// Confirm notes that a process runs a version.
-func (c *Confirmations) Confirm(process string, incarnation, version uint64) {
+// Issued notes when this process issued a beat as the leader.
+func (c *Confirmations) Issued(number uint64, at time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.tracker.Confirm(c.now(), process, incarnation, version)
+	c.newest = (c.newest + 1) % beatsKept
+	c.beats[c.newest] = issuedBeat{number: number, at: at}
+}
+
+// Confirm notes that a process runs a version. A confirmation may be late by any time, so it is dated by the newest beat
+// that its sender knew; without a beat of this leader it has no date.
+func (c *Confirmations) Confirm(p ProcessConfirmation) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.tracker.Confirm(c.now(), c.issuedAt(p.Beat), p.Process, p.Incarnation, p.Version)
+}
+
+// issuedAt returns when a beat was issued, or 0. The caller holds mu.
+func (c *Confirmations) issuedAt(number uint64) time.Duration {
+	for _, b := range c.beats {
+		if number != 0 && b.number == number {
+			return b.at
+		}
+	}
+	return 0
 }
 
 // SetRoster takes the rosters of a state. It must be called after each change of the roster.
--- a/control/distribution_test.go
+++ b/control/distribution_test.go
@@ -17,9 +17,7 @@
 
 type recordedConfirmations chan ProcessConfirmation
 
-func (r recordedConfirmations) Confirm(process string, incarnation, version uint64) {
-	r <- ProcessConfirmation{process, incarnation, version}
-}
+func (r recordedConfirmations) Confirm(c ProcessConfirmation) { r <- c }
 
 // serveSource offers a Source on loopback and returns its address.
 func serveSource(t *testing.T, source *Source) string {
@@ -62,7 +60,7 @@
 	mustPropose(t, fleet, state.Command{ChangeID: "document", Apply: applyCommand(config.Diff(&config.Document{}, testDocument()))})
 	follower := newFollower(t, "a")
 	follower.mustPoll(t, address, 0, 1)
-	assert.Equal(t, <-confirmed, ProcessConfirmation{"a", 1, 0})
+	assert.Equal(t, <-confirmed, ProcessConfirmation{Process: "a", Incarnation: 1, Version: 0})
 
 	behind := newFollower(t, "b")
 	behind.mustPoll(t, address, 0, 1)
@@ -73,7 +71,7 @@
 		done <- err
 	}()
 	// The confirmation shows that the poll has begun; it waits up to a minute for news.
-	assert.Equal(t, <-confirmed, ProcessConfirmation{"a", 1, 1})
+	assert.Equal(t, <-confirmed, ProcessConfirmation{Process: "a", Incarnation: 1, Version: 1})
 	mustPropose(t, fleet, join(1))
 	source.Changed()
 	assert.NilError(t, <-done)
@@ -170,9 +168,9 @@
 	defer client.Close()
 
 	relay := NewRelay()
-	relay.Confirm("vm1", 1, 3)
-	relay.Confirm("vm1", 1, 2)
-	relay.Confirm("vm2", 1, 3)
+	relay.Confirm(ProcessConfirmation{Process: "vm1", Incarnation: 1, Version: 3})
+	relay.Confirm(ProcessConfirmation{Process: "vm1", Incarnation: 1, Version: 2})
+	relay.Confirm(ProcessConfirmation{Process: "vm2", Incarnation: 1, Version: 3})
 	assert.NilError(t, relay.Flush(context.Background(), client, strings.TrimPrefix(listener.URL, "http://")))
 	assert.Equal(t, leader.InForce(), uint64(3))
 	version, pending := leader.PendingRosterChange()
--- a/control/relay.go
+++ b/control/relay.go
@@ -22,6 +22,8 @@
 	Process     string `json:"process"`
 	Incarnation uint64 `json:"incarnation"`
 	Version     uint64 `json:"version"`
+	// Beat is the number of the newest beat that the process knew.
+	Beat uint64 `json:"beat,omitempty"`
 }
 
 // ConfirmReply answers a ConfirmBatch.
@@ -37,12 +39,24 @@
 func NewRelay() *Relay { return &Relay{latest: map[string]ProcessConfirmation{}} }
 
 // Confirm notes a confirmation for the next Flush.
-func (r *Relay) Confirm(process string, incarnation, version uint64) {
+func (r *Relay) Confirm(p ProcessConfirmation) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	former, ok := r.latest[process]
-	if !ok || incarnation > former.Incarnation || incarnation == former.Incarnation && version > former.Version {
-		r.latest[process] = ProcessConfirmation{Process: process, Incarnation: incarnation, Version: version}
+	former, ok := r.latest[p.Process]
+	if !ok || p.newerThan(former) {
+		r.latest[p.Process] = p
+	}
+}
+
+// newerThan tells whether a confirmation by the same process replaces another one.
+func (p ProcessConfirmation) newerThan(former ProcessConfirmation) bool {
+	switch {
+	case p.Incarnation != former.Incarnation:
+		return p.Incarnation > former.Incarnation
+	case p.Version != former.Version:
+		return p.Version > former.Version
+	default:
+		return p.Beat > former.Beat
 	}
 }
 
@@ -68,7 +82,7 @@
 func RegisterConfirmations(server *rpc.Server, confirmer Confirmer) {
 	rpc.Register(server, MethodConfirm, func(_ context.Context, _ string, b ConfirmBatch) (ConfirmReply, error) {
 		for _, c := range b.List {
-			confirmer.Confirm(c.Process, c.Incarnation, c.Version)
+			confirmer.Confirm(c)
 		}
 		return ConfirmReply{}, nil
 	})
--- a/control/source.go
+++ b/control/source.go
@@ -16,7 +16,7 @@
 
 // Confirmer learns which version a process runs.
 type Confirmer interface {
-	Confirm(process string, incarnation, version uint64)
+	Confirm(c ProcessConfirmation)
 }
 
 // Source answers fetches from a copy of the fleet state: on control VMs from the replicated one, and on every process
@@ -84,7 +84,9 @@
 func (s *Source) Fetch(ctx context.Context, r FetchRequest) (FetchReply, error) {
 	arrived := time.Now()
 	if s.confirmer != nil && r.Process != "" && s.sharesHistory(r) {
-		s.confirmer.Confirm(r.Process, r.Incarnation, r.Version)
+		s.confirmer.Confirm(ProcessConfirmation{
+			Process: r.Process, Incarnation: r.Incarnation, Version: r.Version, Beat: r.BeatNumber,
+		})
 	}
 	wait := min(time.Duration(r.WaitMillis)*time.Millisecond, MaxFetchWait)
 	ctx, cancel := context.WithTimeout(ctx, wait)
--- a/control/tracker.go
+++ b/control/tracker.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -61,9 +62,15 @@
 
 type confirmation struct {
 	version, incarnation uint64
-	at                   time.Duration
+	// at is when control learned of the version.
+	at time.Duration
+	// asOf is the latest time at which the process is known to have run the version, or never.
+	asOf time.Duration
 }
 
+// never is before all times.
+const never = time.Duration(math.MinInt64 / 4)
+
 // mark tells since when a majority of each roster has confirmed a version. Marks ascend in version and time.
 type mark struct {
 	version uint64
@@ -88,18 +95,27 @@
 	t.forget()
 }
 
-// Confirm notes that a process runs a version. A confirmation of an earlier version than before is ignored, except with
-// a higher incarnation: a restarted process may hold an earlier version, so its former confirmation no longer counts.
-// Processes outside the roster are ignored.
-func (t *Tracker) Confirm(now time.Duration, process string, incarnation, version uint64) {
+// Confirm notes that a process ran a version at the time asOf, or that it runs it since a time that is not known, with
+// asOf at or below 0. A confirmation of an earlier version than before is ignored, except with a higher incarnation: a
+// restarted process may hold an earlier version, so its former confirmation no longer counts. Processes outside the
+// roster are ignored.
+func (t *Tracker) Confirm(now, asOf time.Duration, process string, incarnation, version uint64) {
 	if !t.isKnown(process) {
 		return
 	}
+	if asOf <= 0 {
+		asOf = never
+	}
 	former, ok := t.confirmed[process]
-	if ok && (incarnation < former.incarnation || incarnation == former.incarnation && version <= former.version) {
+	if ok && (incarnation < former.incarnation || incarnation == former.incarnation && version < former.version) {
+		return
+	}
+	if ok && incarnation == former.incarnation && version == former.version {
+		former.asOf = max(former.asOf, asOf)
+		t.confirmed[process] = former
 		return
 	}
-	t.confirmed[process] = confirmation{version: version, incarnation: incarnation, at: now}
+	t.confirmed[process] = confirmation{version: version, incarnation: incarnation, at: now, asOf: asOf}
 }
 
 // InForce returns the highest version in force.
@@ -140,7 +156,7 @@
 
 // update moves marks and the version in force forward.
 func (t *Tracker) update(now time.Duration) {
-	t.noteMajority(now, t.majorityVersion())
+	t.noteMajority(now)
 	t.inForce = max(t.inForce, t.unanimousVersion())
 	for len(t.marks) > 0 && now-t.marks[0].at >= MajorityDelay {
 		t.inForce = max(t.inForce, t.marks[0].version)
@@ -158,11 +174,14 @@
 	}
 }
 
-// noteMajority also takes back marks that no longer hold because a confirmation was lost in a restart.
-func (t *Tracker) noteMajority(now time.Duration, version uint64) {
-	for len(t.marks) > 0 && t.marks[len(t.marks)-1].version > version {
+// noteMajority marks the version that a majority runs now. It also takes back marks that no longer hold because a
+// confirmation was lost in a restart; the age of a confirmation alone takes none back.
+func (t *Tracker) noteMajority(now time.Duration) {
+	held := t.majorityVersion(never)
+	for len(t.marks) > 0 && t.marks[len(t.marks)-1].version > held {
 		t.marks = t.marks[:len(t.marks)-1]
 	}
+	version := t.majorityVersion(now - membership.ConfirmWindow)
 	known := t.inForce
 	if len(t.marks) > 0 {
 		known = t.marks[len(t.marks)-1].version
@@ -172,19 +191,19 @@
 	}
 }
 
-// majorityVersion returns the highest version that a majority of each roster up to it confirmed.
-func (t *Tracker) majorityVersion() uint64 {
+// majorityVersion returns the highest version that a majority of each roster up to it confirmed since a time.
+func (t *Tracker) majorityVersion(since time.Duration) uint64 {
 	roster := map[string]bool{}
 	for name := range t.base {
 		roster[name] = true
 	}
-	version := t.majorityOf(roster)
+	version := t.majorityOf(since, roster)
 	for _, c := range t.changes {
 		if c.Version > version {
 			break
 		}
 		changeRoster(roster, c)
-		version = min(version, max(t.majorityOf(roster), c.Version-1))
+		version = min(version, max(t.majorityOf(since, roster), c.Version-1))
 	}
 	if version == maxVersion {
 		return 0
@@ -192,20 +211,30 @@
 	return version
 }
 
-// majorityOf returns the highest version that more than half of a roster confirmed. An empty roster, in which nobody
-// can admit, confirms everything.
-func (t *Tracker) majorityOf(roster map[string]bool) uint64 {
+// majorityOf returns the highest version that more than half of a roster confirmed since a time. Majorities are counted
+// within membership.ConfirmWindow: a process that restarted may have forgotten the version, and it counts in a majority
+// again that far after its start. An empty roster, in which nobody can admit, confirms everything.
+func (t *Tracker) majorityOf(since time.Duration, roster map[string]bool) uint64 {
 	if len(roster) == 0 {
 		return maxVersion
 	}
 	versions := make([]uint64, 0, len(roster))
 	for name := range roster {
-		versions = append(versions, t.confirmed[name].version)
+		versions = append(versions, t.runsSince(since, name))
 	}
 	slices.Sort(versions)
 	return versions[(len(versions)-1)/2]
 }
 
+// runsSince returns the version that a process is known to have run at or after a time, or 0.
+func (t *Tracker) runsSince(since time.Duration, process string) uint64 {
+	c, ok := t.confirmed[process]
+	if !ok || c.asOf < since {
+		return 0
+	}
+	return c.version
+}
+
 // unanimousVersion returns the highest version that every process of every roster confirmed; 0 without processes.
 func (t *Tracker) unanimousVersion() uint64 {
 	lowest := maxVersion
--- a/control/tracker_test.go
+++ b/control/tracker_test.go
@@ -10,6 +10,7 @@
 	"pgregory.net/rapid"
 
 	"rosemaryline.dev/fleet/state"
+	"rosemaryline.dev/membership"
 )
 
 func init() { flag.Set("rapid.seed", "1") }
@@ -37,6 +38,11 @@
 		{"a later version confirms an earlier one", three, nil, []step{{1, "a", 1, 9}, {2, "b", 1, 5}, {3, "b", 1, 9}}, 5, 2 + MajorityDelay},
 		{"strangers do not count", three, nil, []step{{1, "x", 1, 5}, {2, "y", 1, 5}, {3, "a", 1, 5}, {7, "b", 1, 5}}, 5, 7 + MajorityDelay},
 		{"a restart voids a confirmation", three, nil, []step{{1, "a", 1, 5}, {2, "b", 1, 5}, {3, "b", 2, 4}, {8, "b", 2, 5}}, 5, 8 + MajorityDelay},
+		{
+			"an old confirmation is no part of a majority", three, nil,
+			[]step{{1, "a", 1, 5}, {2 + membership.ConfirmWindow, "b", 1, 5}, {3 + membership.ConfirmWindow, "a", 1, 5}},
+			5, 3 + membership.ConfirmWindow + MajorityDelay,
+		},
 		{"a stale incarnation is ignored", three, nil, []step{{1, "a", 2, 5}, {2, "a", 1, 9}, {3, "b", 1, 9}, {8, "a", 2, 9}}, 9, 8 + MajorityDelay},
 		{
 			"a majority of the former roster is needed too", three,
@@ -59,7 +65,7 @@
 			tracker := NewTracker()
 			tracker.SetRoster(test.base, test.changes)
 			for _, s := range test.steps {
-				tracker.Confirm(s.at, s.process, s.incarnation, s.version)
+				tracker.Confirm(s.at, s.at, s.process, s.incarnation, s.version)
 				tracker.InForce(s.at)
 			}
 			if test.from > test.steps[len(test.steps)-1].at {
@@ -101,7 +107,7 @@
 			case 0, 1, 2:
 				if p != nil && !p.cutOff {
 					p.version = latest
-					tracker.Confirm(now, name, 1, latest)
+					tracker.Confirm(now, now, name, 1, latest)
 				}
 			case 3:
 				if p != nil {
--- a/node/beats.go
+++ b/node/beats.go
@@ -37,9 +37,9 @@
 }
 
 // Confirm implements control.Confirmer. Confirmations go to the leader.
-func (b *beats) Confirm(process string, incarnation, version uint64) {
-	b.confirmations.Confirm(process, incarnation, version)
-	b.relay.Confirm(process, incarnation, version)
+func (b *beats) Confirm(c control.ProcessConfirmation) {
+	b.confirmations.Confirm(c)
+	b.relay.Confirm(c)
 }
 
 // relayConfirmations sends what was confirmed here to the leader, where another process leads.
@@ -62,7 +62,7 @@
 		b.setLeading(false)
 		return
 	}
-	issued := time.Now()
+	issued, at := time.Now(), b.role.node.clock()
 	term := b.role.groups[groupControl].Status().Term
 	ctx, cancel := context.WithTimeout(b.role.node.tomb.Context(context.Background()), beatInterval)
 	defer cancel()
@@ -72,7 +72,9 @@
 	}
 	b.setLeading(true)
 	b.refreshRoster()
-	b.role.node.source.SetBeat(b.next(term), issued)
+	beat := b.next(term)
+	b.confirmations.Issued(beat.Number, at)
+	b.role.node.source.SetBeat(beat, issued)
 }
 
 // termShift leaves room for the beats of one term in a beat's number.
--- a/node/digests.go
+++ b/node/digests.go
@@ -73,7 +73,7 @@
 }
 
 // pushDelay is the age that a pushed digest is taken to have at most on its way.
-const pushDelay = time.Second
+const pushDelay = 5 * time.Second
 
 // takeDigests passes a peer's digests to the detector.
 func (e *ejections) takeDigests(_ context.Context, _ string, push digestPush) (struct{}, error) {
--- a/node/ejections.go
+++ b/node/ejections.go
@@ -129,6 +129,11 @@
 	}
 	verdicts := e.detector.Evaluate(now)
 	actions := e.ejector.Step(now, verdicts)
+	for _, a := range actions {
+		if a.Kind == outlier.ActionReadmit {
+			e.detector.Reset(a.Server)
+		}
+	}
 	requests := e.holder.Poll(now)
 	ejected := map[string]bool{}
 	for name := range e.services {
--- a/node/gossip.go
+++ b/node/gossip.go
@@ -222,8 +222,9 @@
 	return m, ok
 }
 
-// setMeta replaces the own metadata.
-func (g *gossip) setMeta(meta metadata) error {
+// setMeta replaces the own metadata. An urgent change is gossiped at once; others wait for the interval that bounds the
+// gossip of a large fleet.
+func (g *gossip) setMeta(meta metadata, urgent bool) error {
 	data, err := json.Marshal(meta)
 	if err != nil {
 		return err
@@ -231,10 +232,16 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.own = meta
-	if !bytes.Equal(data, g.published) {
-		g.published = data
-		g.changes++
-		g.node.SetMeta(data)
+	if bytes.Equal(data, g.published) {
+		return nil
+	}
+	if err := g.node.SetMeta(data); err != nil {
+		return err
+	}
+	g.published = data
+	g.changes++
+	if urgent {
+		g.node.PublishMeta()
 	}
 	return nil
 }
--- a/node/loadsteps.go
+++ b/node/loadsteps.go
@@ -24,6 +24,12 @@
 	return rows
 }
 
+// sameService tells whether two rows differ at most in load and ramp, which entries also learn from answers.
+func sameService(a, b row) bool {
+	a.Load, a.Effective = b.Load, b.Effective
+	return a == b
+}
+
 func sameButLoad(a, b row) bool {
 	a.Load = b.Load
 	return a == b
--- a/node/node.go
+++ b/node/node.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -49,6 +50,8 @@
 	rightMu    sync.Mutex
 	// seenChanges is the gossip change count of the last rebuild; used by refreshDirectory only.
 	seenChanges uint64
+	// told are the rows of the last metadata; used by refreshDirectory only.
+	told        []row
 	loads       loadSteps // used by refreshDirectory only
 	stopOnce    sync.Once
 	stopErr     error
@@ -192,7 +195,9 @@
 		meta.Records = n.control.recordsID
 		meta.Admin = n.AdminAddress()
 	}
-	if err := n.gossip.setMeta(meta); err != nil {
+	urgent := !slices.EqualFunc(n.told, meta.Rows, sameService)
+	n.told = meta.Rows
+	if err := n.gossip.setMeta(meta, urgent); err != nil {
 		n.opts.Log.Error().Err(err).Msg("membership: metadata cannot be encoded.")
 	}
 }
