Refuse claims at once while the record group is away; look at the right to admit again

Cause: with control away, keyed bookings waited 2 s each in a slot for the record group: 35 a second took 70 of planning's 75 slots, and requests without a key were refused (max-wait, up to 172 a second). Requests that met a stalled process were refused as isolated although nothing was wrong. Change: after a claim without an answer, one claim a second tries; the others are refused as not run. A look at the right that is too old is repeated before a refusal.

--- /dev/null
+++ b/node/breaker_test.go
@@ -0,0 +1,35 @@
+package node
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against claims that wait for a record group that is away: they would hold the slots of requests without a key.
+func TestBreakerRefusesWhileRecordsAreAway(t *testing.T) {
+	var b breaker
+	now := time.Duration(0)
+	trial, ok := b.enter(now)
+	assert.Assert(t, ok && !trial)
+	b.leave(trial, false, now)
+
+	_, ok = b.enter(now + breakerPause - 1)
+	assert.Assert(t, !ok, "the group did not answer a moment ago")
+	now += breakerPause
+	trial, ok = b.enter(now)
+	assert.Assert(t, ok && trial)
+	_, ok = b.enter(now)
+	assert.Assert(t, !ok, "one claim tries already")
+	b.leave(trial, false, now)
+	_, ok = b.enter(now)
+	assert.Assert(t, !ok)
+
+	now += breakerPause
+	trial, ok = b.enter(now)
+	assert.Assert(t, ok && trial)
+	b.leave(trial, true, now)
+	trial, ok = b.enter(now)
+	assert.Assert(t, ok && !trial)
+}
--- a/node/claims.go
+++ b/node/claims.go
@@ -43,6 +43,7 @@
 	gossip  *gossip
 	log     *log.Logger
 	tomb    *tomb.Tomb
+	breaker breaker
 	pending chan struct{} // one element for each claim that is not finished
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -156,8 +156,15 @@
 // go on with what it knew before.
 const rightLifetime = 4 * gossipTick
 
-// MayAdmit tells whether this process has the right to admit requests on open routes and to act for shards.
-func (n *Node) MayAdmit() bool { return int64(n.clock()) < n.admitUntil.Load() }
+// MayAdmit tells whether this process has the right to admit requests on open routes and to act for shards. When the
+// last look is too old, because the process was held up, it looks again.
+func (n *Node) MayAdmit() bool {
+	if int64(n.clock()) < n.admitUntil.Load() {
+		return true
+	}
+	n.refreshRight()
+	return int64(n.clock()) < n.admitUntil.Load()
+}
 
 // refreshRight keeps the right to admit where requests read it without a lock.
 func (n *Node) refreshRight() {
