--- a/routing/table.go
+++ b/routing/table.go
@@ -69,7 +69,7 @@
 	if r.Deadline <= 0 {
 		r.Deadline = DefaultDeadline
 	}
-	if len(r.repeatable) == 0 {
+	if c.RepeatableMethods == nil {
 		r.repeatable = set([]string{"GET", "HEAD", "OPTIONS"})
 	}
 	return r
--- a/routing/table_test.go
+++ b/routing/table_test.go
@@ -59,3 +59,16 @@
 	assert.Assert(t, r.Repeatable("GET") && !r.Repeatable("POST"))
 	assert.Assert(t, r.AllowsTeam("a") && !r.AllowsTeam("b"))
 }
+
+// Guards against a route whose requests must run at most once and that gets the default list of repeatable methods.
+func TestEmptyListOfRepeatableMethods(t *testing.T) {
+	doc := &config.Document{Routes: map[string]config.Route{
+		"default": {Path: "/default", Service: "s"},
+		"never":   {Path: "/never", Service: "s", RepeatableMethods: []string{}},
+	}}
+	table := NewTable(doc)
+	route, ok := table.Match("", "/default")
+	assert.Assert(t, ok && route.Repeatable("GET"))
+	route, ok = table.Match("", "/never")
+	assert.Assert(t, ok && !route.Repeatable("GET"))
+}
