--- a/rpc/client.go
+++ b/rpc/client.go
@@ -4,6 +4,8 @@
 	"bufio"
 	"context"
 	"crypto/tls"
+	"io"
+	"math"
 	"net"
 	"net/http"
 	"sync"
@@ -20,8 +22,13 @@
 	mu    sync.Mutex // guards the fields below and all peers; never held while connecting
 	peers map[string]*peer
 	tick  uint64
+	// closed is true after Close; no connection is opened then.
+	closed bool
 }
 
+// ErrClientClosed reports a call after Close.
+var ErrClientClosed = errors.New("client is closed")
+
 // peer is the connection to one address, or the attempt to open it that concurrent calls share.
 type peer struct {
 	conn    *jsonrpc2.Conn
@@ -61,7 +68,7 @@
 		return &PeerError{Step: "connect", Peer: address, Err: err}
 	}
 	if err := conn.Notify(ctx, method, params); err != nil {
-		c.drop(address, conn)
+		c.dropClosed(address, conn)
 		return &PeerError{Step: method, Peer: address, Err: err}
 	}
 	return nil
@@ -71,6 +78,7 @@
 func (c *Client) Close() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.closed = true
 	for address, p := range c.peers {
 		if p.conn != nil {
 			p.conn.Close()
@@ -80,9 +88,9 @@
 }
 
 func (c *Client) connect(ctx context.Context, address string) (*jsonrpc2.Conn, error) {
-	conn, pending := c.lookup(address)
-	if conn != nil {
-		return conn, nil
+	conn, pending, err := c.lookup(address)
+	if conn != nil || err != nil {
+		return conn, err
 	}
 	select {
 	case <-pending.done:
@@ -93,9 +101,12 @@
 }
 
 // lookup returns the open connection, or the attempt to open one, which it starts where none runs.
-func (c *Client) lookup(address string) (*jsonrpc2.Conn, *attempt) {
+func (c *Client) lookup(address string) (*jsonrpc2.Conn, *attempt, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.closed {
+		return nil, nil, ErrClientClosed
+	}
 	p, ok := c.peers[address]
 	if !ok {
 		p = &peer{}
@@ -105,14 +116,14 @@
 	c.tick++
 	p.used = c.tick
 	if p.conn != nil && connected(p.conn) {
-		return p.conn, nil
+		return p.conn, nil, nil
 	}
 	p.conn = nil
 	if p.attempt == nil {
 		p.attempt = &attempt{done: make(chan struct{})}
 		go c.open(address, p, p.attempt)
 	}
-	return nil, p.attempt
+	return nil, p.attempt, nil
 }
 
 // open runs one attempt to connect.
@@ -121,8 +132,14 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	p.attempt = nil
-	if a.err == nil && c.peers[address] == p {
+	switch {
+	case a.err != nil:
+	case c.peers[address] == p:
 		p.conn = a.conn
+	default:
+		// The peer was evicted or the client closed meanwhile, so nothing would close the connection later.
+		a.conn.Close()
+		a.conn, a.err = nil, errors.New("connection was given up while it was opened")
 	}
 	close(a.done)
 }
@@ -204,7 +221,8 @@
 	if err := req.Write(conn); err != nil {
 		return nil, err
 	}
-	reader := bufio.NewReader(conn)
+	limited := &io.LimitedReader{R: conn, N: maxHandshakeBytes}
+	reader := bufio.NewReader(limited)
 	resp, err := http.ReadResponse(reader, req)
 	if err != nil {
 		return nil, err
@@ -213,6 +231,7 @@
 		resp.Body.Close()
 		return nil, errors.Errorf("upgrade to %s refused: %s, peer offers %q", Protocol, resp.Status, resp.Header.Get("Upgrade"))
 	}
+	limited.N = math.MaxInt64
 	return reader, conn.SetDeadline(time.Time{})
 }
 
--- a/rpc/codec.go
+++ b/rpc/codec.go
@@ -2,7 +2,9 @@
 
 import (
 	"bufio"
+	"bytes"
 	"encoding/binary"
+	"encoding/json"
 	"io"
 	"net"
 	"time"
@@ -11,22 +13,46 @@
 	"github.com/sourcegraph/jsonrpc2"
 )
 
-// boundedCodec refuses a message above MaxMessageBytes before it allocates memory for it.
-type boundedCodec struct{ inner jsonrpc2.VarintObjectCodec }
+// ErrMessageTooLarge reports a message above MaxMessageBytes. A sender gets it before anything is written, so that the
+// connection stays usable for other calls.
+var ErrMessageTooLarge = errors.New("message is too large")
 
-func (c boundedCodec) WriteObject(stream io.Writer, obj any) error {
-	return c.inner.WriteObject(stream, obj)
+// boundedCodec writes a message as its length, a varint, and its JSON text. It refuses a message above MaxMessageBytes
+// before it allocates memory for it, and one whose text is not exactly as long as its length says.
+type boundedCodec struct{}
+
+func (boundedCodec) WriteObject(stream io.Writer, obj any) error {
+	data, err := json.Marshal(obj)
+	if err != nil {
+		return err
+	}
+	if len(data) > MaxMessageBytes {
+		return errors.Wrapf(ErrMessageTooLarge, "%d bytes", len(data))
+	}
+	prefix := binary.AppendUvarint(nil, uint64(len(data)))
+	if _, err := stream.Write(prefix); err != nil {
+		return err
+	}
+	_, err = stream.Write(data)
+	return err
 }
 
-func (c boundedCodec) ReadObject(stream *bufio.Reader, v any) error {
+func (boundedCodec) ReadObject(stream *bufio.Reader, v any) error {
 	size, err := peekSize(stream)
 	if err != nil {
 		return err
 	}
 	if size > MaxMessageBytes {
-		return errors.Errorf("message of %d bytes exceeds %d", size, MaxMessageBytes)
+		return errors.Wrapf(ErrMessageTooLarge, "%d bytes", size)
 	}
-	return c.inner.ReadObject(stream, v)
+	if _, err := binary.ReadUvarint(stream); err != nil {
+		return err
+	}
+	var text bytes.Buffer
+	if _, err := io.CopyN(&text, stream, int64(size)); err != nil {
+		return err
+	}
+	return json.Unmarshal(text.Bytes(), v)
 }
 
 func peekSize(stream *bufio.Reader) (uint64, error) {
@@ -43,7 +69,7 @@
 	return 0, errors.New("message length is not a varint")
 }
 
-// deadlineConn sets a fresh deadline before each read and write.
+// deadlineConn sets a fresh deadline before each read and write. A failed write closes the connection.
 type deadlineConn struct {
 	net.Conn
 	reader io.Reader
@@ -60,7 +86,12 @@
 	if err := c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
 		return 0, err
 	}
-	return c.Conn.Write(p)
+	n, err := c.Conn.Write(p)
+	if err != nil {
+		// A message that was written in part makes all later ones unreadable.
+		c.Conn.Close()
+	}
+	return n, err
 }
 
 func newStream(conn net.Conn, reader io.Reader) jsonrpc2.ObjectStream {
--- a/rpc/doc.go
+++ b/rpc/doc.go
@@ -13,6 +13,8 @@
 	MaxMessageBytes = 16 << 20
 	// handshakeTimeout bounds connecting, the TLS handshake and the upgrade.
 	handshakeTimeout = 2 * time.Second
+	// maxHandshakeBytes bounds the answer to the upgrade, which a peer of another kind may send without end.
+	maxHandshakeBytes = 64 << 10
 	// writeTimeout bounds one write, so that a frozen peer cannot block a sender.
 	writeTimeout = 2 * time.Second
 	// idleTimeout closes a connection on which the peer sent nothing.
--- a/rpc/server.go
+++ b/rpc/server.go
@@ -70,6 +70,7 @@
 
 func (s *Server) serve(stream jsonrpc2.ObjectStream, peer string) {
 	h := &connHandler{server: s, peer: peer, running: make(chan struct{}, maxRunningPerConn)}
+	// The context of the handlers ends with the connection.
 	conn := jsonrpc2.NewConn(context.Background(), stream, h, jsonrpc2.SetLogger(discardLogger{}))
 	if !s.track(conn) {
 		conn.Close()
@@ -133,7 +134,10 @@
 		_ = conn.ReplyWithError(ctx, req.ID, toWire(err))
 		return
 	}
-	_ = conn.Reply(ctx, req.ID, result)
+	if err := conn.Reply(ctx, req.ID, result); errors.Is(err, ErrMessageTooLarge) {
+		// The caller would wait until its deadline otherwise.
+		_ = conn.ReplyWithError(ctx, req.ID, toWire(errors.WithMessage(err, req.Method)))
+	}
 }
 
 func (h *connHandler) call(ctx context.Context, req *jsonrpc2.Request) (any, error) {
