--- a/proxy/body.go
+++ b/proxy/body.go
@@ -160,9 +160,13 @@
 	if err := a.begin(); err != nil {
 		return 0, err
 	}
-	timer := time.AfterFunc(bodyStallTimeout, a.stalled)
+	timer := time.AfterFunc(bodyStallTimeout, func() {
+		a.end(false)
+		a.stalled()
+	})
 	n, err := a.body.source.Read(p)
-	a.end(timer.Stop() && (err == nil || err == io.EOF))
+	timer.Stop()
+	a.end(err == nil || err == io.EOF)
 	return n, err
 }
 
--- a/proxy/helper_test.go
+++ b/proxy/helper_test.go
@@ -242,7 +242,9 @@
 	assert.NilError(t, m.gate.Announce(Announcement{Name: name, Service: "svc", Address: address, Instance: instance}, time.Now()))
 }
 
-func host(name, address string) Peer { return Peer{VM: name, Domain: "d1", Address: address, Slots: 4} }
+func host(name, address string) Peer {
+	return Peer{VM: name, Domain: "d1", Address: address, Slots: 4, Age: time.Hour}
+}
 
 // pair is an entry without backend servers in front of the gate of another VM.
 func pair(t testing.TB, v *view, b *backend, change ...func(*EntryOptions)) (entry, gate *vm) {
--- /dev/null
+++ b/proxy/nested_test.go
@@ -0,0 +1,51 @@
+package proxy
+
+import (
+	"net/http"
+	"strconv"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// nestedCall makes a call on the local listener as a backend server does, with forged headers.
+func nestedCall(t *testing.T, m *vm, id string) *http.Response {
+	resp, _, err := call(t, m.local, "GET", "/internal/x", nil, HeaderRequestID, id, HeaderTeam, "blue", "Rosemaryline-Depth", "0",
+		HeaderDeadline, "600000", "Authorization", "Bearer blue-key")
+	assert.NilError(t, err)
+	return resp
+}
+
+// Guards against nested calls that take team, depth or deadline from headers instead of from the running request.
+func TestNestedCallsInherit(t *testing.T) {
+	var m *vm
+	var outer, inner *http.Request
+	var status, depth int
+	b := newBackend(t, func(_ http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/internal/x" {
+			inner = r.Clone(r.Context())
+			parent, _ := m.gate.parent(r.Header.Get(HeaderRequestID))
+			depth = parent.depth
+			return
+		}
+		outer = r.Clone(r.Context())
+		status = nestedCall(t, m, r.Header.Get(HeaderRequestID)).StatusCode
+	})
+	m = single(t, newView(t, 4), b)
+	resp, _, _ := call(t, m.caller, "GET", "/a", nil)
+	assert.Equal(t, resp.StatusCode, 200)
+	assert.Equal(t, status, 200)
+	assert.Equal(t, depth, 1)
+	assert.Equal(t, inner.Header.Get(HeaderTeam), "red")
+	assert.Assert(t, inner.Header.Get(HeaderRequestID) != outer.Header.Get(HeaderRequestID))
+	assert.Equal(t, inner.Header.Get("Authorization"), "")
+	innerMs, _ := strconv.Atoi(inner.Header.Get(HeaderDeadline))
+	outerMs, _ := strconv.Atoi(outer.Header.Get(HeaderDeadline))
+	assert.Assert(t, innerMs <= outerMs, "%d %d", innerMs, outerMs)
+	// The request is over, so its id gives nothing any more; open routes are not served here.
+	nestedCall(t, m, outer.Header.Get(HeaderRequestID))
+	assert.Equal(t, inner.Header.Get(HeaderTeam), "")
+	resp, _, _ = call(t, m.local, "GET", "/a", nil)
+	assert.Equal(t, resp.StatusCode, 404)
+	assert.Equal(t, len(m.gate.running), 0)
+}
