--- a/standin/faults.go
+++ b/standin/faults.go
@@ -26,6 +26,21 @@
 	Drain bool `json:"drain,omitempty"`
 }
 
+// maxSlowFactor bounds SlowFactor, so that service times stay within the range of a duration.
+const maxSlowFactor = 1e6
+
+func (f *Faults) check() error {
+	if f.SlowFactor < 0 || f.SlowFactor > maxSlowFactor {
+		return errors.Errorf("slowFactor %v is not between 0 and %v", f.SlowFactor, maxSlowFactor)
+	}
+	for _, share := range []float64{f.HangShare, f.ErrorShare, f.CutShare} {
+		if share < 0 || share > 1 {
+			return errors.Errorf("share %v is not between 0 and 1", share)
+		}
+	}
+	return nil
+}
+
 // ColdRequests is the number of answers after which a cold stand-in is warm.
 const ColdRequests = 50
 
@@ -42,6 +57,10 @@
 			http.Error(w, errors.Wrap(err, "faults").Error(), http.StatusBadRequest)
 			return
 		}
+		if err := faults.check(); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
 		s.SetFaults(faults)
 		writeJSON(w, faults)
 	default:
--- a/standin/server.go
+++ b/standin/server.go
@@ -209,7 +209,10 @@
 
 // callNested calls another service through the local listener and returns what came back in short.
 func (s *Server) callNested(ctx context.Context, id, path string) string {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, s.opts.Announce+path, nil)
+	s.mu.Lock()
+	target := s.opts.Announce
+	s.mu.Unlock()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, target+path, nil)
 	if err != nil {
 		return err.Error()
 	}
@@ -234,6 +237,10 @@
 	data = append(data, '\n')
 	w.Header().Set("Content-Type", "application/json")
 	w.Header().Set("Content-Length", strconv.Itoa(len(data)))
+	if reply.RequestID != "" {
+		// The gate checks an echoed id against its request.
+		w.Header().Set("Rosemaryline-Request-Id", reply.RequestID)
+	}
 	if !cut {
 		// A failing write means that the gate is gone.
 		_, _ = w.Write(data)
