proxy: bound timings of peers; tests of the client; one known failing test

Cause: FuzzParseLoad found that a time of us in a gate's answer became a negative duration, which an entry adds to the path time.

--- a/proxy/remote.go
+++ b/proxy/remote.go
@@ -196,7 +196,7 @@
 
 func parseMicros(text string) time.Duration {
 	v, err := strconv.ParseInt(text, 10, 64)
-	if err != nil || v < 0 {
+	if err != nil || v < 0 || v > maxDeadline.Microseconds() {
 		return 0
 	}
 	return time.Duration(v) * time.Microsecond
--- a/proxy/retry_test.go
+++ b/proxy/retry_test.go
@@ -1,7 +1,11 @@
 package proxy
 
 import (
+	"io"
+	stdlog "log"
+	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -9,6 +13,8 @@
 	"gotest.tools/v3/assert"
 
 	"rosemaryline.dev/admission"
+	"rosemaryline.dev/fleet/config"
+	"rosemaryline.dev/fleet/state"
 	"rosemaryline.dev/routing"
 )
 
@@ -201,3 +207,56 @@
 	cands, _, _ := entry.entry.Explain("svc")
 	assert.Equal(t, cands[0].PathPenalty, 0.0)
 }
+
+// Guards against an empty list of repeatable methods that is taken for the default: such a route repeats nothing.
+func TestEmptyListOfRepeatableMethods(t *testing.T) {
+	v := newView(t, 4)
+	route := config.Route{Path: "/none", Service: "svc", Access: config.AccessOpen, RepeatableMethods: []string{}}
+	change := config.Change{Routes: config.Entries[config.Route]{Set: map[string]config.Route{"none": route}}}
+	change.SetDefaults()
+	v.apply(t, state.Command{Operator: "test", Apply: &state.ApplyChange{Change: change, ContentHash: change.Hash()}})
+	b := newBackend(t, abort)
+	far := newVM(t, "vm2", v, nil)
+	far.announce(t, "b", addressOf(b.Server), "1")
+	near := newVM(t, "vm1", v, directory{host("vm1", ""), host("vm2", addressOf(far.peer))})
+	near.announce(t, "b", addressOf(b.Server), "1")
+	call(t, near.caller, "GET", "/none", nil)
+	assert.Equal(t, b.count(), 1)
+}
+
+// Guards against a peer that accepts connections and never answers: the caller hears in time that the outcome is unknown.
+func TestHalfOpenPeer(t *testing.T) {
+	v := newView(t, 4)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer listener.Close()
+	entry := newVM(t, "vm1", v, directory{host("vm2", listener.Addr().String())})
+	shortDeadline(t, v, entry)
+	entry.fleet.Refresh()
+	resp, _, _ := call(t, entry.caller, "GET", "/once", nil)
+	assert.Equal(t, resp.StatusCode, 504)
+	assert.Equal(t, resp.Header.Get(HeaderOutcome), "unknown")
+	cands, _, _ := entry.entry.Explain("svc")
+	assert.Assert(t, cands[0].PathPenalty > 0)
+}
+
+// Guards against HTTP/2 callers who get other promises than HTTP/1.1 callers: a cut body must break their stream, and
+// fleet headers must not pass.
+func TestHTTP2Callers(t *testing.T) {
+	b := newBackend(t, func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Content-Length", "100000")
+		io.WriteString(w, strings.Repeat("x", 99_999))
+		panic(http.ErrAbortHandler)
+	})
+	m := single(t, newView(t, 4), b)
+	s := httptest.NewUnstartedServer(m.entry)
+	s.EnableHTTP2 = true
+	s.Config.ErrorLog = stdlog.New(io.Discard, "", 0)
+	s.StartTLS()
+	defer s.Close()
+	resp, _, err := call(t, s, "GET", "/once", nil, HeaderTeam, "blue")
+	assert.Assert(t, err != nil)
+	assert.Equal(t, resp.ProtoMajor, 2)
+	r, _ := b.seen()
+	assert.Equal(t, r.Header.Get(HeaderTeam), "red")
+}
