--- a/proxy/helper_test.go
+++ b/proxy/helper_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/phuslu/log"
+	"go.uber.org/goleak"
 	"gotest.tools/v3/assert"
 
 	"rosemaryline.dev/admission"
@@ -226,7 +227,12 @@
 		f(&opts)
 	}
 	m.entry = NewEntry(opts)
-	t.Cleanup(opts.Peers.Close)
+	t.Cleanup(func() {
+		opts.Peers.Close()
+		for _, s := range m.gate.list("") {
+			m.gate.Withdraw(s.name)
+		}
+	})
 	m.caller = httptest.NewUnstartedServer(m.entry)
 	m.peer = httptest.NewUnstartedServer(&GateHandler{Gate: m.gate, HoldBody: DefaultHoldBody})
 	m.local = httptest.NewUnstartedServer(http.HandlerFunc(m.entry.ServeNested))
@@ -313,3 +319,6 @@
 }
 
 func deadlineIn(ms int) time.Time { return time.Now().Add(time.Duration(ms) * time.Millisecond) }
+
+// TestMain fails where connections or requests are left behind.
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
--- a/proxy/stateful_test.go
+++ b/proxy/stateful_test.go
@@ -244,5 +244,6 @@
 		for m.running() > 0 {
 			m.finish(rt)
 		}
+		gate.Withdraw("b")
 	})
 }
