--- a/proxy/client.go
+++ b/proxy/client.go
@@ -15,6 +15,7 @@
 // uses a connection again only when the answer before was accepted and read to its end with nothing behind it.
 type client struct {
 	tls            *tls.Config // nil for plain connections
+	open           dialFunc
 	connectTimeout time.Duration
 	// maxConns bounds the open connections to one address, maxIdle the idle ones.
 	maxConns, maxIdle int
@@ -23,6 +24,9 @@
 	hosts map[string]*hostPool
 }
 
+// dialFunc opens a connection.
+type dialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
 // hostPool holds the connections to one address.
 type hostPool struct {
 	active chan struct{} // one element for each connection in use
@@ -35,6 +39,7 @@
 	}
 	return &client{
 		tls:            tlsConfig,
+		open:           (&net.Dialer{}).DialContext,
 		connectTimeout: connectTimeout,
 		maxConns:       max(maxConns, 1),
 		maxIdle:        maxIdle,
@@ -158,7 +163,7 @@
 func (c *client) dial(ctx context.Context, address string, host *hostPool) (*clientConn, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.connectTimeout)
 	defer cancel()
-	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
+	conn, err := c.open(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
 	}
--- a/proxy/clientconn.go
+++ b/proxy/clientconn.go
@@ -41,7 +41,11 @@
 	if c.reader.Buffered() > 0 {
 		return false
 	}
-	raw, err := c.socket.(syscall.Conn).SyscallConn()
+	socket, ok := c.socket.(syscall.Conn)
+	if !ok {
+		return true // a connection of a replaced dial function cannot be looked into
+	}
+	raw, err := socket.SyscallConn()
 	if err != nil {
 		return false
 	}
--- a/proxy/remote.go
+++ b/proxy/remote.go
@@ -45,7 +45,7 @@
 
 // SetDial replaces the function that opens connections to peers. It is called before the first request.
 func (c *PeerClient) SetDial(dial func(ctx context.Context, network, address string) (net.Conn, error)) {
-	c.transport.DialContext = dial
+	c.client.open = dial
 }
 
 // Gate returns a Runner for the gate at address.
