Give up readers on ejection, leave nested calls out of a server's time, refuse new work when cut off

Cause: findings of the measurement: readers waited 15 s at a server that was ejected while it hung; planning's servers looked slow while the service they call was cold; changed settings did not reach announced servers; a cut-off gate could run new work in a failure domain that was taken out. Change: repeatable requests that wait for an ejected server are given up and tried elsewhere; time in nested calls does not count for the detector nor the ramp; renewals put changed settings in force; teams' rates weigh the queue.

--- a/node/claims.go
+++ b/node/claims.go
@@ -61,13 +61,19 @@
 
 // Claim implements proxy.Claimer.
 func (c *claims) Claim(ctx context.Context, req *proxy.Request) (proxy.Claim, *proxy.Response, error) {
+	trial, ok := c.breaker.enter(c.clock())
+	if !ok {
+		return nil, nil, refuse(http.StatusServiceUnavailable, proxy.OutcomeNotRun, proxy.ReasonNoRecords)
+	}
 	select {
 	case c.pending <- struct{}{}:
 	default:
+		c.breaker.leave(trial, false, c.clock())
 		return nil, nil, refuse(http.StatusServiceUnavailable, proxy.OutcomeNotRun, proxy.ReasonNoRecords)
 	}
 	claim := &claim{claims: c, attempt: c.newAttempt(req)}
 	step := claim.decide(ctx)
+	c.breaker.leave(trial, !claim.unreachable, c.clock())
 	if step.Run {
 		return claim, nil, nil
 	}
@@ -126,6 +132,8 @@
 type claim struct {
 	claims  *claims
 	attempt *idempotency.Attempt
+	// unreachable is true after a claim that the record group did not answer.
+	unreachable bool
 }
 
 // decide proposes the claim until it is decided or given up.
@@ -144,6 +152,7 @@
 	result, err := c.claims.apply(ctx, command)
 	now := c.claims.clock()
 	if err != nil {
+		c.unreachable = true
 		return c.attempt.Unreachable(now)
 	}
 	return c.attempt.Recorded(now, result)
--- a/node/ejections.go
+++ b/node/ejections.go
@@ -97,25 +97,54 @@
 }
 
 // Begin implements proxy.Observer.
-func (e *ejections) Begin(name string) func(result admission.Result) {
-	server := e.global(name)
+func (e *ejections) Begin(name string) proxy.Observation {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.nextID++
-	id := e.nextID
-	e.detector.Start(server, id, e.clock())
-	return func(result admission.Result) {
-		e.mu.Lock()
-		defer e.mu.Unlock()
-		switch result {
-		case admission.Succeeded:
-			e.detector.Finish(server, id, e.clock(), false)
-		case admission.Failed:
-			e.detector.Finish(server, id, e.clock(), true)
-		default:
-			// A request that was shed or given up tells nothing about a fault.
-			e.detector.Cancel(server, id)
-		}
+	o := &observation{ejections: e, server: e.global(name), id: e.nextID, since: e.clock()}
+	e.detector.Start(o.server, o.id, o.since)
+	return o
+}
+
+// observation implements proxy.Observation. The mutex of ejections guards it.
+type observation struct {
+	*ejections
+	server string
+	id     uint64
+	own    time.Duration // time at the backend server before since
+	since  time.Duration
+	paused bool
+}
+
+// Pause implements proxy.Observation.
+func (o *observation) Pause() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.own += o.clock() - o.since
+	o.paused = true
+	o.detector.Cancel(o.server, o.id)
+}
+
+// Resume implements proxy.Observation.
+func (o *observation) Resume() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.since = o.clock()
+	o.paused = false
+	o.detector.Start(o.server, o.id, o.since-o.own)
+}
+
+// End implements proxy.Observation. A request that was shed or given up tells nothing about a fault.
+func (o *observation) End(result admission.Result) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	now := o.clock()
+	if !o.paused {
+		o.own += now - o.since
+	}
+	o.detector.Cancel(o.server, o.id)
+	if result == admission.Succeeded || result == admission.Failed {
+		o.detector.Observe(o.server, now, o.own, result == admission.Failed)
 	}
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -102,7 +102,7 @@
 	n.claims = newClaims(claimer, n.clock, n.groups, n.gossip, o.Log, &n.tomb)
 	n.gate = proxy.NewGate(proxy.GateOptions{
 		VM: o.Name, Domain: o.Domain, Fleet: n.fleet, Clock: n.clock, Log: o.Log,
-		Claimer: n.claims, Observer: n.ejections,
+		Claimer: n.claims, Observer: n.ejections, Admitter: n,
 	})
 	n.ejections.gate = n.gate
 	n.peers = proxy.NewPeerClient(o.PeerClientTLS)
--- /dev/null
+++ b/proxy/ejected_test.go
@@ -0,0 +1,116 @@
+package proxy
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"rosemaryline.dev/admission"
+	"rosemaryline.dev/fleet/config"
+	"rosemaryline.dev/fleet/state"
+)
+
+// Guards against readers who wait for their deadline at a backend server that hangs and was ejected meanwhile, and
+// against giving up a request that may not be repeated.
+func TestEjectionGivesUpRepeatableRequests(t *testing.T) {
+	hang := make(chan struct{})
+	b := newBackend(t, func(w http.ResponseWriter, r *http.Request) {
+		select {
+		case <-hang:
+		case <-r.Context().Done():
+		}
+	})
+	m := single(t, newView(t, 4), b)
+	type result struct {
+		resp *Response
+		err  error
+	}
+	run := func(repeatable bool) chan result {
+		done := make(chan result, 1)
+		req := testRequest(t, "root")
+		req.Repeatable = repeatable
+		go func() {
+			resp, err := m.gate.Run(context.Background(), req)
+			done <- result{resp, err}
+		}()
+		return done
+	}
+	reader, booking := run(true), run(false)
+	eventually(t, "both run", func() bool { return b.count() == 2 })
+	m.gate.SetEjected("b", true)
+	r := <-reader
+	refusal := asRefusal(r.err)
+	assert.Equal(t, refusal.Reason, ReasonEjected)
+	assert.Equal(t, refusal.Outcome, OutcomeUnknown)
+	select {
+	case <-booking:
+		t.Fatal("a request that may not be repeated was given up")
+	default:
+	}
+	close(hang)
+	r = <-booking
+	assert.NilError(t, r.err)
+	assert.NilError(t, r.resp.Body.Close())
+}
+
+// Guards against a process that is cut off and runs new work in a failure domain that was taken out, and against
+// deadlocks where it refused calls of running requests.
+func TestIsolatedGateRefusesNewWork(t *testing.T) {
+	b := newBackend(t, nil)
+	m := single(t, newView(t, 4), b)
+	m.gate.opts.Admitter = admitter(false)
+	_, err := m.gate.Run(context.Background(), testRequest(t, "root"))
+	assert.Equal(t, asRefusal(err).Reason, ReasonIsolated)
+	assert.Equal(t, asRefusal(err).Outcome, OutcomeNotRun)
+	assert.Equal(t, b.count(), 0)
+	nested := testRequest(t, "root")
+	nested.Depth = 1
+	resp, err := m.gate.Run(context.Background(), nested)
+	assert.NilError(t, err)
+	assert.NilError(t, resp.Body.Close())
+}
+
+// Guards against settings that reach only backend servers announced after the change.
+func TestChangedSettingsReachAnnouncedServers(t *testing.T) {
+	v := newView(t, 4)
+	b := newBackend(t, nil)
+	m := single(t, v, b)
+	assert.Equal(t, m.gate.servers["b"].load().Slots, 4)
+	change := config.Change{}
+	change.Services.Set = map[string]config.Service{"svc": {Slots: 2, Connections: 10, FloorPercent: 50}}
+	change.SetDefaults()
+	v.apply(t, state.Command{Operator: "test", Apply: &state.ApplyChange{Change: change, ContentHash: change.Hash()}})
+	m.announce(t, "b", addressOf(b.Server), "1")
+	assert.Equal(t, m.gate.servers["b"].load().Slots, 2)
+}
+
+// pauses counts what a parent tells its observation.
+type pauses struct{ paused, resumed int }
+
+func (p *pauses) Pause()               { p.paused++ }
+func (p *pauses) Resume()              { p.resumed++ }
+func (p *pauses) End(admission.Result) {}
+
+// Guards against blaming a backend server for the time of the services that it calls: overlapping nested calls count
+// once, and one that still runs at the end counts until then.
+func TestNestedTimeCountsOnce(t *testing.T) {
+	now := time.Duration(0)
+	seen := &pauses{}
+	p := &parent{clock: func() time.Duration { return now }, observation: seen}
+	p.enter()
+	now += 10
+	p.enter()
+	now += 10
+	p.leave()
+	now += 10
+	p.leave()
+	now += 100
+	p.enter()
+	now += 5
+	assert.Equal(t, p.end(admission.Succeeded), time.Duration(35))
+	p.leave()
+	assert.Equal(t, *seen, pauses{paused: 2, resumed: 1})
+}
--- a/proxy/entry.go
+++ b/proxy/entry.go
@@ -94,7 +94,12 @@
 // ServeNested serves internal routes on the local listener.
 func (e *Entry) ServeNested(w http.ResponseWriter, r *http.Request) {
 	id := newRequestID()
-	req, refusal := e.acceptNested(r, id)
+	caller, nested := e.opts.Gate.parent(r.Header.Get(HeaderRequestID))
+	if nested {
+		caller.enter()
+		defer caller.leave()
+	}
+	req, refusal := e.acceptNested(r, id, caller)
 	if refusal != nil {
 		e.refuse(w, id, req, refusal)
 		return
@@ -163,14 +168,14 @@
 }
 
 // acceptNested checks a call of a backend server on this VM. Team, depth and deadline come from the running request
-// that the call is made for, never from headers; a call without one is new internal work without a team.
-func (e *Entry) acceptNested(r *http.Request, id string) (*Request, *Refusal) {
+// that the call is made for, never from headers; a call without one (nil) is new internal work without a team.
+func (e *Entry) acceptNested(r *http.Request, id string, caller *parent) (*Request, *Refusal) {
 	route, refusal := e.match(r, config.AccessInternal)
 	if refusal != nil {
 		return nil, refusal
 	}
 	req := newRequest(r, id, route, e.opts.Fleet.Version())
-	if caller, ok := e.opts.Gate.parent(r.Header.Get(HeaderRequestID)); ok {
+	if caller != nil {
 		req.Team = caller.team
 		req.Depth = caller.depth + 1
 		if caller.deadline.Before(req.Deadline) {
--- a/proxy/fleet.go
+++ b/proxy/fleet.go
@@ -60,6 +60,12 @@
 	return team, ok
 }
 
+// TeamRate returns a team's rate in requests a second; 0 for an unknown team.
+func (f *Fleet) TeamRate(team string) (rate float64) {
+	f.Read(func(s *state.State) { rate = s.Config().Teams[team].Rate })
+	return rate
+}
+
 // Service returns a service's settings.
 func (f *Fleet) Service(name string) (service config.Service, ok bool) {
 	f.Read(func(s *state.State) { service, ok = s.Config().Services[name] })
--- a/proxy/gate.go
+++ b/proxy/gate.go
@@ -37,8 +37,8 @@
 	Added(name, service string, slots int)
 	// Removed is called when a backend server is gone.
 	Removed(name string)
-	// Begin is called when a request is sent. The returned function is called once with its result.
-	Begin(name string) func(result admission.Result)
+	// Begin is called when a request is sent.
+	Begin(name string) Observation
 }
 
 // GateOptions are the settings and collaborators of a Gate.
@@ -50,6 +50,9 @@
 	Log        *log.Logger
 	Claimer    Claimer
 	Observer   Observer
+	// Admitter tells whether new work may run here. A process that is cut off cannot know whether its failure domain was
+	// taken out. Nil admits always.
+	Admitter Admitter
 }
 
 // Gate is the only way to the backend servers on this VM.
@@ -61,14 +64,7 @@
 	servers map[string]*server
 	// lists holds the sorted backend servers of each service, and of all under the empty name.
 	lists   map[string][]*server
-	running map[string]parent
-}
-
-// parent is a running request that may make nested calls.
-type parent struct {
-	team     string
-	depth    int
-	deadline time.Time
+	running map[string]*parent
 }
 
 // NewGate returns a Gate without backend servers.
@@ -76,7 +72,7 @@
 	return &Gate{
 		opts:    opts,
 		servers: map[string]*server{},
-		running: map[string]parent{},
+		running: map[string]*parent{},
 	}
 }
 
@@ -107,7 +103,7 @@
 		g.opts.Log.Info().Str("server", a.Name).Str("service", a.Service).Str("instance", a.Instance).
 			Msg("gate: backend server announced.")
 	}
-	if s.update(a) {
+	if s.update(a, settings) {
 		g.opts.Observer.Added(s.name, s.service, s.slots)
 	}
 	return nil
@@ -154,8 +150,8 @@
 	g.mu.Lock()
 	s, ok := g.servers[name]
 	g.mu.Unlock()
-	if ok {
-		s.setEjected(ejected)
+	if ok && s.setEjected(ejected) {
+		s.giveUpRunning()
 	}
 }
 
@@ -195,7 +191,7 @@
 	if s == nil {
 		return nil, g.refusal(req, notRun(http.StatusServiceUnavailable, ReasonNoCapacity, "pick"), nil)
 	}
-	held, reason := s.acquire(ctx, req)
+	held, reason := s.acquire(ctx, req, g.opts.Fleet.TeamRate(req.Team))
 	if reason != admission.ReasonNone {
 		return nil, g.refusal(req, refusalFor(reason), s)
 	}
@@ -216,6 +212,9 @@
 	if g.opts.Fleet.DomainOut(g.opts.Domain) {
 		return g.refusal(req, notRun(http.StatusServiceUnavailable, ReasonDomainOut, "gate"), nil)
 	}
+	if req.Depth == 0 && g.opts.Admitter != nil && !g.opts.Admitter.MayAdmit() {
+		return g.refusal(req, notRun(http.StatusServiceUnavailable, ReasonIsolated, "gate"), nil)
+	}
 	return nil
 }
 
@@ -274,19 +273,28 @@
 }
 
 // track makes a running request known, so that nested calls can be made on its behalf.
-func (g *Gate) track(req *Request) (untrack func()) {
+func (g *Gate) track(req *Request, server string) *parent {
+	p := &parent{
+		team:        req.Team,
+		depth:       req.Depth,
+		deadline:    req.Deadline,
+		clock:       g.opts.Clock,
+		observation: g.opts.Observer.Begin(server),
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.running[req.ID] = parent{team: req.Team, depth: req.Depth, deadline: req.Deadline}
-	return func() {
-		g.mu.Lock()
-		defer g.mu.Unlock()
-		delete(g.running, req.ID)
-	}
+	g.running[req.ID] = p
+	return p
+}
+
+func (g *Gate) untrack(req *Request) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	delete(g.running, req.ID)
 }
 
-// Parent returns the running request with this id.
-func (g *Gate) parent(id string) (parent, bool) {
+// parent returns the running request with this id.
+func (g *Gate) parent(id string) (*parent, bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	p, ok := g.running[id]
--- a/proxy/helper_test.go
+++ b/proxy/helper_test.go
@@ -146,12 +146,18 @@
 	o.removed = append(o.removed, name)
 }
 
-func (o *observer) Begin(string) func(admission.Result) {
-	return func(r admission.Result) {
-		o.mu.Lock()
-		defer o.mu.Unlock()
-		o.results = append(o.results, r)
-	}
+func (o *observer) Begin(string) Observation { return observation{o} }
+
+// observation records the result of one request.
+type observation struct{ *observer }
+
+func (o observation) Pause()  {}
+func (o observation) Resume() {}
+
+func (o observation) End(r admission.Result) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.results = append(o.results, r)
 }
 
 func (o *observer) seen() []admission.Result {
--- a/proxy/run.go
+++ b/proxy/run.go
@@ -51,32 +51,35 @@
 func (g *Gate) send(callerCtx context.Context, req *Request, held *slot) (*Response, error) {
 	ctx, cancel := g.runContext(callerCtx, req)
 	timer := time.AfterFunc(g.responseTime(req), cancel)
-	untrack := g.track(req)
-	observe := g.opts.Observer.Begin(held.server.name)
+	tracked := g.track(req, held.server.name)
 	began := g.opts.Clock()
-	resp, err := g.roundTrip(ctx, cancel, req, held)
+	resp, gaveUp, err := g.sendWatched(ctx, cancel, req, held)
 	latency := g.opts.Clock() - began
 	inTime := timer.Stop()
 	if err != nil {
 		callerGone := req.Body.senderFault(!inTime) || ctx.Err() != nil && callerCtx.Err() != nil && inTime
 		cancel()
-		untrack()
+		g.untrack(req)
 		result := admission.Failed
-		if callerGone {
+		if callerGone || gaveUp {
 			result = admission.Cancelled
 		}
-		observe(result)
-		held.release(latency, result)
-		return nil, sendRefusal(err, inTime, callerGone)
+		nested := tracked.end(result)
+		held.release(latency-nested, result)
+		refusal := sendRefusal(err, inTime, callerGone)
+		if gaveUp {
+			refusal.Reason = ReasonEjected
+		}
+		return nil, refusal
 	}
 	result := statusResult(resp.StatusCode)
-	observe(result)
+	nested := tracked.end(result)
 	release := func(whole bool) {
-		untrack()
+		g.untrack(req)
 		if !whole {
 			result = admission.Failed
 		}
-		held.release(latency, result)
+		held.release(latency-nested, result)
 	}
 	return &Response{
 		Status:        resp.StatusCode,
@@ -89,6 +92,23 @@
 	}, nil
 }
 
+// sendWatched sends the request. One that may be repeated is given up when its backend server is ejected meanwhile.
+func (g *Gate) sendWatched(ctx context.Context, cancel context.CancelFunc, req *Request, held *slot) (resp *http.Response, gaveUp bool, err error) {
+	if !req.Repeatable {
+		resp, err = g.roundTrip(ctx, cancel, req, held)
+		return resp, false, err
+	}
+	watched := held.server.watch(cancel)
+	resp, err = g.roundTrip(ctx, cancel, req, held)
+	gaveUp = held.server.unwatch(watched)
+	if gaveUp && err == nil {
+		// The answer came at the same moment; its body can no longer be read.
+		resp.Body.Close()
+		return nil, true, &sendError{sent: true, err: context.Canceled}
+	}
+	return resp, gaveUp, err
+}
+
 // responseTime is the time that the backend server has for the answer's headers.
 func (g *Gate) responseTime(req *Request) time.Duration {
 	remaining := time.Until(req.Deadline)
--- a/proxy/server.go
+++ b/proxy/server.go
@@ -27,8 +27,11 @@
 	warmBy   time.Duration
 	warm     bool
 	lapsesAt time.Duration
+	cfg      admission.Config
 	gate     *admission.Gate
 	waiting  map[admission.Ticket]chan waitResult
+	// running holds the repeatable requests that wait for an answer.
+	running map[*runningRequest]struct{}
 }
 
 // waitResult ends the wait of a queued request: with a grant, or with a refusal.
@@ -53,8 +56,10 @@
 		client:  newClient(settings.Connections, slots, settings.ConnectTimeout.Std(), nil),
 		slots:   slots,
 		waiting: map[admission.Ticket]chan waitResult{},
+		running: map[*runningRequest]struct{}{},
+		cfg:     admissionConfig(settings, slots),
 	}
-	s.gate = admission.NewGate(admissionConfig(settings, slots))
+	s.gate = admission.NewGate(s.cfg)
 	return s
 }
 
@@ -81,10 +86,12 @@
 	return cfg
 }
 
-// update takes over an announcement or its renewal. It tells whether the instance is new.
-func (s *server) update(a Announcement) (fresh bool) {
+// update takes over an announcement or its renewal, and the service's settings of now. It tells whether the instance is
+// new.
+func (s *server) update(a Announcement, settings config.Service) (fresh bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.reconfigure(a, settings)
 	fresh = a.Instance != s.instance
 	if fresh {
 		s.warm = false
@@ -101,6 +108,20 @@
 	return fresh
 }
 
+// reconfigure puts changed settings of the service in force. The caller holds mu.
+func (s *server) reconfigure(a Announcement, settings config.Service) {
+	slots := announcedSlots(a, settings)
+	cfg := admissionConfig(settings, slots)
+	if cfg == s.cfg {
+		return
+	}
+	s.cfg = cfg
+	s.slots = slots
+	grants, refusals := s.gate.Reconfigure(s.clock(), cfg)
+	s.deliverGrants(grants)
+	s.deliverRefusals(refusals)
+}
+
 // expire marks the backend server as lost when its announcement lapsed.
 func (s *server) expire() (lapsed bool) {
 	s.mu.Lock()
@@ -138,11 +159,53 @@
 	return s.address
 }
 
-func (s *server) setEjected(ejected bool) {
+// setEjected takes over the state of ejection. It tells whether the backend server is newly ejected. One that returns is
+// in its ramp again.
+func (s *server) setEjected(ejected bool) (begins bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	begins = ejected && !s.ejected
+	if s.ejected && !ejected {
+		s.warm = false
+		s.warmBy = s.clock() + rampTime
+	}
 	s.ejected = ejected
 	s.applyState()
+	return begins
+}
+
+// runningRequest is a repeatable request that waits for an answer.
+type runningRequest struct {
+	cancel context.CancelFunc
+	gaveUp bool // guarded by the server's mu
+}
+
+// watch makes a request known that may be given up.
+func (s *server) watch(cancel context.CancelFunc) *runningRequest {
+	r := &runningRequest{cancel: cancel}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.running[r] = struct{}{}
+	return r
+}
+
+// unwatch ends the watch. It tells whether the request was given up.
+func (s *server) unwatch(r *runningRequest) (gaveUp bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.running, r)
+	return r.gaveUp
+}
+
+// giveUpRunning cancels the repeatable requests that wait for an ejected backend server, so that their entries try them
+// elsewhere instead of waiting for their deadline.
+func (s *server) giveUpRunning() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for r := range s.running {
+		r.gaveUp = true
+		r.cancel()
+	}
 }
 
 // applyState passes the state to the admission gate and answers the requests that it refuses. The caller holds mu.
@@ -184,11 +247,11 @@
 }
 
 // acquire waits for a slot until the deadline.
-func (s *server) acquire(ctx context.Context, req *Request) (*slot, admission.Reason) {
+func (s *server) acquire(ctx context.Context, req *Request, weight float64) (*slot, admission.Reason) {
 	now := s.clock()
 	deadline := now + time.Until(req.Deadline)
 	s.mu.Lock()
-	decision := s.gate.Offer(now, admission.Request{Team: req.Team, Depth: req.Depth, Deadline: deadline})
+	decision := s.gate.Offer(now, admission.Request{Team: req.Team, Weight: weight, Depth: req.Depth, Deadline: deadline})
 	s.deliverRefusals(decision.Displaced)
 	if decision.Verdict == admission.Refused {
 		s.mu.Unlock()
