--- a/bench/processes/measure.go
+++ b/bench/processes/measure.go
@@ -3,7 +3,9 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"fmt"
+	"net/http"
 	"os"
 	"slices"
 	"strconv"
@@ -42,39 +44,37 @@
 	return usage{cpu: ticks * time.Second / clockTicks, rss: numbers[2] * uint64(os.Getpagesize())}, nil
 }
 
-// loopbackBytes returns the bytes that passed the loopback device since boot.
-func loopbackBytes() (uint64, error) {
-	data, err := os.ReadFile("/proc/net/dev")
+// traffic is what a process counts of the messages between processes.
+type traffic struct {
+	Bytes    int64 `json:"rosemaryline_rpc_sent_bytes_total"`
+	Messages int64 `json:"rosemaryline_rpc_sent_messages_total"`
+}
+
+func (p *process) traffic() (traffic, error) {
+	resp, err := http.Get("http://" + p.admin + "/debug/vars")
 	if err != nil {
-		return 0, err
-	}
-	for _, line := range strings.Split(string(data), "\n") {
-		if name, counters, ok := strings.Cut(line, ":"); ok && strings.TrimSpace(name) == "lo" {
-			return strconv.ParseUint(strings.Fields(counters)[0], 10, 64)
-		}
+		return traffic{}, err
 	}
-	return 0, errors.New("no loopback device")
+	defer resp.Body.Close()
+	var t traffic
+	return t, json.NewDecoder(resp.Body).Decode(&t)
 }
 
 // measureIdle prints the mean processor time, memory and traffic of the processes, control VMs apart.
 func (f *fleet) measureIdle(d time.Duration) error {
 	time.Sleep(3 * time.Second) // joins and shard owners settle
 	before := make([]usage, len(f.processes))
+	sent := make([]traffic, len(f.processes))
 	for i, p := range f.processes {
 		var err error
 		if before[i], err = p.usage(); err != nil {
 			return err
 		}
-	}
-	sent, err := loopbackBytes()
-	if err != nil {
-		return err
+		if sent[i], err = p.traffic(); err != nil {
+			return err
+		}
 	}
 	time.Sleep(d)
-	total, err := loopbackBytes()
-	if err != nil {
-		return err
-	}
 	for _, group := range []struct {
 		name     string
 		from, to int
@@ -85,9 +85,26 @@
 		if err := f.printUsage(group.name, group.from, group.to, before, d); err != nil {
 			return err
 		}
+		if err := f.printTraffic(group.name, group.from, group.to, sent, d); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (f *fleet) printTraffic(name string, from, to int, before []traffic, d time.Duration) error {
+	var bytes, messages int64
+	for i := from; i < to; i++ {
+		now, err := f.processes[i].traffic()
+		if err != nil {
+			return err
+		}
+		bytes += now.Bytes - before[i].Bytes
+		messages += now.Messages - before[i].Messages
 	}
-	perProcess := float64(total-sent) / d.Seconds() / float64(len(f.processes))
-	fmt.Printf("idle: %.0f bytes a second sent for each process, with TCP and IP headers, everything on loopback\n", perProcess)
+	each := d.Seconds() * float64(to-from)
+	fmt.Printf("idle: %s: %.0f bytes and %.1f messages a second sent to other processes, without TCP and IP headers\n",
+		name, float64(bytes)/each, float64(messages)/each)
 	return nil
 }
 
--- a/rpc/codec.go
+++ b/rpc/codec.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"encoding/binary"
 	"encoding/json"
+	"expvar"
 	"io"
 	"net"
 	"time"
@@ -29,6 +30,7 @@
 	if len(data) > MaxMessageBytes {
 		return errors.Wrapf(ErrMessageTooLarge, "%d bytes", len(data))
 	}
+	sentMessages.Add(1)
 	prefix := binary.AppendUvarint(nil, uint64(len(data)))
 	if _, err := stream.Write(prefix); err != nil {
 		return err
@@ -69,6 +71,12 @@
 	return 0, errors.New("message length is not a varint")
 }
 
+// Counters of this process, served at /debug/vars. Bytes are counted without TLS, TCP and IP headers.
+var (
+	sentBytes    = expvar.NewInt("rosemaryline_rpc_sent_bytes_total")
+	sentMessages = expvar.NewInt("rosemaryline_rpc_sent_messages_total")
+)
+
 // deadlineConn sets a fresh deadline before each read and write. A failed write closes the connection.
 type deadlineConn struct {
 	net.Conn
@@ -87,6 +95,7 @@
 		return 0, err
 	}
 	n, err := c.Conn.Write(p)
+	sentBytes.Add(int64(n))
 	if err != nil {
 		// A message that was written in part makes all later ones unreadable.
 		c.Conn.Close()
