--- a/bench/processes/measure.go
+++ b/bench/processes/measure.go
@@ -17,6 +17,9 @@
 	"rosemaryline.dev/control"
 )
 
+// settleTime lets joins, shard owners and restarted processes settle before a measurement.
+const settleTime = 3 * time.Second
+
 // clockTicks is the unit of processor time in /proc, in ticks a second.
 const clockTicks = 100
 
@@ -62,7 +65,7 @@
 
 // measureIdle prints the mean processor time, memory and traffic of the processes, control VMs apart.
 func (f *fleet) measureIdle(d time.Duration) error {
-	time.Sleep(3 * time.Second) // joins and shard owners settle
+	time.Sleep(settleTime)
 	before := make([]usage, len(f.processes))
 	sent := make([]traffic, len(f.processes))
 	for i, p := range f.processes {
@@ -186,6 +189,7 @@
 
 // measureRestart makes many changes, as fast as one client can, and restarts a control VM.
 func (f *fleet) measureRestart(ctx context.Context, history int) error {
+	time.Sleep(settleTime)
 	start := time.Now()
 	for range history {
 		if err := f.retry(ctx, func() error { _, err := f.changeRate(ctx); return err }); err != nil {
--- a/node/groups.go
+++ b/node/groups.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -37,7 +38,12 @@
 
 // groupClient proposes commands to the leaders of the groups. Commands carry ids that make a resend harmless, so every
 // failure is answered by another try until the context ends.
-type groupClient struct{ node *Node }
+type groupClient struct {
+	node *Node
+
+	mu      sync.Mutex // guards leaders
+	leaders map[groupName]string
+}
 
 // proposeRecord implements proposer.
 func (g *groupClient) proposeRecord(ctx context.Context, data []byte) ([]byte, error) {
@@ -64,23 +70,16 @@
 	return err
 }
 
+// propose sends a proposal to the group's leader until it is answered or ctx ends.
 func (g *groupClient) propose(ctx context.Context, p proposal) ([]byte, error) {
 	last := error(errNoLeader)
-	hint := ""
 	for {
-		for _, address := range g.candidates(p.Group, hint) {
-			answer, err := g.try(ctx, address, p)
-			if err == nil {
-				return answer, nil
-			}
-			if isInvalid(err) {
-				return nil, err
-			}
+		answer, err := g.round(ctx, p)
+		if err == nil || isInvalid(err) {
+			return answer, err
+		}
+		if !errors.Is(err, errNoLeader) {
 			last = err
-			hint = leaderHint(err)
-			if hint != "" && hint != address {
-				break
-			}
 		}
 		select {
 		case <-time.After(proposeRetry):
@@ -90,6 +89,44 @@
 	}
 }
 
+// round asks the leader that answered last, and then the other members. A hint at the leader is followed at once.
+func (g *groupClient) round(ctx context.Context, p proposal) ([]byte, error) {
+	tried := map[string]bool{}
+	queue := g.candidates(p.Group, g.leader(p.Group))
+	last := error(errNoLeader)
+	for len(queue) > 0 {
+		address := queue[0]
+		queue = queue[1:]
+		if tried[address] {
+			continue
+		}
+		tried[address] = true
+		answer, err := g.try(ctx, address, p)
+		if err == nil || isInvalid(err) {
+			g.setLeader(p.Group, address)
+			return answer, err
+		}
+		last = err
+		if hint := leaderHint(err); hint != "" {
+			queue = append([]string{hint}, queue...)
+		}
+	}
+	return nil, last
+}
+
+// leader returns the address of the member that answered last, or "".
+func (g *groupClient) leader(group groupName) string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.leaders[group]
+}
+
+func (g *groupClient) setLeader(group groupName, address string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.leaders[group] = address
+}
+
 // candidates returns the addresses to try: the hinted leader first, then all members of the group.
 func (g *groupClient) candidates(group groupName, hint string) []string {
 	var list []string
--- a/node/node.go
+++ b/node/node.go
@@ -97,7 +97,7 @@
 	holder := quota.Config{Process: o.Name, Incarnation: n.incarnation}
 	n.limiter = newLimiter(holder, n.clock, n.fleet, n.client, n.shards, &n.tomb)
 	n.ejections = newEjections(o.Name, n.incarnation, n.clock, n.fleet, n.client, n.gossip, n.directory, n.shards, o.Log, &n.tomb)
-	n.groups = &groupClient{node: n}
+	n.groups = &groupClient{node: n, leaders: map[groupName]string{}}
 	claimer := idempotency.Claimer{Process: o.Name, Incarnation: n.incarnation}
 	n.claims = newClaims(claimer, n.clock, n.groups, n.gossip, o.Log, &n.tomb)
 	n.gate = proxy.NewGate(proxy.GateOptions{
