--- a/bench/fleet.go
+++ b/bench/fleet.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"sync"
 	"time"
 
 	"github.com/phuslu/log"
@@ -182,9 +183,11 @@
 	if f.backends != nil {
 		f.backends.stop()
 	}
+	var killed sync.WaitGroup
 	for _, n := range append(f.nodes, f.control...) {
-		n.Kill()
+		killed.Go(n.Kill)
 	}
+	killed.Wait()
 	os.RemoveAll(f.dir)
 }
 
