--- a/bench/link.go
+++ b/bench/link.go
@@ -46,7 +46,7 @@
 	err  error
 }
 
-// delayedConn delays the data of both directions and keeps its order. Deadlines act on the arrival of data.
+// delayedConn delays the data of both directions and keeps its order. It has no read deadlines.
 type delayedConn struct {
 	net.Conn
 	delay  time.Duration
@@ -89,8 +89,8 @@
 	return c.Conn.Close()
 }
 
-// SetDeadline, SetReadDeadline and SetWriteDeadline act on writing only: the clients of this program bound their waits
-// by contexts, and the handshake of rpc.Client by closing.
+// SetDeadline bounds writing only. No process of a scenario accepts a connection without answering, so the handshake of
+// rpc.Client needs no read deadline; the other clients bound their waits by contexts.
 func (c *delayedConn) SetDeadline(t time.Time) error { return c.Conn.SetWriteDeadline(t) }
 
 // SetReadDeadline does nothing.
--- a/bench/record.go
+++ b/bench/record.go
@@ -41,12 +41,15 @@
 	offered, inTime int
 	ended           [outcomes]int
 	latency         *hdr.Histogram
+	answered        *hdr.Histogram // answered requests only
 }
 
 func newTally() *tally {
-	return &tally{latency: hdr.New(lowestLatency, highestLatency, latencyDigits)}
+	return &tally{latency: newHistogram(), answered: newHistogram()}
 }
 
+func newHistogram() *hdr.Histogram { return hdr.New(lowestLatency, highestLatency, latencyDigits) }
+
 func (t *tally) add(o outcome, took, deadline, limit time.Duration) {
 	t.offered++
 	t.ended[o]++
@@ -58,6 +61,9 @@
 	micros := min(max(took.Microseconds(), lowestLatency), highestLatency)
 	// A value within the limits is always recorded.
 	_ = t.latency.RecordValue(micros)
+	if o == answered {
+		_ = t.answered.RecordValue(micros)
+	}
 }
 
 // share returns the share answered in time.
@@ -78,7 +84,11 @@
 }
 
 // p99 returns the 99th percentile in milliseconds.
-func (t *tally) p99() float64 { return float64(t.latency.ValueAtQuantile(99)) / 1000 }
+func (t *tally) p99() float64 { return millis(t.latency, 99) }
+
+func millis(h *hdr.Histogram, quantile float64) float64 {
+	return float64(h.ValueAtQuantile(quantile)) / 1000
+}
 
 // teamTally counts a team's requests, also against a token bucket with its rate and burst.
 type teamTally struct {
