--- a/bench/measures_test.go
+++ b/bench/measures_test.go
@@ -62,6 +62,7 @@
 	assert.Equal(t, tally.share(), 0.97)
 	assert.Assert(t, tally.p99() >= 2990 && tally.p99() <= 3010, "%v", tally.p99())
 	assert.Equal(t, tally.ended[answered], 98)
+	assert.Equal(t, tally.answered.TotalCount(), int64(98))
 }
 
 // Guards against the worst-served team being the one that is over its rate, or a mean.
--- a/bench/result.go
+++ b/bench/result.go
@@ -53,12 +53,18 @@
 	Share   float64 `json:"shareInTime"`
 	P99     float64 `json:"p99Ms"`
 	// AdmittedShare leaves out the requests that were refused for the rate.
-	AdmittedShare float64        `json:"admittedShareInTime"`
-	Ended         map[string]int `json:"ended"`
+	AdmittedShare float64 `json:"admittedShareInTime"`
+	// AnsweredP50 and AnsweredP99 are of answered requests only.
+	AnsweredP50 float64        `json:"answeredP50Ms"`
+	AnsweredP99 float64        `json:"answeredP99Ms"`
+	Ended       map[string]int `json:"ended"`
 }
 
 func newService(t *tally) Service {
-	s := Service{Offered: t.offered, InTime: t.inTime, Share: t.share(), P99: t.p99(), AdmittedShare: t.admittedShare(), Ended: map[string]int{}}
+	s := Service{
+		Offered: t.offered, InTime: t.inTime, Share: t.share(), P99: t.p99(), AdmittedShare: t.admittedShare(),
+		AnsweredP50: millis(t.answered, 50), AnsweredP99: millis(t.answered, 99), Ended: map[string]int{},
+	}
 	for o, n := range t.ended {
 		if n > 0 {
 			s.Ended[outcome(o).String()] = n
--- a/bench/table.go
+++ b/bench/table.go
@@ -28,7 +28,7 @@
 	t := tabwriter.NewWriter(w, 0, 0, 1, ' ', 0)
 	columns := []string{
 		"scenario", "system", "detected s", "for most s", "at faulty", "false ej. (servers)", "worst team", "in time", "p99 ms",
-		"refused inside rate", "no capacity", "above rate", "during in time", "of admitted", "during p99 ms", "after in time", "of admitted", "bad s",
+		"refused inside rate", "no capacity", "above rate", "during in time", "of admitted", "during p99 ms", "answered p50 / p99 ms", "after in time", "of admitted", "bad s",
 	}
 	fmt.Fprintf(t, "| %s\t|\n", strings.Join(columns, "\t| "))
 	fmt.Fprintf(t, "|%s\n", strings.Repeat("---\t|", len(columns)))
@@ -57,6 +57,7 @@
 		fmt.Sprintf("%.2f%% of %d", 100*r.During.Share, r.During.Offered),
 		fmt.Sprintf("%.2f%%", 100*r.During.AdmittedShare),
 		fmt.Sprintf("%.0f", r.During.P99),
+		fmt.Sprintf("%.0f / %.0f", r.During.AnsweredP50, r.During.AnsweredP99),
 		fmt.Sprintf("%.2f%% of %d", 100*r.After.Share, r.After.Offered),
 		fmt.Sprintf("%.2f%%", 100*r.After.AdmittedShare),
 		fmt.Sprint(r.BadSeconds),
