--- a/bench/measures_test.go
+++ b/bench/measures_test.go
@@ -12,6 +12,7 @@
 	tests := []struct {
 		desc                      string
 		offered, refused, granted int
+		shed                      int
 		refusedInside, above      int
 	}{
 		{desc: "nothing refused", offered: 100, refused: 0, granted: 100},
@@ -19,12 +20,14 @@
 		{desc: "exactly the excess refused", offered: 500, refused: 400, granted: 100},
 		{desc: "more than the excess refused", offered: 500, refused: 410, granted: 100, refusedInside: 10},
 		{desc: "too little refused", offered: 500, refused: 390, granted: 100, above: 10},
+		{desc: "what was shed did not run", offered: 500, refused: 380, shed: 15, granted: 100, above: 5},
 	}
 	for _, test := range tests {
 		t.Run(test.desc, func(t *testing.T) {
 			team := &teamTally{tally: newTally(), inside: test.granted}
 			team.offered = test.offered
 			team.ended[overRate] = test.refused
+			team.ended[noCapacity] = test.shed
 			assert.Equal(t, team.refusedInside(), test.refusedInside)
 			assert.Equal(t, team.admittedOutside(), test.above)
 		})
--- a/bench/record.go
+++ b/bench/record.go
@@ -102,9 +102,10 @@
 	return max(0, t.ended[overRate]-(t.offered-t.inside))
 }
 
-// admittedOutside returns how many requests were let through above the team's rate and burst.
+// admittedOutside returns how many requests were let through above the team's rate and burst. Status 503 says that a
+// request did not run, so the team did not receive it.
 func (t *teamTally) admittedOutside() int {
-	return max(0, (t.offered-t.ended[overRate])-t.inside)
+	return max(0, t.offered-t.ended[overRate]-t.ended[noCapacity]-t.inside)
 }
 
 // phase is a part of the measured time.
