--- a/node/digests.go
+++ b/node/digests.go
@@ -34,10 +34,7 @@
 			continue
 		}
 		for _, address := range e.samplePeers(s.Service, digestFanout) {
-			e.tomb.Go(func() error {
-				e.pushDigest(address, push)
-				return nil
-			})
+			spawn(e.tomb, func() { e.pushDigest(address, push) })
 		}
 	}
 }
@@ -76,7 +73,7 @@
 }
 
 // pushDelay is the age that a pushed digest is taken to have at most on its way.
-const pushDelay = time.Second
+const pushDelay = 5 * time.Second
 
 // takeDigests passes a peer's digests to the detector.
 func (e *ejections) takeDigests(_ context.Context, _ string, push digestPush) (struct{}, error) {
@@ -101,10 +98,7 @@
 // askDigests asks other gates of the service, because a server may only be judged by what its peers show now.
 func (e *ejections) askDigests(service string) {
 	for _, address := range e.samplePeers(service, outlier.PeersToAsk) {
-		e.tomb.Go(func() error {
-			e.askDigest(address, service)
-			return nil
-		})
+		spawn(e.tomb, func() { e.askDigest(address, service) })
 	}
 }
 
--- a/node/ejections.go
+++ b/node/ejections.go
@@ -61,7 +61,7 @@
 	return &ejections{
 		vm: vm, clock: clock, fleet: fleet, client: client, gossip: g, directory: d, owners: o, log: logger, tomb: t,
 		probing:  &http.Client{Timeout: probeTimeout, Transport: &http.Transport{DisableKeepAlives: true}},
-		detector: outlier.NewDetector(outlier.Config{Interval: evaluateInterval}),
+		detector: outlier.NewDetector(outlier.Config{}),
 		holder:   holder,
 		ejector:  outlier.NewEjector(outlier.EjectorConfig{}, holder),
 		services: map[string]string{},
@@ -97,25 +97,54 @@
 }
 
 // Begin implements proxy.Observer.
-func (e *ejections) Begin(name string) func(result admission.Result) {
-	server := e.global(name)
+func (e *ejections) Begin(name string) proxy.Observation {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.nextID++
-	id := e.nextID
-	e.detector.Start(server, id, e.clock())
-	return func(result admission.Result) {
-		e.mu.Lock()
-		defer e.mu.Unlock()
-		switch result {
-		case admission.Succeeded:
-			e.detector.Finish(server, id, e.clock(), false)
-		case admission.Failed:
-			e.detector.Finish(server, id, e.clock(), true)
-		default:
-			// A request that was shed or given up tells nothing about a fault.
-			e.detector.Cancel(server, id)
-		}
+	o := &observation{ejections: e, server: e.global(name), id: e.nextID, since: e.clock()}
+	e.detector.Start(o.server, o.id, o.since)
+	return o
+}
+
+// observation implements proxy.Observation. The mutex of ejections guards it.
+type observation struct {
+	*ejections
+	server string
+	id     uint64
+	own    time.Duration // time at the backend server before since
+	since  time.Duration
+	paused bool
+}
+
+// Pause implements proxy.Observation.
+func (o *observation) Pause() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.own += o.clock() - o.since
+	o.paused = true
+	o.detector.Cancel(o.server, o.id)
+}
+
+// Resume implements proxy.Observation.
+func (o *observation) Resume() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.since = o.clock()
+	o.paused = false
+	o.detector.Start(o.server, o.id, o.since-o.own)
+}
+
+// End implements proxy.Observation. A request that was shed or given up tells nothing about a fault.
+func (o *observation) End(result admission.Result) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	now := o.clock()
+	if !o.paused {
+		o.own += now - o.since
+	}
+	o.detector.Cancel(o.server, o.id)
+	if result == admission.Succeeded || result == admission.Failed {
+		o.detector.Observe(o.server, now, o.own, result == admission.Failed)
 	}
 }
 
@@ -129,6 +158,11 @@
 	}
 	verdicts := e.detector.Evaluate(now)
 	actions := e.ejector.Step(now, verdicts)
+	for _, a := range actions {
+		if a.Kind == outlier.ActionReadmit {
+			e.detector.Reset(a.Server)
+		}
+	}
 	requests := e.holder.Poll(now)
 	ejected := map[string]bool{}
 	for name := range e.services {
@@ -160,10 +194,7 @@
 		e.log.Info().Str("server", a.Server).Str("service", a.Service).Str("reason", a.Reason).
 			Msg("outlier: readmitted backend server.")
 	case outlier.ActionProbe:
-		e.tomb.Go(func() error {
-			e.probe(a.Server, a.Service)
-			return nil
-		})
+		spawn(e.tomb, func() { e.probe(a.Server, a.Service) })
 	}
 }
 
@@ -173,20 +204,22 @@
 		e.receive(e.decide(r, since))
 		return
 	}
-	e.tomb.Go(func() error {
-		address, ok := e.owners.ownerOf(r.Service)
-		if !ok {
-			return nil
-		}
-		ctx, cancel := context.WithTimeout(e.tomb.Context(context.Background()), permitTimeout)
-		defer cancel()
-		var reply outlier.PermitReply
-		// Without an answer the holder asks again; without a permit nothing is ejected.
-		if err := e.client.Call(ctx, address, methodPermit, r, &reply); err == nil {
-			e.receive(reply)
-		}
-		return nil
-	})
+	spawn(e.tomb, func() { e.askArbiter(r) })
+}
+
+// askArbiter asks the arbiter in another process. Without an answer the holder asks again; without a permit nothing is
+// ejected.
+func (e *ejections) askArbiter(r outlier.PermitRequest) {
+	address, ok := e.owners.ownerOf(r.Service)
+	if !ok {
+		return
+	}
+	ctx, cancel := context.WithTimeout(e.tomb.Context(context.Background()), permitTimeout)
+	defer cancel()
+	var reply outlier.PermitReply
+	if err := e.client.Call(ctx, address, methodPermit, r, &reply); err == nil {
+		e.receive(reply)
+	}
 }
 
 func (e *ejections) receive(reply outlier.PermitReply) {
--- a/node/node.go
+++ b/node/node.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -49,6 +50,8 @@
 	rightMu    sync.Mutex
 	// seenChanges is the gossip change count of the last rebuild; used by refreshDirectory only.
 	seenChanges uint64
+	// told are the rows of the last metadata; used by refreshDirectory only.
+	told        []row
 	loads       loadSteps // used by refreshDirectory only
 	stopOnce    sync.Once
 	stopErr     error
@@ -99,7 +102,7 @@
 	n.claims = newClaims(claimer, n.clock, n.groups, n.gossip, o.Log, &n.tomb)
 	n.gate = proxy.NewGate(proxy.GateOptions{
 		VM: o.Name, Domain: o.Domain, Fleet: n.fleet, Clock: n.clock, Log: o.Log,
-		Claimer: n.claims, Observer: n.ejections,
+		Claimer: n.claims, Observer: n.ejections, Admitter: n,
 	})
 	n.ejections.gate = n.gate
 	n.peers = proxy.NewPeerClient(o.PeerClientTLS)
@@ -153,8 +156,15 @@
 // go on with what it knew before.
 const rightLifetime = 4 * gossipTick
 
-// MayAdmit tells whether this process has the right to admit requests on open routes and to act for shards.
-func (n *Node) MayAdmit() bool { return int64(n.clock()) < n.admitUntil.Load() }
+// MayAdmit tells whether this process has the right to admit requests on open routes and to act for shards. When the
+// last look is too old, because the process was held up, it looks again.
+func (n *Node) MayAdmit() bool {
+	if int64(n.clock()) < n.admitUntil.Load() {
+		return true
+	}
+	n.refreshRight()
+	return int64(n.clock()) < n.admitUntil.Load()
+}
 
 // refreshRight keeps the right to admit where requests read it without a lock.
 func (n *Node) refreshRight() {
@@ -192,7 +202,9 @@
 		meta.Records = n.control.recordsID
 		meta.Admin = n.AdminAddress()
 	}
-	if err := n.gossip.setMeta(meta); err != nil {
+	urgent := !slices.EqualFunc(n.told, meta.Rows, sameService)
+	n.told = meta.Rows
+	if err := n.gossip.setMeta(meta, urgent); err != nil {
 		n.opts.Log.Error().Err(err).Msg("membership: metadata cannot be encoded.")
 	}
 }
--- a/proxy/gate.go
+++ b/proxy/gate.go
@@ -37,8 +37,8 @@
 	Added(name, service string, slots int)
 	// Removed is called when a backend server is gone.
 	Removed(name string)
-	// Begin is called when a request is sent. The returned function is called once with its result.
-	Begin(name string) func(result admission.Result)
+	// Begin is called when a request is sent.
+	Begin(name string) Observation
 }
 
 // GateOptions are the settings and collaborators of a Gate.
@@ -50,6 +50,9 @@
 	Log        *log.Logger
 	Claimer    Claimer
 	Observer   Observer
+	// Admitter tells whether new work may run here. A process that is cut off cannot know whether its failure domain was
+	// taken out. Nil admits always.
+	Admitter Admitter
 }
 
 // Gate is the only way to the backend servers on this VM.
@@ -59,14 +62,9 @@
 
 	mu      sync.Mutex // guards the maps below
 	servers map[string]*server
-	running map[string]parent
-}
-
-// parent is a running request that may make nested calls.
-type parent struct {
-	team     string
-	depth    int
-	deadline time.Time
+	// lists holds the sorted backend servers of each service, and of all under the empty name.
+	lists   map[string][]*server
+	running map[string]*parent
 }
 
 // NewGate returns a Gate without backend servers.
@@ -74,7 +72,7 @@
 	return &Gate{
 		opts:    opts,
 		servers: map[string]*server{},
-		running: map[string]parent{},
+		running: map[string]*parent{},
 	}
 }
 
@@ -87,6 +85,11 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	s, ok := g.servers[a.Name]
+	if ok && s.replacedBy(a, settings) {
+		s.remove()
+		g.opts.Observer.Removed(a.Name)
+		ok = false
+	}
 	if ok && s.service != a.Service {
 		return errors.Errorf("backend server %q belongs to service %q", a.Name, s.service)
 	}
@@ -96,10 +99,11 @@
 	if !ok {
 		s = newServer(a, settings, g.opts.Clock)
 		g.servers[a.Name] = s
+		g.relist()
 		g.opts.Log.Info().Str("server", a.Name).Str("service", a.Service).Str("instance", a.Instance).
 			Msg("gate: backend server announced.")
 	}
-	if s.update(a) {
+	if s.update(a, settings) {
 		g.opts.Observer.Added(s.name, s.service, s.slots)
 	}
 	return nil
@@ -110,6 +114,7 @@
 	g.mu.Lock()
 	s, ok := g.servers[name]
 	delete(g.servers, name)
+	g.relist()
 	g.mu.Unlock()
 	if !ok {
 		return
@@ -124,12 +129,16 @@
 	defer s.mu.Unlock()
 	s.lost = true
 	s.applyState()
-	s.transport.CloseIdleConnections()
+	s.client.closeIdle()
 }
 
-// Sweep marks backend servers whose announcement lapsed as lost.
+// Sweep marks backend servers whose announcement lapsed as lost, and forgets them after lostRetention.
 func (g *Gate) Sweep() {
 	for _, s := range g.list("") {
+		if s.forgotten() {
+			g.Withdraw(s.name)
+			continue
+		}
 		if s.expire() {
 			g.opts.Log.Warn().Str("server", s.name).Str("service", s.service).Msg("gate: announcement lapsed.")
 		}
@@ -141,26 +150,36 @@
 	g.mu.Lock()
 	s, ok := g.servers[name]
 	g.mu.Unlock()
-	if ok {
-		s.setEjected(ejected)
+	if ok && s.setEjected(ejected) {
+		s.giveUpRunning()
 	}
 }
 
 // Leave makes the gate refuse new work as not run.
 func (g *Gate) Leave() { g.leaving.Store(true) }
 
-// list returns the backend servers of a service, or all for an empty name, in order of their names.
+// list returns the backend servers of a service, or all for an empty name, in order of their names. The list is shared
+// and must not be changed.
 func (g *Gate) list(service string) []*server {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	var found []*server
-	for _, s := range g.servers {
-		if service == "" || s.service == service {
-			found = append(found, s)
-		}
+	return g.lists[service]
+}
+
+// relist builds the lists anew after a backend server was added or removed. Requests read them several times each, so
+// they are not built for each request. The caller holds mu.
+func (g *Gate) relist() {
+	names := make([]string, 0, len(g.servers))
+	for name := range g.servers {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	g.lists = map[string][]*server{}
+	for _, name := range names {
+		s := g.servers[name]
+		g.lists[""] = append(g.lists[""], s)
+		g.lists[s.service] = append(g.lists[s.service], s)
 	}
-	sort.Slice(found, func(i, j int) bool { return found[i].name < found[j].name })
-	return found
 }
 
 // Run runs a request on a backend server of this VM. Errors are of type *Refusal.
@@ -172,7 +191,7 @@
 	if s == nil {
 		return nil, g.refusal(req, notRun(http.StatusServiceUnavailable, ReasonNoCapacity, "pick"), nil)
 	}
-	held, reason := s.acquire(ctx, req)
+	held, reason := s.acquire(ctx, req, g.opts.Fleet.TeamRate(req.Team))
 	if reason != admission.ReasonNone {
 		return nil, g.refusal(req, refusalFor(reason), s)
 	}
@@ -193,6 +212,9 @@
 	if g.opts.Fleet.DomainOut(g.opts.Domain) {
 		return g.refusal(req, notRun(http.StatusServiceUnavailable, ReasonDomainOut, "gate"), nil)
 	}
+	if req.Depth == 0 && g.opts.Admitter != nil && !g.opts.Admitter.MayAdmit() {
+		return g.refusal(req, notRun(http.StatusServiceUnavailable, ReasonIsolated, "gate"), nil)
+	}
 	return nil
 }
 
@@ -251,19 +273,28 @@
 }
 
 // track makes a running request known, so that nested calls can be made on its behalf.
-func (g *Gate) track(req *Request) (untrack func()) {
+func (g *Gate) track(req *Request, server string) *parent {
+	p := &parent{
+		team:        req.Team,
+		depth:       req.Depth,
+		deadline:    req.Deadline,
+		clock:       g.opts.Clock,
+		observation: g.opts.Observer.Begin(server),
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.running[req.ID] = parent{team: req.Team, depth: req.Depth, deadline: req.Deadline}
-	return func() {
-		g.mu.Lock()
-		defer g.mu.Unlock()
-		delete(g.running, req.ID)
-	}
+	g.running[req.ID] = p
+	return p
+}
+
+func (g *Gate) untrack(req *Request) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	delete(g.running, req.ID)
 }
 
-// Parent returns the running request with this id.
-func (g *Gate) parent(id string) (parent, bool) {
+// parent returns the running request with this id.
+func (g *Gate) parent(id string) (*parent, bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	p, ok := g.running[id]
