node: give the right to admit and the publisher a type each; add a speed measurement

Cause: the node had fields that belonged to three jobs, some guarded by no stated lock; added latency was not measured. Change: right.go and publisher.go; bench/processes -speed compares a direct call with the paths through one and two processes.

--- a/bench/processes/fleet.go
+++ b/bench/processes/fleet.go
@@ -22,8 +22,10 @@
 	name        string
 	args        []string
 	admin, peer string
-	dir         string
-	cmd         *exec.Cmd
+	// caller and local are the addresses for callers and for backend servers.
+	caller, local string
+	dir           string
+	cmd           *exec.Cmd
 }
 
 type fleet struct {
@@ -61,9 +63,10 @@
 	// An address of its own and ports below those that the system hands out keep others from taking them.
 	host := fmt.Sprintf("127.%d.%d.%d", 128+os.Getpid()/250%64, os.Getpid()%250+1, i+1)
 	p.peer, p.admin = host+":7001", host+":7003"
+	p.caller, p.local = host+":8080", host+":7002"
 	p.args = []string{
 		"-name", p.name, "-failure-domain", fmt.Sprintf("domain-%d", i%3), "-peer-listen", p.peer,
-		"-admin-listen", p.admin, "-local-listen", host + ":7002", "-listen", host + ":8080", "-log-level", "error",
+		"-admin-listen", p.admin, "-local-listen", p.local, "-listen", p.caller, "-log-level", "error",
 		"-bootstrap-credential-hash", config.HashKey(credential),
 	}
 	if i < 3 {
@@ -107,6 +110,7 @@
 		doc.Domains[fmt.Sprintf("domain-%d", i)] = config.Domain{Region: "local"}
 	}
 	doc.Teams["bench"] = config.Team{Rate: 1, Burst: 1}
+	speedDocument(doc)
 	doc.Operators = map[string]config.Operator{"bench": {Role: config.RoleAdmin, CredentialHash: config.HashKey(credential)}}
 	empty := &config.Document{}
 	empty.SetDefaults()
--- a/bench/processes/main.go
+++ b/bench/processes/main.go
@@ -21,18 +21,19 @@
 	idle := flag.Duration("idle", 10*time.Second, "time of the idle measurement")
 	changes := flag.Int("changes", 20, "number of changes that are timed one by one")
 	history := flag.Int("history", 1000, "number of changes before the restart")
+	speed := flag.Duration("speed", 0, "time of each step of the speed measurement, which replaces the others; 0: none")
 	flag.Parse()
 	if *daemon == "" || *count < 3 || *count > 200 {
 		fmt.Fprintln(os.Stderr, "processes: -daemon is needed, and -count between 3 and 200")
 		os.Exit(2)
 	}
-	if err := run(*daemon, *count, *idle, *changes, *history); err != nil {
+	if err := run(*daemon, *count, *idle, *speed, *changes, *history); err != nil {
 		fmt.Fprintln(os.Stderr, "processes:", err)
 		os.Exit(1)
 	}
 }
 
-func run(daemon string, count int, idle time.Duration, changes, history int) error {
+func run(daemon string, count int, idle, speed time.Duration, changes, history int) error {
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Minute)
 	defer cancel()
 	f, err := startFleet(ctx, daemon, count)
@@ -42,6 +43,9 @@
 	if err != nil {
 		return errors.Wrap(err, "start fleet")
 	}
+	if speed > 0 {
+		return errors.Wrap(f.measureSpeed(ctx, speed), "speed")
+	}
 	if err := f.measureIdle(idle); err != nil {
 		return errors.Wrap(err, "idle")
 	}
--- /dev/null
+++ b/bench/processes/speed.go
@@ -0,0 +1,214 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/pkg/errors"
+
+	"rosemaryline.dev/fleet/config"
+	"rosemaryline.dev/standin"
+)
+
+const (
+	speedKey = "bench-key"
+	// speedCallers is the number of connections of the closed loop.
+	speedCallers = 32
+	// speedSlots is far above what the load needs, so that no request waits for a slot.
+	speedSlots = 1000
+	// idleConnections is the number of connections for the memory of one.
+	idleConnections = 1000
+	// longestLatency bounds the histogram.
+	longestLatency = 10 * time.Second
+)
+
+// path is a way to the backend server.
+type path struct {
+	name, url string
+	// through are the processes that a request passes.
+	through []*process
+}
+
+// speedDocument adds what the measurement needs to the configuration.
+func speedDocument(doc *config.Document) {
+	doc.Services["speed"] = config.Service{
+		Slots: speedSlots, Connections: speedSlots, FloorPercent: 50, Ramp: config.Ramp{InitialSlots: speedSlots},
+	}
+	doc.Routes["speed"] = config.Route{Path: "/speed", Service: "speed", Access: config.AccessOpen}
+	doc.Teams["speed"] = config.Team{Rate: 1e6, Burst: 1e6, KeyHashes: []string{config.HashKey(speedKey)}}
+}
+
+// measureSpeed compares calling a backend server directly, through the process on its VM, and through another process.
+func (f *fleet) measureSpeed(ctx context.Context, d time.Duration) error {
+	first, second := f.processes[0], f.processes[1]
+	backend, err := standin.Start(standin.Options{
+		Name: "speed-1", Service: "speed", Listen: "127.0.0.1:0", Slots: speedSlots, Announce: "http://" + first.local,
+	})
+	if err != nil {
+		return err
+	}
+	defer backend.Stop()
+	paths := []path{
+		{"direct", "http://" + backend.Address() + "/speed", nil},
+		{"one process", "http://" + first.caller + "/speed", []*process{first}},
+		{"two processes", "http://" + second.caller + "/speed", []*process{first, second}},
+	}
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4 * speedCallers}}
+	for _, p := range paths {
+		if err := f.retry(ctx, func() error { return get(client, p.url) }); err != nil {
+			return errors.Wrap(err, p.name)
+		}
+	}
+	most := 0.0
+	for _, p := range paths[1:] {
+		rate, err := closedLoop(client, p, d)
+		if err != nil {
+			return errors.Wrap(err, p.name)
+		}
+		most = rate // the longest path sets the load for all
+	}
+	for _, p := range paths {
+		histogram, err := openLoop(client, p.url, most/2, d)
+		if err != nil {
+			return errors.Wrap(err, p.name)
+		}
+		fmt.Printf("speed: %-14s at %.0f req/s: p50 %v, p95 %v, p99 %v of %d\n", p.name, most/2,
+			quantile(histogram, 50), quantile(histogram, 95), quantile(histogram, 99), histogram.TotalCount())
+	}
+	return first.measureConnections()
+}
+
+func quantile(h *hdrhistogram.Histogram, q float64) time.Duration {
+	return time.Duration(h.ValueAtQuantile(q)) * time.Microsecond
+}
+
+func get(client *http.Client, url string) error {
+	req, err := http.NewRequest(http.MethodGet, url, nil)
+	if err != nil {
+		return err
+	}
+	req.Header.Set("Authorization", "Bearer "+speedKey)
+	resp, err := client.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		return err
+	}
+	if resp.StatusCode != http.StatusOK {
+		return errors.Errorf("status %s", resp.Status)
+	}
+	return nil
+}
+
+// closedLoop sends as fast as the path answers. It prints the rate and the processor time of the processes on the path.
+func closedLoop(client *http.Client, p path, d time.Duration) (rate float64, err error) {
+	before, err := cpuOf(p.through)
+	if err != nil {
+		return 0, err
+	}
+	var answered, failed atomic.Int64
+	var wg sync.WaitGroup
+	start := time.Now()
+	for range speedCallers {
+		wg.Go(func() {
+			for time.Since(start) < d {
+				if get(client, p.url) != nil {
+					failed.Add(1)
+					continue
+				}
+				answered.Add(1)
+			}
+		})
+	}
+	wg.Wait()
+	spent := time.Since(start)
+	after, err := cpuOf(p.through)
+	if err != nil {
+		return 0, err
+	}
+	rate = float64(answered.Load()) / spent.Seconds()
+	cpu := after - before
+	fmt.Printf("speed: %s, %d callers: %.0f req/s, %d failed, %v of processor time a request in its processes, %.0f requests a second and core\n",
+		p.name, speedCallers, rate, failed.Load(), (cpu / time.Duration(max(answered.Load(), 1))).Round(time.Microsecond),
+		float64(answered.Load())/cpu.Seconds())
+	return rate, nil
+}
+
+func cpuOf(processes []*process) (sum time.Duration, err error) {
+	for _, p := range processes {
+		u, err := p.usage()
+		if err != nil {
+			return 0, err
+		}
+		sum += u.cpu
+	}
+	return sum, nil
+}
+
+// openLoop sends at a fixed rate, whatever the answers take. Latency counts from the time at which a request was due.
+func openLoop(client *http.Client, url string, rate float64, d time.Duration) (*hdrhistogram.Histogram, error) {
+	histogram := hdrhistogram.New(1, longestLatency.Microseconds(), 3)
+	var mu sync.Mutex // guards histogram and failed
+	var failed error
+	var wg sync.WaitGroup
+	interval := time.Duration(float64(time.Second) / rate)
+	start := time.Now()
+	for due := start; due.Sub(start) < d; due = due.Add(interval) {
+		time.Sleep(time.Until(due))
+		wg.Go(func() {
+			err := get(client, url)
+			mu.Lock()
+			defer mu.Unlock()
+			if err != nil {
+				failed = err
+				return
+			}
+			// A latency above the bound is recorded as the bound.
+			_ = histogram.RecordValue(min(time.Since(due), longestLatency).Microseconds())
+		})
+	}
+	wg.Wait()
+	return histogram, failed
+}
+
+// measureConnections prints the memory of an idle connection of a caller.
+func (p *process) measureConnections() error {
+	before, err := p.usage()
+	if err != nil {
+		return err
+	}
+	var conns []net.Conn
+	defer func() {
+		for _, c := range conns {
+			c.Close()
+		}
+	}()
+	for range idleConnections {
+		c, err := net.Dial("tcp", p.caller)
+		if err != nil {
+			return err
+		}
+		conns = append(conns, c)
+		if _, err := io.WriteString(c, "GET /none HTTP/1.1\r\nHost: bench\r\n\r\n"); err != nil {
+			return err
+		}
+	}
+	time.Sleep(settleTime)
+	after, err := p.usage()
+	if err != nil {
+		return err
+	}
+	grown := max(int64(after.rss)-int64(before.rss), 0)
+	fmt.Printf("memory: %.1f MB resident before and %.1f MB after %d idle connections, %.1f KB each\n",
+		float64(before.rss)/1e6, float64(after.rss)/1e6, idleConnections, float64(grown)/idleConnections/1e3)
+	return nil
+}
--- a/node/follower.go
+++ b/node/follower.go
@@ -71,6 +71,6 @@
 	n.gossip.setRoster(roster)
 	n.gossip.setVersion(n.fleet.Version())
 	n.shards.update()
-	n.refreshRight()
+	n.right.refresh()
 	n.opts.Log.Info().Uint64("version", n.fleet.Version()).Msg("state: version in use.")
 }
--- a/node/node.go
+++ b/node/node.go
@@ -3,10 +3,7 @@
 import (
 	"context"
 	"net"
-	"net/http"
-	"slices"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -44,18 +41,12 @@
 	copy      *control.Copy
 	source    *control.Source
 	servers   []*server
-	// admitUntil is the time until which the last look at the right to admit holds, on the node's clock.
-	admitUntil atomic.Int64
-	admitted   bool // used by refreshRight only, guarded by rightMu
-	rightMu    sync.Mutex
-	// seenChanges is the gossip change count of the last rebuild; used by refreshDirectory only.
-	seenChanges uint64
-	// told are the rows of the last metadata; used by refreshDirectory only.
-	told        []row
-	loads       loadSteps // used by refreshDirectory only
+	right     *right
+
+	// incarnation distinguishes the runs of the process; a later run has a higher one.
+	incarnation uint64
 	stopOnce    sync.Once
 	stopErr     error
-	incarnation uint64
 }
 
 // Start starts a process. Errors name the step and the address or folder at which it failed.
@@ -92,8 +83,9 @@
 	n.rpc = rpc.NewServer()
 	self := membership.Member{Name: o.Name, Address: o.PeerAddress, Domain: o.Domain, Incarnation: n.incarnation}
 	n.gossip = newGossip(self, n.clock, n.client, o.Log)
+	n.right = &right{clock: n.clock, gossip: n.gossip, fleet: n.fleet, log: o.Log}
 	n.directory = newDirectory(n.clock)
-	n.shards = newShards(o.Name, n.clock, n.fleet, n.MayAdmit)
+	n.shards = newShards(o.Name, n.clock, n.fleet, n.right.MayAdmit)
 	holder := quota.Config{Process: o.Name, Incarnation: n.incarnation}
 	n.limiter = newLimiter(holder, n.clock, n.fleet, n.client, n.shards, &n.tomb)
 	n.ejections = newEjections(o.Name, n.incarnation, n.clock, n.fleet, n.client, n.gossip, n.directory, n.shards, o.Log, &n.tomb)
@@ -102,7 +94,7 @@
 	n.claims = newClaims(claimer, n.clock, n.groups, n.gossip, o.Log, &n.tomb)
 	n.gate = proxy.NewGate(proxy.GateOptions{
 		VM: o.Name, Domain: o.Domain, Fleet: n.fleet, Clock: n.clock, Log: o.Log,
-		Claimer: n.claims, Observer: n.ejections, Admitter: n,
+		Claimer: n.claims, Observer: n.ejections, Admitter: n.right,
 	})
 	n.ejections.gate = n.gate
 	n.peers = proxy.NewPeerClient(o.PeerClientTLS)
@@ -112,7 +104,7 @@
 	}
 	n.entry = proxy.NewEntry(proxy.EntryOptions{
 		VM: o.Name, Domain: o.Domain, Fleet: n.fleet, Clock: n.clock, Log: o.Log,
-		Limiter: n.limiter, Admitter: n, Directory: n.directory, Gate: n.gate, Peers: n.peers,
+		Limiter: n.limiter, Admitter: n.right, Directory: n.directory, Gate: n.gate, Peers: n.peers,
 		HoldBody: o.HoldBody, KeyedBody: o.KeyedBody,
 	})
 	n.register()
@@ -143,78 +135,18 @@
 	n.gossip.start(&n.tomb, n.opts.Join)
 	n.limiter.start()
 	n.ejections.start()
-	n.tomb.Go(func() error { return every(&n.tomb, gossipTick, n.refreshRight) })
-	n.tomb.Go(func() error { return every(&n.tomb, directoryInterval, n.refreshDirectory) })
-	n.tomb.Go(func() error { return every(&n.tomb, time.Second, n.sweep) })
+	publisher := &publisher{node: n}
+	n.tomb.Go(func() error { return every(&n.tomb, gossipTick, n.right.refresh) })
+	n.tomb.Go(func() error { return every(&n.tomb, directoryInterval, publisher.run) })
+	n.tomb.Go(func() error { return every(&n.tomb, time.Second, n.entry.Sweep) })
 	n.tomb.Go(n.follow)
 	for _, s := range n.servers {
 		n.tomb.Go(s.serve)
 	}
 }
 
-// rightLifetime is how long a look at the right to admit holds. It is short because a process that was frozen must not
-// go on with what it knew before.
-const rightLifetime = 4 * gossipTick
-
-// MayAdmit tells whether this process has the right to admit requests on open routes and to act for shards. When the
-// last look is too old, because the process was held up, it looks again.
-func (n *Node) MayAdmit() bool {
-	if int64(n.clock()) < n.admitUntil.Load() {
-		return true
-	}
-	n.refreshRight()
-	return int64(n.clock()) < n.admitUntil.Load()
-}
-
-// refreshRight keeps the right to admit where requests read it without a lock.
-func (n *Node) refreshRight() {
-	n.rightMu.Lock()
-	defer n.rightMu.Unlock()
-	now := n.clock()
-	denial := n.gossip.denial(n.fleet.Version())
-	may := denial == membership.DenialNone
-	if may {
-		n.admitUntil.Store(int64(now + rightLifetime))
-	} else {
-		n.admitUntil.Store(0)
-	}
-	if may != n.admitted {
-		n.opts.Log.Warn().Bool("admit", may).Str("reason", string(denial)).Msg("membership: right to admit changed.")
-	}
-	n.admitted = may
-}
-
-func (n *Node) refreshDirectory() {
-	n.gate.Sweep()
-	n.publishMeta()
-	changes := n.gossip.changeCount()
-	if changes == n.seenChanges {
-		return
-	}
-	n.seenChanges = changes
-	n.directory.rebuild(n.gossip.list())
-}
-
-func (n *Node) publishMeta() {
-	meta := metadata{Rows: n.loads.smooth(n.ejections.rows(), n.clock())}
-	if n.control != nil {
-		meta.Control = n.control.controlID
-		meta.Records = n.control.recordsID
-		meta.Admin = n.AdminAddress()
-	}
-	urgent := !slices.EqualFunc(n.told, meta.Rows, sameService)
-	n.told = meta.Rows
-	if err := n.gossip.setMeta(meta, urgent); err != nil {
-		n.opts.Log.Error().Err(err).Msg("membership: metadata cannot be encoded.")
-	}
-}
-
-func (n *Node) sweep() {
-	n.entry.Sweep()
-}
-
 // Ready tells whether the process can serve: it has fleet state and the right to admit.
-func (n *Node) Ready() bool { return n.fleet.Version() > 0 && n.MayAdmit() }
+func (n *Node) Ready() bool { return n.fleet.Version() > 0 && n.right.MayAdmit() }
 
 // Version returns the version of the process's copy of the fleet state.
 func (n *Node) Version() uint64 { return n.fleet.Version() }
@@ -273,8 +205,6 @@
 	})
 }
 
-var _ http.Handler = (*proxy.Entry)(nil)
-
 // Summary tells in one line what the process did.
 func (n *Node) Summary() string { return proxy.Summary() }
 
