--- /dev/null
+++ b/node/claims_test.go
@@ -0,0 +1,161 @@
+package node
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/pkg/errors"
+	"gopkg.in/tomb.v2"
+	"gotest.tools/v3/assert"
+
+	"rosemaryline.dev/idempotency"
+	"rosemaryline.dev/membership"
+	"rosemaryline.dev/proxy"
+	"rosemaryline.dev/rpc"
+)
+
+// recordGroup is a record group of one member that can be away.
+type recordGroup struct {
+	mu    sync.Mutex
+	store *idempotency.Store
+	index uint64
+	away  bool
+}
+
+func (g *recordGroup) proposeRecord(_ context.Context, data []byte) ([]byte, error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.away {
+		return nil, errors.New("away")
+	}
+	g.index++
+	return g.store.Apply(g.index, data), nil
+}
+
+func (g *recordGroup) setAway(away bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.away = away
+}
+
+func newTestClaims(t *testing.T, group *recordGroup, clock proxy.Clock) *claims {
+	t.Helper()
+	logger := &log.Logger{Level: log.PanicLevel}
+	client := rpc.NewClient(nil)
+	t.Cleanup(client.Close)
+	self := membership.Member{Name: "vm-a", Address: "127.0.0.1:1", Incarnation: 1}
+	running := &tomb.Tomb{}
+	running.Go(func() error {
+		<-running.Dying()
+		return nil
+	})
+	t.Cleanup(func() {
+		running.Kill(nil)
+		assert.NilError(t, running.Wait())
+	})
+	claimer := idempotency.Claimer{Process: "vm-a", Incarnation: 1}
+	return newClaims(claimer, clock, group, newGossip(self, clock, client, logger), logger, running)
+}
+
+func keyedRequest(t *testing.T, key, body string) *proxy.Request {
+	t.Helper()
+	b, err := proxy.NewBody(strings.NewReader(body), int64(len(body)), 1<<10)
+	assert.NilError(t, err)
+	return &proxy.Request{
+		Team: "team", Route: "bookings", IdempotencyKey: key, Method: http.MethodPost, URI: "/bookings",
+		Deadline: time.Now().Add(time.Minute), Body: b,
+	}
+}
+
+func answerOf(body string) *proxy.Response {
+	return &proxy.Response{Status: http.StatusCreated, Header: http.Header{}, Body: io.NopCloser(strings.NewReader(body)), ContentLength: int64(len(body))}
+}
+
+func reasonOf(t *testing.T, err error) proxy.Reason {
+	t.Helper()
+	var refusal *proxy.Refusal
+	assert.Assert(t, errors.As(err, &refusal), "%v", err)
+	return refusal.Reason
+}
+
+// Guards against a second run of a keyed request, and against an answer that belongs to another request.
+func TestResubmissionGetsTheFirstOutcome(t *testing.T) {
+	group := &recordGroup{store: idempotency.NewStore()}
+	c := newTestClaims(t, group, proxy.NewClock())
+	ctx := context.Background()
+
+	claim, earlier, err := c.Claim(ctx, keyedRequest(t, "k1", "monday"))
+	assert.NilError(t, err)
+	assert.Assert(t, claim != nil && earlier == nil)
+	_, _, err = c.Claim(ctx, keyedRequest(t, "k1", "monday"))
+	assert.Equal(t, reasonOf(t, err), proxy.ReasonRunning)
+	_, _, err = c.Claim(ctx, keyedRequest(t, "k1", "tuesday"))
+	assert.Equal(t, reasonOf(t, err), proxy.ReasonKeyReused)
+
+	kept, err := claim.Keep(answerOf("booked"))
+	assert.NilError(t, err)
+	body, err := io.ReadAll(kept.Body)
+	assert.NilError(t, err)
+	assert.Equal(t, string(body), "booked")
+	c.drain(ctx)
+	claim, earlier, err = c.Claim(ctx, keyedRequest(t, "k1", "monday"))
+	assert.NilError(t, err)
+	assert.Assert(t, claim == nil)
+	body, err = io.ReadAll(earlier.Body)
+	assert.NilError(t, err)
+	assert.Equal(t, string(body), "booked")
+	assert.Equal(t, earlier.Status, http.StatusCreated)
+}
+
+// Guards against a released key that stays taken, and a lost outcome that is reported as anything but unknown.
+func TestReleasedAndLostClaims(t *testing.T) {
+	group := &recordGroup{store: idempotency.NewStore()}
+	c := newTestClaims(t, group, proxy.NewClock())
+	ctx := context.Background()
+	claim, _, err := c.Claim(ctx, keyedRequest(t, "k1", ""))
+	assert.NilError(t, err)
+	claim.Release()
+	c.drain(ctx)
+	claim, _, err = c.Claim(ctx, keyedRequest(t, "k1", ""))
+	assert.NilError(t, err)
+	claim.Lose()
+	c.drain(ctx)
+	_, _, err = c.Claim(ctx, keyedRequest(t, "k1", ""))
+	assert.Equal(t, reasonOf(t, err), proxy.ReasonLost)
+}
+
+// Guards against an outcome that is forgotten because the record group was away when the request ended, and against
+// claims that are granted or waited for while it is away.
+func TestOutcomeIsRecordedWhenTheGroupIsBack(t *testing.T) {
+	group := &recordGroup{store: idempotency.NewStore()}
+	c := newTestClaims(t, group, proxy.NewClock())
+	ctx := context.Background()
+	claim, _, err := c.Claim(ctx, keyedRequest(t, "k1", ""))
+	assert.NilError(t, err)
+	group.setAway(true)
+	_, err = claim.Keep(answerOf("booked"))
+	assert.NilError(t, err)
+	for range 3 {
+		_, _, err = c.Claim(ctx, keyedRequest(t, "k2", ""))
+		assert.Equal(t, reasonOf(t, err), proxy.ReasonNoRecords)
+	}
+	group.setAway(false)
+	c.drain(ctx)
+	assert.Equal(t, len(c.pending), 0)
+	for {
+		_, earlier, err := c.Claim(ctx, keyedRequest(t, "k1", ""))
+		if err == nil {
+			assert.Equal(t, earlier.Status, http.StatusCreated)
+			return
+		}
+		// The breaker lets one claim a second try whether the group is back.
+		assert.Equal(t, reasonOf(t, err), proxy.ReasonNoRecords)
+		time.Sleep(breakerPause / 10)
+	}
+}
--- a/proxy/gate.go
+++ b/proxy/gate.go
@@ -195,7 +195,7 @@
 	if reason != admission.ReasonNone {
 		return nil, g.refusal(req, refusalFor(reason), s)
 	}
-	g.opts.Log.Debug().Str("request", req.ID).Str("team", req.Team).Str("service", req.Service).
+	g.opts.Log.Info().Str("request", req.ID).Str("team", req.Team).Str("service", req.Service).
 		Str("server", s.name).Dur("queue", held.wait).Msg("gate: placed request.")
 	resp, err := g.runHeld(ctx, req, held)
 	if err != nil {
