Name flag, value and accepted form of a wrong setting in one line

Cause: a value that did not parse printed the whole usage, and one from the environment was not shown.

--- a/cmd/rosemarylined/main.go
+++ b/cmd/rosemarylined/main.go
@@ -33,10 +33,10 @@
 		return exitSettings
 	}
 	switch {
-	case s.version:
+	case bool(s.version):
 		fmt.Println("rosemarylined", version())
 		return exitOK
-	case s.dev:
+	case bool(s.dev):
 		return runDev(s)
 	default:
 		return runNode(s)
--- a/cmd/rosemarylined/settings.go
+++ b/cmd/rosemarylined/settings.go
@@ -26,8 +26,8 @@
 
 // settings are the flags as given.
 type settings struct {
-	dev     bool
-	version bool
+	dev     switchFlag
+	version switchFlag
 
 	name, domain                   string
 	listen, peerListen             string
@@ -35,12 +35,12 @@
 	adminListen, join              string
 	tlsCert, tlsKey                string
 	peerCert, peerKey, peerCA      string
-	peerInsecure                   bool
+	peerInsecure                   switchFlag
 	dataDir                        string
-	bootstrap                      bool
+	bootstrap                      switchFlag
 	bootstrapCredential            string
-	holdBody, keyedBody, maxHeader int
-	stopTimeout                    time.Duration
+	holdBody, keyedBody, maxHeader bytesFlag
+	stopTimeout                    durationFlag
 	logLevel                       string
 }
 
@@ -56,8 +56,12 @@
 func newFlagSet(s *settings, output io.Writer) *flag.FlagSet {
 	fs := flag.NewFlagSet("rosemarylined", flag.ContinueOnError)
 	fs.SetOutput(output)
-	fs.BoolVar(&s.dev, "dev", false, "run a whole fleet with stand-in backend servers in one process on loopback")
-	fs.BoolVar(&s.version, "version", false, "print the version and exit")
+	s.holdBody = proxy.DefaultHoldBody
+	s.keyedBody = proxy.DefaultKeyedBody
+	s.maxHeader = node.DefaultMaxHeaderBytes
+	s.stopTimeout = durationFlag(node.DefaultStopTimeout)
+	fs.Var(&s.dev, "dev", "run a whole fleet with stand-in backend servers in one process on loopback")
+	fs.Var(&s.version, "version", "print the version and exit")
 	fs.StringVar(&s.name, "name", "", "VM name, unique in the fleet")
 	fs.StringVar(&s.domain, "failure-domain", "", "failure domain of the VM")
 	fs.StringVar(&s.listen, "listen", "", "host:port for callers; empty: no callers")
@@ -71,14 +75,14 @@
 	fs.StringVar(&s.peerCert, "peer-cert", "", "PEM file with this process's certificate for peers")
 	fs.StringVar(&s.peerKey, "peer-key", "", "PEM file with the key of -peer-cert")
 	fs.StringVar(&s.peerCA, "peer-ca", "", "PEM file with the authorities that sign peers' certificates")
-	fs.BoolVar(&s.peerInsecure, "peer-insecure", false, "allow plain connections to peers off loopback")
+	fs.Var(&s.peerInsecure, "peer-insecure", "allow plain connections to peers off loopback")
 	fs.StringVar(&s.dataDir, "data-dir", "", "data folder; a process with one has the control role")
-	fs.BoolVar(&s.bootstrap, "bootstrap", false, "found a new control group where -data-dir is empty")
+	fs.Var(&s.bootstrap, "bootstrap", "found a new control group where -data-dir is empty")
 	fs.StringVar(&s.bootstrapCredential, "bootstrap-credential-hash", "", "SHA-256 sum in hex of an administrator's credential that counts while the configuration has no operators")
-	fs.IntVar(&s.holdBody, "hold-body", proxy.DefaultHoldBody, "largest request body held in memory for a retry, in bytes")
-	fs.IntVar(&s.keyedBody, "keyed-body", proxy.DefaultKeyedBody, "largest body of a request with an Idempotency-Key, in bytes")
-	fs.IntVar(&s.maxHeader, "max-header", node.DefaultMaxHeaderBytes, "largest headers of a request, in bytes")
-	fs.DurationVar(&s.stopTimeout, "stop-timeout", node.DefaultStopTimeout, "longest graceful stop, for example 30s")
+	fs.Var(&s.holdBody, "hold-body", "largest request body held in memory for a retry, in bytes")
+	fs.Var(&s.keyedBody, "keyed-body", "largest body of a request with an Idempotency-Key, in bytes")
+	fs.Var(&s.maxHeader, "max-header", "largest headers of a request, in bytes")
+	fs.Var(&s.stopTimeout, "stop-timeout", "longest graceful stop, for example 30s")
 	fs.StringVar(&s.logLevel, "log-level", "info", "debug, info, warn or error")
 	fs.Usage = func() {
 		fmt.Fprintf(output, "Usage: rosemarylined [flags]\n\nEach flag can be set by an environment variable, for example -peer-listen by %s_PEER_LISTEN.\n\n", envPrefix)
@@ -90,14 +94,18 @@
 // parseSettings reads flags and environment.
 func parseSettings(args []string, output io.Writer) (*settings, error) {
 	s := &settings{}
-	fs := newFlagSet(s, output)
-	if err := ff.Parse(fs, args, ff.WithEnvVarPrefix(envPrefix)); err != nil {
+	fs := newFlagSet(s, io.Discard) // a wrong setting is told in one line, without the usage
+	err := ff.Parse(fs, args, ff.WithEnvVarPrefix(envPrefix))
+	if errors.Is(err, flag.ErrHelp) {
+		newFlagSet(&settings{}, output).Usage()
+	}
+	if err != nil {
 		return nil, err
 	}
 	if fs.NArg() > 0 {
 		return nil, errors.Errorf("unexpected argument %q; all settings are flags", fs.Arg(0))
 	}
-	if s.dev || s.version {
+	if bool(s.dev) || bool(s.version) {
 		return s, nil
 	}
 	return s, s.check()
@@ -118,7 +126,7 @@
 	if err := s.checkFiles(); err != nil {
 		return err
 	}
-	if s.bootstrap && s.dataDir == "" {
+	if bool(s.bootstrap) && s.dataDir == "" {
 		return &settingError{"data-dir", "", "is needed with -bootstrap"}
 	}
 	if s.bootstrapCredential != "" && !isSum(s.bootstrapCredential) {
@@ -187,7 +195,7 @@
 	if peerFiles != 0 && peerFiles != 3 {
 		return &settingError{"peer-ca", s.peerCA, "-peer-cert, -peer-key and -peer-ca are needed together"}
 	}
-	if peerFiles == 0 && !isLoopback(s.peerListen) && !s.peerInsecure {
+	if peerFiles == 0 && !isLoopback(s.peerListen) && !bool(s.peerInsecure) {
 		return &settingError{"peer-listen", s.peerListen, "needs -peer-cert, -peer-key and -peer-ca, or -peer-insecure, off loopback"}
 	}
 	return nil
@@ -196,10 +204,10 @@
 func (s *settings) checkNumbers() error {
 	for _, n := range []struct {
 		flag  string
-		value int
+		value bytesFlag
 	}{{"hold-body", s.holdBody}, {"keyed-body", s.keyedBody}, {"max-header", s.maxHeader}} {
 		if n.value <= 0 {
-			return &settingError{n.flag, fmt.Sprint(n.value), "must be a positive number of bytes"}
+			return &settingError{n.flag, n.value.String(), "must be a positive number of bytes"}
 		}
 	}
 	if s.stopTimeout <= 0 {
@@ -234,12 +242,12 @@
 		AdminListen:         s.adminListen,
 		Join:                s.joinList(),
 		DataDir:             s.dataDir,
-		Bootstrap:           s.bootstrap,
+		Bootstrap:           bool(s.bootstrap),
 		BootstrapCredential: s.bootstrapCredential,
 		HoldBody:            int64(s.holdBody),
 		KeyedBody:           int64(s.keyedBody),
-		MaxHeaderBytes:      s.maxHeader,
-		StopTimeout:         s.stopTimeout,
+		MaxHeaderBytes:      int(s.maxHeader),
+		StopTimeout:         time.Duration(s.stopTimeout),
 		Log:                 newLogger(s.logLevel, os.Stderr),
 	}
 	var err error
