Stop the older of two processes that use one name; end a process that fails by itself

Cause: two processes under one name would outdate each other's membership claims and roster entries without end. A process whose tomb died kept its listeners open and never ended. Conclusion: the older process exits with 1 and names the other one's address.

--- a/cmd/rosemarylined/fleet_test.go
+++ b/cmd/rosemarylined/fleet_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -470,3 +471,33 @@
 	assert.Equal(t, keyed.status, http.StatusServiceUnavailable)
 	assert.Equal(t, keyed.outcome, "not-run")
 }
+
+// Guards against two processes under one name, which would outdate each other's claims without end: the one that started
+// first must stop with an error.
+func TestOlderProcessOfANameStops(t *testing.T) {
+	f := startFleet(t)
+	older := f.addProxies(1)[0]
+	f.eventually("older process joins", func() error { return f.inRoster(older.name, older.peer) })
+	newer := newVM(older.name, older.domain)
+	f.vms = append(f.vms, newer)
+	f.start(newer)
+	var exit *exec.ExitError
+	assert.Assert(t, errors.As(older.cmd.Wait(), &exit))
+	assert.Equal(t, exit.ExitCode(), exitFailed)
+	f.eventually("newer process takes the name", func() error { return f.inRoster(newer.name, newer.peer) })
+}
+
+func (f *testFleet) inRoster(name, address string) error {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	var members control.MembersReply
+	if err := f.client.Get(ctx, "/v1/members", nil, &members); err != nil {
+		return err
+	}
+	for _, p := range members.Roster {
+		if p.Name == name && p.Address == address {
+			return nil
+		}
+	}
+	return fmt.Errorf("%s at %s is not in the roster", name, address)
+}
--- a/node/gossip.go
+++ b/node/gossip.go
@@ -68,6 +68,8 @@
 	client *rpc.Client
 	log    *log.Logger
 	queue  chan membership.Outgoing
+	// nameTaken is called when another process uses this one's name.
+	nameTaken func(address string)
 
 	mu   sync.Mutex // guards the fields below
 	node *membership.Node
@@ -90,12 +92,14 @@
 func newGossip(self membership.Member, clock proxy.Clock, client *rpc.Client, logger *log.Logger) *gossip {
 	rnd := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	return &gossip{
-		clock:   clock,
-		client:  client,
-		log:     logger,
-		queue:   make(chan membership.Outgoing, gossipQueue),
-		node:    membership.New(self, membership.Config{}, rnd),
-		members: map[string]peerInfo{},
+		clock:  clock,
+		client: client,
+		log:    logger,
+		queue:  make(chan membership.Outgoing, gossipQueue),
+
+		nameTaken: func(string) {},
+		node:      membership.New(self, membership.Config{}, rnd),
+		members:   map[string]peerInfo{},
 	}
 }
 
@@ -121,11 +125,28 @@
 func (g *gossip) receive(_ context.Context, _ string, e envelope) (struct{}, error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if address, taken := g.successor(e.Packet.Updates); taken {
+		g.nameTaken(address)
+		return struct{}{}, nil
+	}
 	g.send(g.node.Receive(g.clock(), e.From, e.Packet))
 	g.takeEvents()
 	return struct{}{}, nil
 }
 
+// successor returns the address of a process that started later under this one's name. Of two such processes the older
+// one must stop: both would go on to outdate each other's claims. The caller holds mu.
+func (g *gossip) successor(updates []membership.Update) (address string, taken bool) {
+	self := g.node.Self()
+	for _, u := range updates {
+		other := u.Name == self.Name && u.Address != self.Address
+		if other && u.Status == membership.StatusAlive && u.Incarnation > self.Incarnation {
+			return u.Address, true
+		}
+	}
+	return "", false
+}
+
 // send queues packets. The caller holds mu.
 func (g *gossip) send(out []membership.Outgoing) {
 	for _, o := range out {
--- a/node/node.go
+++ b/node/node.go
@@ -83,6 +83,9 @@
 	n.rpc = rpc.NewServer()
 	self := membership.Member{Name: o.Name, Address: o.PeerAddress, Domain: o.Domain, Incarnation: n.incarnation}
 	n.gossip = newGossip(self, n.clock, n.client, o.Log)
+	n.gossip.nameTaken = func(address string) {
+		n.tomb.Kill(errors.Errorf("name %q is used by a process that started later, at %s", o.Name, address))
+	}
 	n.right = &right{clock: n.clock, gossip: n.gossip, fleet: n.fleet, log: o.Log}
 	n.directory = newDirectory(n.clock)
 	n.shards = newShards(o.Name, n.clock, n.fleet, n.right.MayAdmit)
@@ -140,6 +143,7 @@
 	n.tomb.Go(func() error { return every(&n.tomb, directoryInterval, publisher.run) })
 	n.tomb.Go(func() error { return every(&n.tomb, time.Second, n.entry.Sweep) })
 	n.tomb.Go(n.follow)
+	n.tomb.Go(n.closeWhenDying)
 	for _, s := range n.servers {
 		n.tomb.Go(s.serve)
 	}
@@ -183,6 +187,13 @@
 	return failed
 }
 
+// closeWhenDying ends the listeners of a process that stops by itself after an error.
+func (n *Node) closeWhenDying() error {
+	<-n.tomb.Dying()
+	n.abort()
+	return nil
+}
+
 // abort stops everything at once.
 func (n *Node) abort() {
 	n.tomb.Kill(nil)
