--- a/node/ejections.go
+++ b/node/ejections.go
@@ -56,16 +56,25 @@
 	shard int
 }
 
-func newEjections(vm string, run uint64, clock proxy.Clock, fleet *proxy.Fleet, client *rpc.Client, g *gossip, d *directory, o owners, logger *log.Logger, t *tomb.Tomb) *ejections {
-	holder := outlier.NewHolder(vm, run)
+// newEjections returns the driver of a process whose other drivers exist, except the gate.
+func newEjections(n *Node) *ejections {
+	holder := outlier.NewHolder(n.opts.Name, n.incarnation)
 	return &ejections{
-		vm: vm, clock: clock, fleet: fleet, client: client, gossip: g, directory: d, owners: o, log: logger, tomb: t,
-		probing:  &http.Client{Timeout: probeTimeout, Transport: &http.Transport{DisableKeepAlives: true}},
-		detector: outlier.NewDetector(outlier.Config{}),
-		holder:   holder,
-		ejector:  outlier.NewEjector(outlier.EjectorConfig{}, holder),
-		services: map[string]string{},
-		arbiters: map[string]*arbiter{},
+		vm:        n.opts.Name,
+		clock:     n.clock,
+		fleet:     n.fleet,
+		client:    n.client,
+		gossip:    n.gossip,
+		directory: n.directory,
+		owners:    n.shards,
+		log:       n.opts.Log,
+		tomb:      &n.tomb,
+		probing:   &http.Client{Timeout: probeTimeout, Transport: &http.Transport{DisableKeepAlives: true}},
+		detector:  outlier.NewDetector(outlier.Config{}),
+		holder:    holder,
+		ejector:   outlier.NewEjector(outlier.EjectorConfig{}, holder),
+		services:  map[string]string{},
+		arbiters:  map[string]*arbiter{},
 	}
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -91,7 +91,7 @@
 	n.shards = newShards(o.Name, n.clock, n.fleet, n.right.MayAdmit)
 	holder := quota.Config{Process: o.Name, Incarnation: n.incarnation}
 	n.limiter = newLimiter(holder, n.clock, n.fleet, n.client, n.shards, &n.tomb)
-	n.ejections = newEjections(o.Name, n.incarnation, n.clock, n.fleet, n.client, n.gossip, n.directory, n.shards, o.Log, &n.tomb)
+	n.ejections = newEjections(n)
 	n.groups = &groupClient{node: n, leaders: map[groupName]string{}}
 	claimer := idempotency.Claimer{Process: o.Name, Incarnation: n.incarnation}
 	n.claims = newClaims(claimer, n.clock, n.groups, n.gossip, o.Log, &n.tomb)
