--- a/admission/config.go
+++ b/admission/config.go
@@ -23,6 +23,9 @@
 	InitialSlots int
 	// SuccessesPerSlot is the number of successes at normal latency that add one slot. Default 10.
 	SuccessesPerSlot int
+	// ColdRate is the number of requests a second that a cold backend server bears. Where it is set, all slots are used
+	// from the start, and SetCold tells when the rate binds. Default 0: the ramp grows the slots instead.
+	ColdRate float64
 	// QueueLength bounds the waiting requests for each call depth. Default 4 times Slots.
 	QueueLength int
 	// TeamPercent is the share of the queue, in percent, that one team may fill; at least one request. Default 50.
--- a/admission/gate.go
+++ b/admission/gate.go
@@ -18,7 +18,8 @@
 	inFlight []int
 	waiting  map[Ticket]*waiter
 	// queues has one queue for each level; deeper calls are served first.
-	queues []*fairQueue
+	queues []*rankedQueue
+	cold   coldRate
 	// expired holds waiters that were found past their time and are reported by the next Expire.
 	expired []Refusal
 }
@@ -38,7 +39,8 @@
 		running:  make(map[Ticket]run),
 		waiting:  make(map[Ticket]*waiter),
 		inFlight: make([]int, cfg.NestedLevels+1),
-		queues:   newFairQueues(cfg.NestedLevels + 1),
+		queues:   newRankedQueues(cfg.NestedLevels + 1),
+		cold:     coldRate{perSecond: cfg.ColdRate},
 	}
 	return g
 }
@@ -52,9 +54,9 @@
 		return refuse(ReasonDeadline)
 	}
 	level := g.level(r.Depth)
-	if g.queues[level].size == 0 && g.free(level) {
+	if g.queues[level].size == 0 && g.free(level) && g.cold.next(now) <= now {
 		ticket := g.newTicket()
-		g.start(ticket, r.Depth)
+		g.start(now, ticket, r.Depth)
 		return Decision{Verdict: Admitted, Ticket: ticket}
 	}
 	// A call deeper than the reserved levels could wait on its own ancestors.
@@ -71,12 +73,12 @@
 	if q.teamSize(r.Team) >= g.cfg.teamLength() {
 		return refuse(ReasonTeamShare)
 	}
-	if r.Deadline != 0 && now+g.ramp.wait(q.position(r.Team)) >= r.Deadline {
+	if r.Deadline != 0 && now+g.ramp.wait(q.position(r.Priority, r.Team)) >= r.Deadline {
 		return refuse(ReasonDeadline)
 	}
 	var displaced []Refusal
 	if q.size >= g.cfg.QueueLength {
-		victim := q.displaceable(r.Team, r.weight())
+		victim := q.displaceable(r.Priority, r.Team, r.weight())
 		if victim == nil {
 			return refuse(ReasonQueueFull)
 		}
@@ -88,6 +90,7 @@
 		ticket:   g.newTicket(),
 		team:     r.Team,
 		weight:   r.weight(),
+		priority: r.Priority,
 		depth:    level,
 		queuedAt: now,
 		expires:  now + g.cfg.MaxWait,
@@ -175,7 +178,7 @@
 			delete(g.waiting, w.ticket)
 			refusals = append(refusals, Refusal{Ticket: w.ticket, Reason: state.reason()})
 		}
-		g.queues[level] = newFairQueue()
+		g.queues[level] = &rankedQueue{}
 	}
 	return refusals
 }
@@ -186,11 +189,12 @@
 	former := g.queues
 	g.cfg = cfg.withDefaults()
 	g.ramp.configure(g.cfg)
+	g.cold.perSecond = g.cfg.ColdRate
 	g.inFlight = make([]int, g.cfg.NestedLevels+1)
 	for _, r := range g.running {
 		g.inFlight[g.level(r.depth)]++
 	}
-	g.queues = newFairQueues(g.cfg.NestedLevels + 1)
+	g.queues = newRankedQueues(g.cfg.NestedLevels + 1)
 	var refusals []Refusal
 	for _, q := range former {
 		for _, w := range q.all() {
@@ -205,6 +209,24 @@
 	return g.grant(now), refusals
 }
 
+// SetCold tells that the backend server is cold until a time. It has an effect where Config.ColdRate is set.
+func (g *Gate) SetCold(until time.Duration) { g.cold.until = until }
+
+// Grant starts the queued requests that may start now. Call it at NextGrant.
+func (g *Gate) Grant(now time.Duration) []Grant { return g.grant(now) }
+
+// NextGrant returns the time at which queued requests may start although none ends before, and false where none waits for
+// the rate of a cold backend server.
+func (g *Gate) NextGrant(now time.Duration) (time.Duration, bool) {
+	next := g.cold.next(now)
+	for level, q := range g.queues {
+		if q.size > 0 && g.free(level) {
+			return next, true
+		}
+	}
+	return 0, false
+}
+
 // SetInstance records the backend server's instance id. A new id is a cold start.
 func (g *Gate) SetInstance(instance string) {
 	if instance == g.instance {
@@ -230,7 +252,7 @@
 	var grants []Grant
 	for level := g.cfg.NestedLevels; level >= 0; level-- {
 		q := g.queues[level]
-		for q.size > 0 && g.free(level) {
+		for q.size > 0 && g.free(level) && g.cold.next(now) <= now {
 			w := q.next()
 			if now >= w.expires {
 				q.remove(w)
@@ -240,14 +262,15 @@
 			}
 			q.pop()
 			delete(g.waiting, w.ticket)
-			g.start(w.ticket, w.depth)
+			g.start(now, w.ticket, w.depth)
 			grants = append(grants, Grant{Ticket: w.ticket, Wait: now - w.queuedAt})
 		}
 	}
 	return grants
 }
 
-func (g *Gate) start(ticket Ticket, depth int) {
+func (g *Gate) start(now time.Duration, ticket Ticket, depth int) {
+	g.cold.start(now)
 	g.running[ticket] = run{depth: depth, epoch: g.ramp.epoch}
 	g.inFlight[g.level(depth)]++
 }
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -7,6 +7,8 @@
 	ticket Ticket
 	team   string
 	weight float64
+	// priority is the rank in its queue, 0 first.
+	priority int
 	// depth is at most Config.NestedLevels and so is the index of the waiter's queue.
 	depth    int
 	queuedAt time.Duration
@@ -42,14 +44,6 @@
 	size   int
 }
 
-func newFairQueues(n int) []*fairQueue {
-	queues := make([]*fairQueue, n)
-	for i := range queues {
-		queues[i] = newFairQueue()
-	}
-	return queues
-}
-
 func newFairQueue() *fairQueue {
 	return &fairQueue{teams: make(map[string]*teamQueue)}
 }
@@ -114,12 +108,7 @@
 // displaceable returns the newest waiter of the team with the most waiters for its weight, where that team would still
 // have no fewer than the given one; nil otherwise.
 func (q *fairQueue) displaceable(team string, weight float64) *waiter {
-	var longest *teamQueue
-	for _, t := range q.ring {
-		if longest == nil || queueLoad(len(t.waiters), t.weight) > queueLoad(len(longest.waiters), longest.weight) {
-			longest = t
-		}
-	}
+	longest := q.longest()
 	if longest == nil || longest.team == team {
 		return nil
 	}
@@ -129,6 +118,24 @@
 	return longest.waiters[len(longest.waiters)-1]
 }
 
+// longest returns the team with the most waiters for its weight; nil in an empty queue.
+func (q *fairQueue) longest() *teamQueue {
+	var longest *teamQueue
+	for _, t := range q.ring {
+		if longest == nil || queueLoad(len(t.waiters), t.weight) > queueLoad(len(longest.waiters), longest.weight) {
+			longest = t
+		}
+	}
+	return longest
+}
+
+// newestOfLongest returns the newest waiter of the team with the most waiters for its weight. The queue must not be
+// empty.
+func (q *fairQueue) newestOfLongest() *waiter {
+	longest := q.longest()
+	return longest.waiters[len(longest.waiters)-1]
+}
+
 // remove takes one waiter out of the queue. Its team keeps its turn.
 func (q *fairQueue) remove(w *waiter) {
 	t := q.teams[w.team]
--- a/admission/ramp.go
+++ b/admission/ramp.go
@@ -26,6 +26,8 @@
 type ramp struct {
 	initial, slots, perSlot int
 
+	// fixed keeps all slots in use: a rate bounds a cold backend server instead.
+	fixed     bool
 	effective int
 	successes int
 	// normal is the latency of requests that were not slow, in nanoseconds; 0 before the first one.
@@ -43,12 +45,17 @@
 }
 
 func newRamp(cfg Config) ramp {
-	return ramp{
+	r := ramp{
 		initial:   cfg.InitialSlots,
 		slots:     cfg.Slots,
 		perSlot:   cfg.SuccessesPerSlot,
 		effective: cfg.InitialSlots,
+		fixed:     cfg.ColdRate > 0,
 	}
+	if r.fixed {
+		r.effective = r.slots
+	}
+	return r
 }
 
 // configure changes the bounds. More slots are reached by growth.
@@ -56,12 +63,19 @@
 	r.initial = cfg.InitialSlots
 	r.slots = cfg.Slots
 	r.perSlot = cfg.SuccessesPerSlot
+	r.fixed = cfg.ColdRate > 0
 	r.effective = min(r.effective, r.slots)
+	if r.fixed {
+		r.effective = r.slots
+	}
 }
 
 // reset returns to the cold state. The normal latency stays known where the backend server is the same instance.
 func (r *ramp) reset(keepNormal bool) {
 	r.effective = r.initial
+	if r.fixed {
+		r.effective = r.slots
+	}
 	r.successes = 0
 	r.window = resultWindow{}
 	r.epoch++
@@ -137,6 +151,9 @@
 }
 
 func (r *ramp) halve() {
+	if r.fixed {
+		return
+	}
 	r.effective = max(r.effective/2, 1)
 	r.successes = 0
 	r.window = resultWindow{}
--- a/cmd/rosemarylined/main.go
+++ b/cmd/rosemarylined/main.go
@@ -12,6 +12,7 @@
 	"syscall"
 
 	"rosemaryline.dev/node"
+	"rosemaryline.dev/platform"
 )
 
 // Exit codes.
@@ -38,6 +39,8 @@
 		return exitOK
 	case bool(s.dev):
 		return runDev(s)
+	case bool(s.platform):
+		return runPlatform(s)
 	default:
 		return runNode(s)
 	}
@@ -77,6 +80,18 @@
 	return exitOK
 }
 
+// runPlatform runs one process on the users' platform.
+func runPlatform(s *settings) int {
+	logger := newLogger(s.logLevel, os.Stdout)
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	if err := platform.Run(logger, stopSignals(), reload); err != nil {
+		logger.Error().Err(err).Msg("daemon: stopped with an error.")
+		return exitFailed
+	}
+	return exitOK
+}
+
 // stopSignals returns a channel that gets the first signal to stop. Further ones are taken and ignored, so that they
 // cannot cut a graceful stop short.
 func stopSignals() <-chan os.Signal {
--- a/cmd/rosemarylined/settings.go
+++ b/cmd/rosemarylined/settings.go
@@ -26,8 +26,9 @@
 
 // settings are the flags as given.
 type settings struct {
-	dev     switchFlag
-	version switchFlag
+	dev      switchFlag
+	platform switchFlag
+	version  switchFlag
 
 	name, domain                   string
 	listen, peerListen             string
@@ -61,6 +62,7 @@
 	s.maxHeader = node.DefaultMaxHeaderBytes
 	s.stopTimeout = durationFlag(node.DefaultStopTimeout)
 	fs.Var(&s.dev, "dev", "run a whole fleet with stand-in backend servers in one process on loopback")
+	fs.Var(&s.platform, "platform", "take the settings from the users' platform and speak its protocol")
 	fs.Var(&s.version, "version", "print the version and exit")
 	fs.StringVar(&s.name, "name", "", "VM name, unique in the fleet")
 	fs.StringVar(&s.domain, "failure-domain", "", "failure domain of the VM")
@@ -105,7 +107,7 @@
 	if fs.NArg() > 0 {
 		return nil, errors.Errorf("unexpected argument %q; all settings are flags", fs.Arg(0))
 	}
-	if bool(s.dev) || bool(s.version) {
+	if bool(s.dev) || bool(s.version) || bool(s.platform) {
 		return s, nil
 	}
 	return s, s.check()
--- a/control/snapshot_cache.go
+++ b/control/snapshot_cache.go
@@ -41,7 +41,7 @@
 			return
 		}
 		var data []byte
-		if data, err = s.Snapshot(); err == nil {
+		if data, err = s.SharedSnapshot(); err == nil {
 			c.id++
 			c.version, c.data = s.Version(), data
 		}
--- a/fleet/config/document.go
+++ b/fleet/config/document.go
@@ -8,6 +8,8 @@
 const (
 	// AccessOpen routes accept callers on the caller listener with a team's key.
 	AccessOpen Access = "open"
+	// AccessPublic routes accept callers on the caller listener without a key. No team's rate is charged.
+	AccessPublic Access = "public"
 	// AccessInternal routes accept only backend servers, on the local listener of their VM.
 	AccessInternal Access = "internal"
 )
@@ -69,6 +71,11 @@
 	InitialSlots int `json:"initialSlots,omitempty"`
 	// SuccessesPerSlot is the number of successes at normal latency that add one slot. Default 10.
 	SuccessesPerSlot int `json:"successesPerSlot,omitempty"`
+	// Rate is the number of requests a second that a cold backend server bears. Where it is set, it replaces the growth
+	// by slots: a cold backend server uses all its slots at this rate until Time is over. Default 0, no rate.
+	Rate float64 `json:"rate,omitempty"`
+	// Time is how long a backend server stays cold after its start, unless it tells so itself. It needs Rate.
+	Time Duration `json:"time,omitempty"`
 }
 
 // Queue bounds the waiting requests in front of one backend server.
@@ -87,8 +94,12 @@
 	Host string `json:"host,omitempty"`
 	// Path is a path prefix that ends at a segment boundary, for example "/rounds".
 	Path string `json:"path"`
-	// Service is the name of the service that runs the request.
-	Service string `json:"service"`
+	// Below limits the route to paths below Path: "/rounds/1" and "/rounds/", but not "/rounds".
+	Below bool `json:"below,omitempty"`
+	// Service is the name of the service that runs the request; empty where Split is set.
+	Service string `json:"service,omitempty"`
+	// Split divides the requests among services by weight.
+	Split []SplitPart `json:"split,omitempty"`
 	// Access tells who may use the route.
 	Access Access `json:"access"`
 	// Teams are the teams that may use the route; empty means all teams.
@@ -96,12 +107,31 @@
 	// RepeatableMethods are the methods whose requests may be repeated. Default GET, HEAD, OPTIONS; an empty list means
 	// none, which is why the JSON form keeps it.
 	RepeatableMethods []string `json:"repeatableMethods,omitzero"`
+	// Idempotent tells for all methods whether requests may be repeated. Default: RepeatableMethods decide.
+	Idempotent *bool `json:"idempotent,omitempty"`
+	// Priority ranks the route's requests where work waits; 0 is the most urgent. A team's priority goes first.
+	Priority int `json:"priority,omitempty"`
+	// MaxAttempts bounds the backend servers that one request is sent to. Default 0, no bound of the route.
+	MaxAttempts int `json:"maxAttempts,omitempty"`
+	// Objective is the time within which an answer is of full use to the caller. Default 0, the deadline.
+	Objective Duration `json:"objective,omitempty"`
 	// Deadline bounds a request from its arrival to the last byte of its answer's header. Default 10s.
 	Deadline Duration `json:"deadline,omitempty"`
 }
 
+// SplitPart is one service of a split route.
+type SplitPart struct {
+	Service string `json:"service"`
+	// Weight is the service's share of the requests relative to the other parts.
+	Weight float64 `json:"weight"`
+}
+
 // Team is a tenant whose callers present keys.
 type Team struct {
+	// Unlimited teams have neither rate nor burst.
+	Unlimited bool `json:"unlimited,omitempty"`
+	// Priority ranks the team's requests and goes before the route's priority. Default: the route's priority.
+	Priority *int `json:"priority,omitempty"`
 	// Rate is the sustained rate over the whole fleet, in requests a second.
 	Rate float64 `json:"rate"`
 	// Burst is the number of requests that may exceed the rate at once.
--- a/fleet/config/schema.go
+++ b/fleet/config/schema.go
@@ -37,6 +37,8 @@
 		return
 	}
 	switch want.Kind() {
+	case reflect.Pointer:
+		c.check(path, value, want.Elem())
 	case reflect.Struct:
 		c.checkStruct(path, value, want)
 	case reflect.Map:
--- a/fleet/config/validate_unique.go
+++ b/fleet/config/validate_unique.go
@@ -2,10 +2,13 @@
 
 // checkRoutesDiffer reports routes that match the same requests.
 func (c *checker) checkRoutesDiffer() {
-	type match struct{ host, path string }
+	type match struct {
+		host, path string
+		below      bool
+	}
 	first := make(map[match]string, len(c.doc.Routes))
 	eachSorted(c.doc.Routes, func(name string, r Route) {
-		key := match{r.Host, r.Path}
+		key := match{r.Host, r.Path, r.Below}
 		if other, ok := first[key]; ok {
 			c.fail(joinPath("routes", name)+".path", "route %q has the same host and path", other)
 			return
--- a/fleet/state/apply.go
+++ b/fleet/state/apply.go
@@ -36,6 +36,11 @@
 		}
 		return record.Result
 	}
+	if stripped := c.withoutSource(); stripped != c {
+		if data, err = stripped.Encode(); err != nil {
+			return s.refusal(refuse(CodeInvalid, nil, "command cannot be encoded: %v", err))
+		}
+	}
 	s.deltas.add(Delta{From: s.version, Chain: s.chain, Command: slices.Clone(data)})
 	s.version++
 	s.chain = extendChain(s.chain, digest)
@@ -87,7 +92,7 @@
 
 // run executes a command and returns the fields that it changed. A refused command changes nothing.
 func (s *State) run(c *Command) ([]string, *Refusal) {
-	if c.Kind().byOperator() {
+	if c.usesBase() {
 		if refusal := s.checkBase(c.BaseVersion); refusal != nil {
 			return nil, refusal
 		}
@@ -101,6 +106,8 @@
 		return s.runWithdrawKey(c.WithdrawKey)
 	case c.SetDomain != nil:
 		return s.runSetDomain(c.SetDomain)
+	case c.Replace != nil:
+		return s.runReplace(c.Replace)
 	case c.Join != nil:
 		return s.runJoin(*c.Join)
 	case c.Leave != nil:
--- a/fleet/state/apply_config.go
+++ b/fleet/state/apply_config.go
@@ -14,18 +14,28 @@
 	if refusal != nil {
 		return nil, refusal
 	}
-	listed := s.listedKeys(a.Change.Teams)
-	if errs := s.doc.PatchChecked(a.Change, s.listedKeyOwner); len(errs) > 0 {
-		return nil, refuseFields(errs)
+	if refusal := s.patch(a.Change); refusal != nil {
+		return nil, refusal
 	}
-	s.reindex(a.Change.Teams, listed)
-	if !a.Change.Routes.IsZero() {
+	// The document in force is no longer the one that an operator sent as a whole.
+	s.source = nil
+	return fields, nil
+}
+
+// patch changes the document where the result is valid.
+func (s *State) patch(c config.Change) *Refusal {
+	listed := s.listedKeys(c.Teams)
+	if errs := s.doc.PatchChecked(c, s.listedKeyOwner); len(errs) > 0 {
+		return refuseFields(errs)
+	}
+	s.reindex(c.Teams, listed)
+	if !c.Routes.IsZero() {
 		s.routesVersion = s.version + 1
 	}
-	for _, domain := range a.Change.Domains.Remove {
+	for _, domain := range c.Domains.Remove {
 		delete(s.out, domain)
 	}
-	return fields, nil
+	return nil
 }
 
 // CheckApply returns the fields that a change would alter, or why it would be refused now. It changes nothing.
--- a/fleet/state/command.go
+++ b/fleet/state/command.go
@@ -28,6 +28,7 @@
 	IssueKey     *IssueKey     `json:"issueKey,omitempty"`
 	WithdrawKey  *WithdrawKey  `json:"withdrawKey,omitempty"`
 	SetDomain    *SetDomain    `json:"setDomain,omitempty"`
+	Replace      *Replace      `json:"replace,omitempty"`
 	Join         *Process      `json:"join,omitempty"`
 	Leave        *Leave        `json:"leave,omitempty"`
 	AssignShards *AssignShards `json:"assignShards,omitempty"`
@@ -60,6 +61,22 @@
 	Out    bool   `json:"out"`
 	// Force skips the check that each service keeps its floor.
 	Force bool `json:"force,omitempty"`
+	// AnyBase leaves out the comparison with the base version: the last command wins whatever else changed.
+	AnyBase bool `json:"anyBase,omitempty"`
+}
+
+// Replace puts a whole configuration document in force under a label of the operators' own. Operators race under labels:
+// the command wins where BaseLabel is the label in force.
+type Replace struct {
+	Label     uint64 `json:"label"`
+	BaseLabel uint64 `json:"baseLabel"`
+	// Change turns the document in force under BaseLabel into the new one.
+	Change config.Change `json:"change"`
+	// Source is the document as the operator sent it, compressed. Only processes with the control role keep it; it may
+	// hold keys in clear and is left out of deltas.
+	Source []byte `json:"source,omitempty"`
+	// SourceHash is the lower-case hex SHA-256 sum of Source.
+	SourceHash string `json:"sourceHash"`
 }
 
 // Process is one process of the fleet in the roster.
@@ -93,6 +110,7 @@
 	KindWithdrawKey   Kind = "key withdraw"
 	KindDomainOut     Kind = "domain out"
 	KindDomainIn      Kind = "domain in"
+	KindReplace       Kind = "replace"
 	KindJoin          Kind = "join"
 	KindLeave         Kind = "leave"
 	KindAssignShards  Kind = "assign shards"
@@ -112,6 +130,7 @@
 	add(c.WithdrawKey != nil, KindWithdrawKey)
 	add(c.SetDomain != nil && c.SetDomain.Out, KindDomainOut)
 	add(c.SetDomain != nil && !c.SetDomain.Out, KindDomainIn)
+	add(c.Replace != nil, KindReplace)
 	add(c.Join != nil, KindJoin)
 	add(c.Leave != nil, KindLeave)
 	add(c.AssignShards != nil, KindAssignShards)
@@ -126,7 +145,7 @@
 // neither need a base version nor outdate one.
 func (k Kind) byOperator() bool {
 	switch k {
-	case KindApply, KindIssueKey, KindWithdrawKey, KindDomainOut, KindDomainIn:
+	case KindApply, KindIssueKey, KindWithdrawKey, KindDomainOut, KindDomainIn, KindReplace:
 		return true
 	}
 	return false
@@ -142,10 +161,36 @@
 	return c, decoder.Decode(c)
 }
 
-// digest tells a resend from another change with the same id. The time may differ between resends.
+// usesBase reports whether the command is compared with the base version. A replacement is compared by label instead.
+func (c *Command) usesBase() bool {
+	if c.Replace != nil || c.SetDomain != nil && c.SetDomain.AnyBase {
+		return false
+	}
+	return c.Kind().byOperator()
+}
+
+// withoutSource returns the command as processes without the control role get it.
+func (c *Command) withoutSource() *Command {
+	if c.Replace == nil || c.Replace.Source == nil {
+		return c
+	}
+	stripped, replace := *c, *c.Replace
+	replace.Source = nil
+	stripped.Replace = &replace
+	return &stripped
+}
+
+// digest tells a resend from another change with the same id. The time may differ between resends. The source counts by
+// its hash, so that a copy without it has the same history. So does the change of a replacement: it depends on the document in
+// force when it was proposed, while its source stays the same.
 func (c *Command) digest() uint64 {
-	timeless := *c
+	timeless := *c.withoutSource()
 	timeless.Time = time.Time{}
+	if c.Replace != nil {
+		replace := *timeless.Replace
+		replace.Change = config.Change{}
+		timeless.Replace = &replace
+	}
 	data, err := json.Marshal(&timeless)
 	if err != nil {
 		return 0
--- a/fleet/state/snapshot.go
+++ b/fleet/state/snapshot.go
@@ -17,6 +17,8 @@
 	OperatorVersion uint64                 `json:"operatorVersion"`
 	Chain           uint64                 `json:"chain"`
 	Document        *config.Document       `json:"document"`
+	Label           uint64                 `json:"label,omitempty"`
+	Source          []byte                 `json:"source,omitempty"`
 	Issued          map[string][]IssuedKey `json:"issued,omitempty"`
 	Withdrawn       []string               `json:"withdrawn,omitempty"`
 	Out             []string               `json:"out,omitempty"`
@@ -31,12 +33,27 @@
 
 // Snapshot returns the whole state, with the answers for resends and the latest deltas.
 func (s *State) Snapshot() ([]byte, error) {
-	data, err := json.Marshal(snapshot{
+	data, err := json.Marshal(s.snapshot())
+	return data, errors.Wrap(err, "encode snapshot")
+}
+
+// SharedSnapshot is Snapshot without what only processes with the control role keep: the source of the document.
+func (s *State) SharedSnapshot() ([]byte, error) {
+	snap := s.snapshot()
+	snap.Source = nil
+	data, err := json.Marshal(snap)
+	return data, errors.Wrap(err, "encode snapshot")
+}
+
+func (s *State) snapshot() *snapshot {
+	return &snapshot{
 		Format:          snapshotFormat,
 		Version:         s.version,
 		OperatorVersion: s.operatorVersion,
 		Chain:           s.chain,
 		Document:        s.doc,
+		Label:           s.label,
+		Source:          s.source,
 		Issued:          s.issued,
 		Withdrawn:       s.withdrawn.order,
 		Out:             s.DomainsOut(),
@@ -46,8 +63,7 @@
 		Accepted:        s.accepted.records,
 		Refused:         s.refused.records,
 		Deltas:          s.deltas.list,
-	})
-	return data, errors.Wrap(err, "encode snapshot")
+	}
 }
 
 // Restore returns the State of a snapshot.
@@ -73,6 +89,8 @@
 	s.chain = snap.Chain
 	// Patch onto the empty document keeps missing maps usable.
 	s.doc.Patch(config.Diff(s.doc, snap.Document))
+	s.label = snap.Label
+	s.source = snap.Source
 	s.shards = snap.Shards
 	for team, keys := range snap.Issued {
 		s.issued[team] = keys
--- a/fleet/state/state.go
+++ b/fleet/state/state.go
@@ -24,6 +24,10 @@
 	routesVersion uint64
 	chain         uint64
 	doc           *config.Document
+	// label is the operators' own label of the document, 0 before the first replacement.
+	label uint64
+	// source is the document as the operator sent it, compressed; nil where this copy does not keep it.
+	source        []byte
 	keys          *keyIndex
 	issued        map[string][]IssuedKey
 	withdrawn     withdrawnKeys
@@ -77,6 +81,13 @@
 // is applied.
 func (s *State) Config() *config.Document { return s.doc }
 
+// Label returns the operators' own label of the document in force; 0 before the first replacement.
+func (s *State) Label() uint64 { return s.label }
+
+// Source returns the document in force as the operator sent it, compressed as in Replace.Source. It is nil on a copy of a
+// process without the control role, and after a change that no operator sent as a whole document.
+func (s *State) Source() []byte { return s.source }
+
 // IssuedKeys returns the keys of a team that were added by commands, in order of issue.
 func (s *State) IssuedKeys(team string) []IssuedKey { return slices.Clone(s.issued[team]) }
 
--- a/node/controlrole.go
+++ b/node/controlrole.go
@@ -51,9 +51,11 @@
 	if c.controlID, err = c.startGroup(groupControl, c.machine); err != nil {
 		return err
 	}
-	if c.recordsID, err = c.startGroup(groupRecords, idempotency.NewStore()); err != nil {
-		c.stop()
-		return err
+	if !n.opts.NoRecords {
+		if c.recordsID, err = c.startGroup(groupRecords, idempotency.NewStore()); err != nil {
+			c.stop()
+			return err
+		}
 	}
 	rpc.Register(n.rpc, methodRaft, c.receive)
 	rpc.Register(n.rpc, methodSnapshotPart, c.receivePart)
@@ -125,7 +127,13 @@
 	t.Go(func() error { return every(t, beatInterval, c.beats.issue) })
 	t.Go(func() error { return every(t, relayInterval, c.beats.relayConfirmations) })
 	t.Go(func() error { return every(t, rosterInterval, c.keepRoster) })
-	t.Go(func() error { return every(t, expireInterval, c.expireRecords) })
+	if !c.node.opts.NoRecords {
+		t.Go(func() error { return every(t, expireInterval, c.expireRecords) })
+	}
+	if c.node.opts.AutoMembers {
+		keeper := newMemberKeeper()
+		t.Go(func() error { return every(t, memberInterval, func() { c.keepMembers(keeper) }) })
+	}
 }
 
 // watchGroup ends the process when a group stops by itself: what it wrote last may not be durable.
--- /dev/null
+++ b/node/documents.go
@@ -0,0 +1,152 @@
+package node
+
+import (
+	"bytes"
+	"compress/flate"
+	"context"
+	"encoding/json"
+	"io"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"rosemaryline.dev/fleet/config"
+	"rosemaryline.dev/fleet/state"
+	"rosemaryline.dev/rpc"
+)
+
+// DocumentChange replaces the whole configuration document. Operators race under labels: the change wins where BaseLabel
+// is the label in force.
+type DocumentChange struct {
+	// ChangeID identifies the change over resends.
+	ChangeID  string           `json:"changeId"`
+	Operator  string           `json:"operator"`
+	Label     uint64           `json:"label"`
+	BaseLabel uint64           `json:"baseLabel"`
+	Document  *config.Document `json:"document"`
+	// Source is the document as the operator sent it. It is kept and returned by ReadDocument to the byte.
+	Source []byte `json:"source"`
+}
+
+// StoredDocument is the document in force.
+type StoredDocument struct {
+	Label  uint64 `json:"label"`
+	Source []byte `json:"source"`
+}
+
+const (
+	// maxSourceBytes bounds a stored document, so that a damaged one cannot exhaust the memory.
+	maxSourceBytes = 64 << 20
+	// quorumPoll is the time between two looks at the members of a group that is too small.
+	quorumPoll = 20 * time.Millisecond
+)
+
+// ReplaceDocument proposes a whole document to the control leader. A refusal is part of the result; an error means that
+// the outcome is not known and that the same change can be sent again.
+func (n *Node) ReplaceDocument(ctx context.Context, change DocumentChange) (state.Result, error) {
+	answer, err := n.groups.propose(ctx, proposal{Group: groupControl, Replace: &change})
+	if err != nil {
+		return state.Result{}, err
+	}
+	return state.DecodeResult(answer)
+}
+
+// ReadDocument returns the document in force. The read is confirmed by a quorum: it is never older than a change that was
+// acknowledged before.
+func (n *Node) ReadDocument(ctx context.Context) (StoredDocument, error) {
+	answer, err := n.groups.propose(ctx, proposal{Group: groupControl, Read: true})
+	if err != nil {
+		return StoredDocument{}, err
+	}
+	var stored StoredDocument
+	if err := json.Unmarshal(answer, &stored); err != nil {
+		return stored, errors.Wrap(err, "decode stored document")
+	}
+	stored.Source, err = inflate(stored.Source)
+	return stored, errors.Wrap(err, "unpack stored document")
+}
+
+// SetDomain takes a failure domain out or brings it back, whatever else changed meanwhile. It does nothing where the
+// failure domain has the status already. A refusal is an error of type *state.Refusal.
+func (n *Node) SetDomain(ctx context.Context, operator, domain string, out bool) error {
+	_, err := n.Propose(ctx, state.Command{
+		ChangeID: string(newClaimID()), Operator: operator, Time: time.Now(),
+		SetDomain: &state.SetDomain{Domain: domain, Out: out, Force: true, AnyBase: true},
+	})
+	var refusal *state.Refusal
+	if errors.As(err, &refusal) && refusal.Code == state.CodeUnchanged {
+		return nil
+	}
+	return err
+}
+
+// replaceDocument proposes a document as a change of the one in force. Only the leader runs it; the barrier brings its
+// copy up to the newest change.
+func (c *controlRole) replaceDocument(ctx context.Context, r DocumentChange) ([]byte, error) {
+	if err := c.awaitQuorumSize(ctx); err != nil {
+		return nil, err
+	}
+	if err := c.groups[groupControl].Barrier(ctx); err != nil {
+		return nil, c.proposeError(groupControl, err)
+	}
+	source, err := deflate(r.Source)
+	if err != nil {
+		return nil, err
+	}
+	replace := &state.Replace{Label: r.Label, BaseLabel: r.BaseLabel, Source: source, SourceHash: state.HashSource(source)}
+	c.machine.View(func(s *state.State) { replace.Change = config.Diff(s.Config(), r.Document) })
+	command := state.Command{ChangeID: r.ChangeID, Operator: r.Operator, Time: time.Now(), Replace: replace}
+	data, err := command.Encode()
+	if err != nil {
+		return nil, err
+	}
+	answer, err := c.groups[groupControl].Propose(ctx, data)
+	if err != nil {
+		return nil, c.proposeError(groupControl, err)
+	}
+	return answer, nil
+}
+
+// awaitQuorumSize waits until the group is large enough to keep what it acknowledges.
+func (c *controlRole) awaitQuorumSize(ctx context.Context) error {
+	for {
+		quorum := c.groups[groupControl].Status().Membership.Quorum()
+		if quorum >= c.node.opts.MinQuorum {
+			return nil
+		}
+		select {
+		case <-time.After(quorumPoll):
+		case <-ctx.Done():
+			return &rpc.RemoteError{Code: rpc.CodeUnavailable, Message: "the control group has too few members"}
+		}
+	}
+}
+
+func (c *controlRole) readDocument(ctx context.Context) ([]byte, error) {
+	if err := c.groups[groupControl].Barrier(ctx); err != nil {
+		return nil, c.proposeError(groupControl, err)
+	}
+	var stored StoredDocument
+	c.machine.View(func(s *state.State) { stored = StoredDocument{Label: s.Label(), Source: s.Source()} })
+	return json.Marshal(stored)
+}
+
+func deflate(data []byte) ([]byte, error) {
+	var packed bytes.Buffer
+	w, err := flate.NewWriter(&packed, flate.BestSpeed)
+	if err != nil {
+		return nil, err
+	}
+	if _, err := w.Write(data); err != nil {
+		return nil, err
+	}
+	err = w.Close()
+	return packed.Bytes(), err
+}
+
+func inflate(packed []byte) ([]byte, error) {
+	if len(packed) == 0 {
+		return nil, nil
+	}
+	return io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(packed)), maxSourceBytes))
+}
--- a/node/gossip.go
+++ b/node/gossip.go
@@ -114,6 +114,13 @@
 	}
 }
 
+// setJoin replaces the addresses of other processes.
+func (g *gossip) setJoin(addresses []string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.send(g.node.Join(g.clock(), addresses))
+}
+
 func (g *gossip) tick() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/node/groups.go
+++ b/node/groups.go
@@ -26,6 +26,10 @@
 	Group  groupName          `json:"group"`
 	Data   []byte             `json:"data,omitempty"`
 	Change *raft.MemberChange `json:"change,omitempty"`
+	// Replace asks the leader to replace the configuration document.
+	Replace *DocumentChange `json:"replace,omitempty"`
+	// Read asks the leader for the document in force, confirmed by a quorum.
+	Read bool `json:"read,omitempty"`
 }
 
 // proposalResult is the state machine's answer.
@@ -175,6 +179,12 @@
 	if p.Change != nil {
 		return nil, c.proposeError(p.Group, group.ChangeMembership(ctx, *p.Change))
 	}
+	if p.Replace != nil {
+		return c.replaceDocument(ctx, *p.Replace)
+	}
+	if p.Read {
+		return c.readDocument(ctx)
+	}
 	answer, err := group.Propose(ctx, p.Data)
 	if err != nil {
 		return nil, c.proposeError(p.Group, err)
--- a/node/listeners.go
+++ b/node/listeners.go
@@ -48,6 +48,12 @@
 			return err
 		}
 	}
+	for _, l := range o.Listeners {
+		if err := n.add(l.Name, l.Address, l.Handler(n), nil); err != nil {
+			peer.Close()
+			return err
+		}
+	}
 	n.addListener("peer", peer, n.peerHandler(), o.PeerServerTLS)
 	if o.LocalListen != "" {
 		if err := n.add("local", o.LocalListen, n.localHandler(), nil); err != nil {
--- a/node/node.go
+++ b/node/node.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"net"
+	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -45,6 +47,7 @@
 
 	// incarnation distinguishes the runs of the process; a later run has a higher one.
 	incarnation uint64
+	leaving     atomic.Bool
 	stopOnce    sync.Once
 	stopErr     error
 }
@@ -97,7 +100,9 @@
 	n.claims = newClaims(claimer, n.clock, n.groups, n.gossip, o.Log, &n.tomb)
 	n.gate = proxy.NewGate(proxy.GateOptions{
 		VM: o.Name, Domain: o.Domain, Fleet: n.fleet, Clock: n.clock, Log: o.Log,
-		Claimer: n.claims, Observer: n.ejections, Admitter: n.right,
+		Claimer: n.claims, Observer: n.ejections, Admitter: n.admitter(),
+		Dialect: o.Dialect, AnnouncementTTL: o.AnnouncementTTL, HoldUnknown: o.HoldUnknown,
+		AnswersUntilClose: o.AnswersUntilClose,
 	})
 	n.ejections.gate = n.gate
 	n.peers = proxy.NewPeerClient(o.PeerClientTLS)
@@ -107,12 +112,35 @@
 	}
 	n.entry = proxy.NewEntry(proxy.EntryOptions{
 		VM: o.Name, Domain: o.Domain, Fleet: n.fleet, Clock: n.clock, Log: o.Log,
-		Limiter: n.limiter, Admitter: n.right, Directory: n.directory, Gate: n.gate, Peers: n.peers,
+		Limiter: n.limiter, Admitter: n.admitter(), Directory: n.directory, Gate: n.gate, Peers: n.peers,
+		Dialect: o.Dialect, CallerService: o.CallerService, RetryRatio: o.RetryRatio, RetryReserve: n.retryReserve(),
 		HoldBody: o.HoldBody, KeyedBody: o.KeyedBody,
 	})
 	n.register()
 }
 
+// always admits new work.
+type always struct{}
+
+// MayAdmit implements proxy.Admitter.
+func (always) MayAdmit() bool { return true }
+
+// admitter tells whether this process may admit requests on open routes.
+func (n *Node) admitter() proxy.Admitter {
+	if n.opts.AdmitIsolated {
+		return always{}
+	}
+	return n.right
+}
+
+// retryReserve returns this process's part of the fleet's reserve of retries; nil without a reserve for the fleet.
+func (n *Node) retryReserve() func() float64 {
+	if n.opts.RetryReserve <= 0 {
+		return nil
+	}
+	return func() float64 { return n.opts.RetryReserve / float64(len(n.gossip.list())) }
+}
+
 // register adds the methods that peers may call.
 func (n *Node) register() {
 	rpc.Register(n.rpc, methodGossip, n.gossip.receive)
@@ -149,8 +177,26 @@
 	}
 }
 
-// Ready tells whether the process can serve: it has fleet state and the right to admit.
-func (n *Node) Ready() bool { return n.fleet.Version() > 0 && n.right.MayAdmit() }
+// Ready tells whether the process can serve: it has fleet state and the right to admit, and is not leaving.
+func (n *Node) Ready() bool {
+	return n.fleet.Version() > 0 && n.admitter().MayAdmit() && !n.leaving.Load()
+}
+
+// Entry serves callers' requests.
+func (n *Node) Entry() http.Handler { return n.entry }
+
+// Gate takes the announcements of backend servers on this VM.
+func (n *Node) Gate() *proxy.Gate { return n.gate }
+
+// Leave tells the fleet that the process will stop. The gate refuses new work as not run, while the entry goes on to serve
+// callers until Stop.
+func (n *Node) Leave() {
+	if n.leaving.Swap(true) {
+		return
+	}
+	n.gate.Leave()
+	n.gossip.leave()
+}
 
 // Version returns the version of the process's copy of the fleet state.
 func (n *Node) Version() uint64 { return n.fleet.Version() }
@@ -158,6 +204,12 @@
 // Dead is closed when the process stopped, also by itself after an error.
 func (n *Node) Dead() <-chan struct{} { return n.tomb.Dead() }
 
+// SetStopTimeout changes the bound of a graceful stop. It is called before Stop.
+func (n *Node) SetStopTimeout(d time.Duration) { n.opts.StopTimeout = max(d, time.Millisecond) }
+
+// SetJoin replaces the addresses that the process contacts where it knows no member of the fleet.
+func (n *Node) SetJoin(addresses []string) { n.gossip.setJoin(addresses) }
+
 // Stop stops gracefully: new work is refused as not run, accepted requests finish. Calls after the first one wait for
 // it and return its result.
 func (n *Node) Stop() error {
@@ -168,8 +220,7 @@
 func (n *Node) stop() error {
 	ctx, cancel := context.WithTimeout(context.Background(), n.opts.StopTimeout)
 	defer cancel()
-	n.gate.Leave()
-	n.gossip.leave()
+	n.Leave()
 	var failed error
 	for _, s := range n.servers {
 		if err := s.Shutdown(ctx); err != nil && failed == nil {
--- a/node/options.go
+++ b/node/options.go
@@ -4,9 +4,12 @@
 	"context"
 	"crypto/tls"
 	"net"
+	"net/http"
 	"time"
 
 	"github.com/phuslu/log"
+
+	"rosemaryline.dev/proxy"
 )
 
 // Options are the settings of one process.
@@ -45,6 +48,36 @@
 	// configuration has no operators.
 	BootstrapCredential string
 
+	// AutoMembers lets the control leader add processes with an empty data folder to the group, and remove members whose
+	// data folder was lost, without an operator.
+	AutoMembers bool
+	// MinQuorum is the least number of control VMs that must hold a replaced document before it is acknowledged. A new
+	// group refuses documents until it has enough members. Default 1.
+	MinQuorum int
+	// NoRecords leaves out the group of at-most-once records; requests with an Idempotency-Key are then refused.
+	NoRecords bool
+	// AdmitIsolated lets the process go on to admit requests while it is cut off from control and from most peers. Keys
+	// that were withdrawn meanwhile then work on. Default: it refuses new work.
+	AdmitIsolated bool
+
+	// Dialect maps the headers of callers and backend servers. Default: the project's own.
+	Dialect proxy.Dialect
+	// CallerService returns the service of the backend server on this VM. Default: none.
+	CallerService func() string
+	// AnnouncementTTL is how long an announcement of a backend server holds without a renewal. Default 3 s.
+	AnnouncementTTL time.Duration
+	// HoldUnknown keeps announcements of services that the configuration does not know yet.
+	HoldUnknown bool
+	// AnswersUntilClose accepts answers of backend servers that end with their connection.
+	AnswersUntilClose bool
+	// RetryRatio is the share of a service's requests that may be retries. Default routing.RetryRatio.
+	RetryRatio float64
+	// RetryReserve is the number of retries of one service that all processes together may send before any request
+	// earned them. Default 0: each process has routing.RetryReserve of its own.
+	RetryReserve float64
+	// Listeners are served in addition to the process's own.
+	Listeners []Listener
+
 	// HoldBody is the largest request body in bytes that is held in memory. Default 64 KiB.
 	HoldBody int64
 	// KeyedBody is the largest body in bytes of a request with an Idempotency-Key. Default 1 MiB.
@@ -57,6 +90,14 @@
 	Log *log.Logger
 }
 
+// Listener is an additional listener.
+type Listener struct {
+	// Name appears in logs.
+	Name    string
+	Address string
+	Handler func(n *Node) http.Handler
+}
+
 // Defaults of Options.
 const (
 	DefaultMaxHeaderBytes = 32 << 10
--- a/proxy/announce.go
+++ b/proxy/announce.go
@@ -11,7 +11,7 @@
 )
 
 const (
-	// announcementTTL is how long an announcement holds without a renewal.
+	// announcementTTL is how long an announcement holds without a renewal by default.
 	announcementTTL = 3 * time.Second
 	// lostRetention is how long a lost backend server counts as capacity that is out. It is then forgotten, so that names
 	// that never return do not fill the table.
@@ -37,6 +37,27 @@
 	Slots int `json:"slots,omitempty"`
 	// Draining is true while the backend server wants no new work.
 	Draining bool `json:"draining,omitempty"`
+	// ColdMs is the time in milliseconds for which the backend server stays cold; 0 means that it is warm.
+	ColdMs int64 `json:"coldMs,omitempty"`
+	// StartedMs is the Unix time in milliseconds at which the instance started. Announcements of an earlier instance are
+	// out of date. 0 means that the backend server does not tell.
+	StartedMs int64 `json:"startedMs,omitempty"`
+	// Sequence grows with each announcement of an instance, so that one that was overtaken is known. 0 means that the
+	// backend server does not count.
+	Sequence uint64 `json:"sequence,omitempty"`
+}
+
+// outdates tells whether the announcement came from an earlier instance than other, or earlier from the same one.
+func (a *Announcement) outdated(by *Announcement) bool {
+	if a.StartedMs != by.StartedMs {
+		return a.StartedMs != 0 && a.StartedMs < by.StartedMs
+	}
+	return a.Instance == by.Instance && a.Sequence != 0 && a.Sequence < by.Sequence
+}
+
+// sameInstance tells whether two announcements come from one start of a backend server.
+func (a *Announcement) sameInstance(other *Announcement) bool {
+	return a.Instance == other.Instance && a.StartedMs == other.StartedMs
 }
 
 func (a *Announcement) check() error {
--- a/proxy/body.go
+++ b/proxy/body.go
@@ -47,6 +47,11 @@
 	return &Body{length: length, data: data, held: true}, nil
 }
 
+// NewLaterBody returns a body that nothing is read of before Hold, Prefetch or Open. length is -1 where it is not known.
+func NewLaterBody(source io.Reader, length int64) *Body {
+	return &Body{length: length, source: source}
+}
+
 // Prefetch reads up to hold bytes of a body that is not held, so that a short body of unknown length is held and a slow
 // sender does not hold a slot from its first byte on. The rest is streamed.
 func (b *Body) Prefetch(hold int64) error {
@@ -90,6 +95,26 @@
 	return nil
 }
 
+// HoldShort reads a body of up to limit bytes into memory. The beginning of a longer one is kept, and the rest is streamed.
+func (b *Body) HoldShort(limit int64) error {
+	if b.held || b.prefix != nil {
+		return nil
+	}
+	data, err := io.ReadAll(io.LimitReader(b.source, limit+1))
+	if err != nil {
+		b.mu.Lock()
+		b.failed = true
+		b.mu.Unlock()
+		return errors.Wrap(err, "read body")
+	}
+	if int64(len(data)) <= limit {
+		b.hold(data)
+		return nil
+	}
+	b.prefix = data
+	return nil
+}
+
 // Bytes returns the body where it is held in memory.
 func (b *Body) Bytes() []byte { return b.data }
 
--- a/proxy/client.go
+++ b/proxy/client.go
@@ -14,8 +14,10 @@
 // client sends requests over HTTP/1.1 with keep-alive. Unlike http.Transport it never repeats a request by itself, and it
 // uses a connection again only when the answer before was accepted and read to its end with nothing behind it.
 type client struct {
-	tls            *tls.Config // nil for plain connections
-	open           dialFunc
+	tls  *tls.Config // nil for plain connections
+	open dialFunc
+	// untilClose accepts answers that end with their connection.
+	untilClose     bool
 	connectTimeout time.Duration
 	// maxConns bounds the open connections to one address, maxIdle the idle ones.
 	maxConns, maxIdle int
@@ -39,7 +41,7 @@
 	}
 	return &client{
 		tls:            tlsConfig,
-		open:           (&net.Dialer{}).DialContext,
+		open:           newDialer().DialContext,
 		connectTimeout: connectTimeout,
 		maxConns:       max(maxConns, 1),
 		maxIdle:        maxIdle,
@@ -49,15 +51,20 @@
 
 // do sends out once. Errors are of type *sendError. check may refuse an answer; its connection is then closed.
 func (c *client) do(out *http.Request, check func(*http.Response) error) (*http.Response, error) {
+	return c.exchange(out, exchangeOptions{check: check})
+}
+
+// exchange is do with options.
+func (c *client) exchange(out *http.Request, opts exchangeOptions) (*http.Response, error) {
 	ctx := out.Context()
 	conn, err := c.get(ctx, out.URL.Host)
 	if err != nil {
 		closeUpload(out)
 		return nil, &sendError{err: err}
 	}
-	x := &exchange{client: c, conn: conn, out: out}
+	x := &exchange{client: c, conn: conn, out: out, opts: opts}
 	x.stop = context.AfterFunc(ctx, conn.abort)
-	resp, err := x.run(check)
+	resp, err := x.run()
 	if err == nil {
 		return resp, nil
 	}
@@ -65,7 +72,10 @@
 	if ctx.Err() != nil {
 		err = ctx.Err()
 	}
-	return nil, &sendError{sent: true, err: err}
+	if x.silent.Load() {
+		err = errors.Wrap(errSilent, err.Error())
+	}
+	return nil, &sendError{sent: !opts.confirm || x.confirmed || x.answered, err: err}
 }
 
 // get returns an idle connection that is still open and silent, or a new one.
--- a/proxy/entry.go
+++ b/proxy/entry.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"path"
+	"slices"
 	"strings"
 	"time"
 
@@ -40,6 +41,15 @@
 	Directory  Directory
 	Gate       *Gate
 	Peers      *PeerClient
+	// Dialect reads callers' requests. Default: the project's own.
+	Dialect Dialect
+	// CallerService returns the service of the backend server on this VM. Default: none.
+	CallerService func() string
+	// RetryRatio is the share of requests that may be retries. Default routing.RetryRatio.
+	RetryRatio float64
+	// RetryReserve returns the retries of one service that are possible before any request earned them. Default
+	// routing.RetryReserve.
+	RetryReserve func() float64
 	// HoldBody is the largest body in bytes that is held in memory, so that it can be sent again. Default 64 KiB.
 	HoldBody int64
 	// KeyedBody is the largest body in bytes of a request with an Idempotency-Key. Default 1 MiB.
@@ -50,6 +60,8 @@
 const (
 	DefaultHoldBody  = 64 << 10
 	DefaultKeyedBody = 1 << 20
+	// minRateRetry is the least time after which a caller over its team's rate is asked to return.
+	minRateRetry = time.Second
 	// maxIdempotencyKey bounds the length of an Idempotency-Key in bytes.
 	maxIdempotencyKey = 256
 )
@@ -68,6 +80,18 @@
 	if opts.KeyedBody <= 0 {
 		opts.KeyedBody = DefaultKeyedBody
 	}
+	if opts.RetryRatio <= 0 {
+		opts.RetryRatio = routing.RetryRatio
+	}
+	if opts.RetryReserve == nil {
+		opts.RetryReserve = func() float64 { return routing.RetryReserve }
+	}
+	if opts.Dialect == nil {
+		opts.Dialect = ownDialect{}
+	}
+	if opts.CallerService == nil {
+		opts.CallerService = func() string { return "" }
+	}
 	return &Entry{opts: opts, route: newRouter(opts)}
 }
 
@@ -82,8 +106,12 @@
 
 // ServeHTTP serves the caller listener.
 func (e *Entry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	id := newRequestID()
-	req, refusal := e.accept(r, id)
+	caller := e.opts.Dialect.Caller(r)
+	id := caller.ID
+	if id == "" {
+		id = newRequestID()
+	}
+	req, refusal := e.accept(r, id, caller)
 	if refusal != nil {
 		e.refuse(w, id, req, refusal)
 		return
@@ -108,25 +136,23 @@
 }
 
 // accept checks a caller's request: route, key, team and rate.
-func (e *Entry) accept(r *http.Request, id string) (*Request, *Refusal) {
-	route, refusal := e.match(r, config.AccessOpen)
+func (e *Entry) accept(r *http.Request, id string, caller Caller) (*Request, *Refusal) {
+	route, refusal := e.match(r, config.AccessOpen, config.AccessPublic)
 	if refusal != nil {
 		return nil, refusal
 	}
-	req := newRequest(r, id, route, e.opts.Fleet.Version())
+	req := e.newRequest(r, id, route)
+	if caller.Remaining > 0 {
+		req.Deadline = earlier(req.Deadline, time.Now().Add(caller.Remaining))
+	}
 	if !e.opts.Admitter.MayAdmit() {
 		return req, notRun(http.StatusServiceUnavailable, ReasonIsolated, "accept")
 	}
-	key, ok := bearerKey(r.Header)
-	if !ok {
-		return req, notRun(http.StatusUnauthorized, ReasonBadKey, "accept")
-	}
-	req.Team, ok = e.opts.Fleet.TeamByKey(key)
-	if !ok {
-		return req, notRun(http.StatusUnauthorized, ReasonBadKey, "accept")
+	if route.Access == config.AccessPublic {
+		return req, e.readBody(r, req)
 	}
-	if !route.AllowsTeam(req.Team) {
-		return req, notRun(http.StatusForbidden, ReasonForbidden, "accept")
+	if refusal := e.authorise(req, route, caller); refusal != nil {
+		return req, refusal
 	}
 	if refusal := e.readBody(r, req); refusal != nil {
 		return req, refusal
@@ -134,9 +160,35 @@
 	return req, e.takeRate(r.Context(), req)
 }
 
+// authorise finds the team of a caller's key.
+func (e *Entry) authorise(req *Request, route *routing.Route, caller Caller) *Refusal {
+	if !caller.HasKey {
+		return notRun(http.StatusUnauthorized, ReasonBadKey, "accept")
+	}
+	var ok bool
+	req.Team, ok = e.opts.Fleet.TeamByKey(caller.Key)
+	if !ok {
+		return notRun(http.StatusUnauthorized, ReasonBadKey, "accept")
+	}
+	if !route.AllowsTeam(req.Team) {
+		return notRun(http.StatusForbidden, ReasonForbidden, "accept")
+	}
+	if priority, ok := e.opts.Fleet.TeamPriority(req.Team); ok {
+		req.Priority = priority
+	}
+	return nil
+}
+
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
+
 // match returns the route of a request. The target must be a path that means the same to every reader: one with dot or
 // empty segments is refused where a backend server that resolves them would serve another route.
-func (e *Entry) match(r *http.Request, access config.Access) (*routing.Route, *Refusal) {
+func (e *Entry) match(r *http.Request, access ...config.Access) (*routing.Route, *Refusal) {
 	if e.opts.Fleet.Version() == 0 {
 		return nil, notRun(http.StatusServiceUnavailable, ReasonNoState, "accept")
 	}
@@ -151,19 +203,22 @@
 			return nil, notRun(http.StatusBadRequest, ReasonBadRequest, "accept")
 		}
 	}
-	if !ok || route.Access != access {
+	if !ok || !slices.Contains(access, route.Access) {
 		return nil, notRun(http.StatusNotFound, ReasonNoRoute, "accept")
 	}
 	return route, nil
 }
 
 func (e *Entry) takeRate(ctx context.Context, req *Request) *Refusal {
+	if e.opts.Fleet.TeamUnlimited(req.Team) {
+		return nil
+	}
 	ok, retryAfter := e.opts.Limiter.Take(ctx, req.Team)
 	if ok {
 		return nil
 	}
 	refusal := notRun(http.StatusTooManyRequests, ReasonOverRate, "rate")
-	refusal.RetryAfter = max(retryAfter, time.Second)
+	refusal.RetryAfter = max(retryAfter, minRateRetry)
 	return refusal
 }
 
@@ -174,30 +229,31 @@
 	if refusal != nil {
 		return nil, refusal
 	}
-	req := newRequest(r, id, route, e.opts.Fleet.Version())
+	req := e.newRequest(r, id, route)
 	if caller != nil {
 		req.Team = caller.team
 		req.Depth = caller.depth + 1
-		if caller.deadline.Before(req.Deadline) {
-			req.Deadline = caller.deadline
-		}
+		req.Deadline = earlier(req.Deadline, caller.deadline)
 	}
 	return req, e.readBody(r, req)
 }
 
-func newRequest(r *http.Request, id string, route *routing.Route, version uint64) *Request {
+func (e *Entry) newRequest(r *http.Request, id string, route *routing.Route) *Request {
 	return &Request{
 		ID:             id,
-		Service:        route.Service,
+		Service:        e.route.pickService(route),
 		Route:          route.Name,
-		ConfigVersion:  version,
+		CallerService:  e.opts.CallerService(),
+		Priority:       route.Priority,
+		MaxAttempts:    route.MaxAttempts,
+		ConfigVersion:  e.opts.Fleet.Version(),
 		Repeatable:     route.Repeatable(r.Method),
 		IdempotencyKey: r.Header.Get(HeaderIdempotencyKey),
 		Deadline:       time.Now().Add(route.Deadline),
 		Method:         r.Method,
 		URI:            r.URL.RequestURI(),
 		Host:           r.Host,
-		Header:         requestHeaders(r.Header),
+		Header:         requestHeaders(r.Header, e.opts.Dialect),
 	}
 }
 
@@ -238,7 +294,7 @@
 	}
 	defer resp.Body.Close()
 	copyHeader(w.Header(), resp.Header)
-	w.Header().Set(HeaderRequestID, req.ID)
+	e.opts.Dialect.ToCaller(w.Header(), req.ID)
 	writeBody(w, req.Method, resp)
 }
 
@@ -250,7 +306,7 @@
 	}
 	entry.Err(refusal.Err).Msg("entry: refused request.")
 	countRefusal(refusal)
-	writeRefusal(w, id, refusal)
+	writeRefusal(w, e.opts.Dialect, id, refusal)
 }
 
 // bearerKey returns the key of an Authorization header. Exactly one header is accepted, so that no two processes can
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -5,6 +5,7 @@
 	"math"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -27,8 +28,17 @@
 	client *client
 	conn   *clientConn
 	out    *http.Request
+	opts   exchangeOptions
 	stop   func() bool // ends the watch of the request's context
 
+	// confirmed is true once the other side asked for the body.
+	confirmed bool
+	// answered is true once a final answer arrived.
+	answered bool
+	// silent is true once the other side sent nothing in time.
+	silent atomic.Bool
+
+	heard    func() bool   // ends the wait for the first answer; nil where there is none
 	written  chan error    // gets the end of a concurrent upload; nil where there is none
 	proceed  chan struct{} // closed when the body may be sent; nil where it need not wait
 	proceeds sync.Once
@@ -36,8 +46,22 @@
 	once     sync.Once
 }
 
+// exchangeOptions are the options of one exchange.
+type exchangeOptions struct {
+	// check may refuse an answer.
+	check func(*http.Response) error
+	// confirm holds the whole body back until the other side asks for it. Before that, the request certainly has not run:
+	// a body of unknown length is not complete without its end.
+	confirm bool
+	// firstAnswer bounds the wait for any answer, also an informational one; 0 is no bound.
+	firstAnswer time.Duration
+}
+
+// errSilent reports a connection on which no answer of any kind arrived in time.
+var errSilent = errors.New("no sign of the other side")
+
 // run sends the request and returns the accepted answer, whose body ends the exchange.
-func (x *exchange) run(check func(*http.Response) error) (*http.Response, error) {
+func (x *exchange) run() (*http.Response, error) {
 	if err := x.send(); err != nil {
 		return nil, err
 	}
@@ -45,10 +69,11 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := checkFraming(resp); err != nil {
+	x.answered = true
+	if err := checkFraming(resp, x.client.untilClose); err != nil {
 		return nil, err
 	}
-	if err := check(resp); err != nil {
+	if err := x.opts.check(resp); err != nil {
 		return nil, err
 	}
 	if resp.Body == http.NoBody {
@@ -62,7 +87,7 @@
 // send writes the request. A long or streamed body is written while the answer is read.
 func (x *exchange) send() error {
 	_, streamed := x.out.Body.(*attemptReader)
-	if !streamed && x.out.ContentLength <= syncUploadBytes {
+	if !streamed && x.out.ContentLength <= syncUploadBytes && !x.opts.confirm {
 		return x.write()
 	}
 	if x.out.Header.Get("Expect") != "" {
@@ -84,6 +109,14 @@
 
 // receive reads answers until the final one.
 func (x *exchange) receive() (*http.Response, error) {
+	if x.opts.firstAnswer > 0 {
+		timer := time.AfterFunc(x.opts.firstAnswer, func() {
+			x.silent.Store(true)
+			x.conn.abort()
+		})
+		defer timer.Stop()
+		x.heard = timer.Stop
+	}
 	for range maxInformational {
 		x.conn.limited.N = maxAnswerHeaderBytes
 		resp, err := http.ReadResponse(x.conn.reader, x.out)
@@ -91,7 +124,11 @@
 			return nil, errors.Wrap(err, "read answer")
 		}
 		x.conn.limited.N = math.MaxInt64
+		if x.heard != nil {
+			x.heard()
+		}
 		if resp.StatusCode == http.StatusContinue && x.proceed != nil {
+			x.confirmed = true
 			x.proceeds.Do(func() { close(x.proceed) })
 		}
 		if resp.StatusCode >= http.StatusOK || resp.StatusCode == http.StatusSwitchingProtocols {
@@ -169,11 +206,15 @@
 
 func (r *continueReader) Read(p []byte) (int, error) {
 	if !r.asked {
-		timer := time.NewTimer(continueTimeout)
-		defer timer.Stop()
+		var tooLong <-chan time.Time
+		if !r.exchange.opts.confirm {
+			timer := time.NewTimer(continueTimeout)
+			defer timer.Stop()
+			tooLong = timer.C
+		}
 		select {
 		case <-r.exchange.proceed:
-		case <-timer.C:
+		case <-tooLong:
 		case <-r.exchange.finished:
 			return 0, errNotContinued
 		}
--- a/proxy/fleet.go
+++ b/proxy/fleet.go
@@ -66,6 +66,22 @@
 	return rate
 }
 
+// TeamPriority returns the priority that a team's requests have on every route; false where the route decides.
+func (f *Fleet) TeamPriority(team string) (priority int, ok bool) {
+	f.Read(func(s *state.State) {
+		if p := s.Config().Teams[team].Priority; p != nil {
+			priority, ok = *p, true
+		}
+	})
+	return priority, ok
+}
+
+// TeamUnlimited tells whether a team has neither rate nor burst.
+func (f *Fleet) TeamUnlimited(team string) (unlimited bool) {
+	f.Read(func(s *state.State) { unlimited = s.Config().Teams[team].Unlimited })
+	return unlimited
+}
+
 // Service returns a service's settings.
 func (f *Fleet) Service(name string) (service config.Service, ok bool) {
 	f.Read(func(s *state.State) { service, ok = s.Config().Services[name] })
--- a/proxy/gate.go
+++ b/proxy/gate.go
@@ -53,6 +53,15 @@
 	// Admitter tells whether new work may run here. A process that is cut off cannot know whether its failure domain was
 	// taken out. Nil admits always.
 	Admitter Admitter
+	// Dialect speaks to backend servers. Default: the project's own.
+	Dialect Dialect
+	// AnnouncementTTL is how long an announcement holds without a renewal. Default 3 s.
+	AnnouncementTTL time.Duration
+	// AnswersUntilClose accepts answers of backend servers that end with their connection. Default: such an answer is
+	// refused, since one that is cut looks the same where a backend server dies in an orderly way.
+	AnswersUntilClose bool
+	// HoldUnknown keeps the announcements of services that the configuration does not know yet, instead of refusing them.
+	HoldUnknown bool
 }
 
 // Gate is the only way to the backend servers on this VM.
@@ -65,26 +74,50 @@
 	// lists holds the sorted backend servers of each service, and of all under the empty name.
 	lists   map[string][]*server
 	running map[string]*parent
+	// held are announcements of unknown services, by name.
+	held map[string]Announcement
+	// withdrawn are the newest withdrawn instances, which a late announcement must not bring back; at most
+	// maxBackendServers.
+	withdrawn []Announcement
+	// callFailedAt is when a call of a backend server on this VM failed last.
+	callFailedAt time.Duration
 }
 
 // NewGate returns a Gate without backend servers.
 func NewGate(opts GateOptions) *Gate {
+	if opts.Dialect == nil {
+		opts.Dialect = ownDialect{}
+	}
+	if opts.AnnouncementTTL <= 0 {
+		opts.AnnouncementTTL = announcementTTL
+	}
 	return &Gate{
-		opts:    opts,
-		servers: map[string]*server{},
-		running: map[string]*parent{},
+		opts:         opts,
+		servers:      map[string]*server{},
+		running:      map[string]*parent{},
+		held:         map[string]Announcement{},
+		callFailedAt: never,
 	}
 }
 
 // Announce adds or renews a backend server.
 func (g *Gate) Announce(a Announcement, _ time.Time) error {
-	settings, ok := g.opts.Fleet.Service(a.Service)
-	if !ok {
-		return errors.Errorf("service %q is not in the configuration", a.Service)
-	}
+	settings, known := g.opts.Fleet.Service(a.Service)
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if g.isWithdrawn(&a) {
+		return nil
+	}
+	if !known {
+		return g.hold(a)
+	}
+	delete(g.held, a.Name)
 	s, ok := g.servers[a.Name]
+	if ok && s.overtook(&a) {
+		g.opts.Log.Info().Str("server", a.Name).Str("instance", a.Instance).Uint64("sequence", a.Sequence).
+			Int64("started", a.StartedMs).Msg("gate: ignored an announcement that was overtaken.")
+		return nil
+	}
 	if ok && s.replacedBy(a, settings) {
 		s.remove()
 		g.opts.Observer.Removed(a.Name)
@@ -97,7 +130,8 @@
 		return errors.Errorf("more than %d backend servers", maxBackendServers)
 	}
 	if !ok {
-		s = newServer(a, settings, g.opts.Clock)
+		s = newServer(a, settings, g.opts.Clock, g.opts.AnnouncementTTL)
+		s.client.untilClose = g.opts.AnswersUntilClose
 		g.servers[a.Name] = s
 		g.relist()
 		g.opts.Log.Info().Str("server", a.Name).Str("service", a.Service).Str("instance", a.Instance).
@@ -109,6 +143,77 @@
 	return nil
 }
 
+// hold keeps the announcement of a service that the configuration does not know. The caller holds mu.
+func (g *Gate) hold(a Announcement) error {
+	if !g.opts.HoldUnknown {
+		return errors.Errorf("service %q is not in the configuration", a.Service)
+	}
+	former, ok := g.held[a.Name]
+	if ok && a.outdated(&former) {
+		return nil
+	}
+	if !ok && len(g.held) >= maxBackendServers {
+		return errors.Errorf("more than %d backend servers", maxBackendServers)
+	}
+	g.held[a.Name] = a
+	return nil
+}
+
+// adoptHeld announces the held backend servers whose service is known by now.
+func (g *Gate) adoptHeld() {
+	g.mu.Lock()
+	var known []Announcement
+	for name, a := range g.held {
+		if _, ok := g.opts.Fleet.Service(a.Service); ok {
+			known = append(known, a)
+			delete(g.held, name)
+		}
+	}
+	g.mu.Unlock()
+	for _, a := range known {
+		if err := g.Announce(a, time.Now()); err != nil {
+			g.opts.Log.Warn().Err(err).Str("server", a.Name).Msg("gate: held announcement refused.")
+		}
+	}
+}
+
+// WithdrawInstance removes the backend server with an instance id for good: later announcements of that instance are
+// ignored. startedMs is 0 where it is not known.
+func (g *Gate) WithdrawInstance(instance string, startedMs int64) {
+	g.mu.Lock()
+	name := ""
+	gone := Announcement{Instance: instance, StartedMs: startedMs}
+	for _, s := range g.servers {
+		if a := s.newest(); a.Instance == instance && (startedMs == 0 || startedMs == a.StartedMs) {
+			name, gone = s.name, a
+		}
+	}
+	for held, a := range g.held {
+		if a.Instance == instance && (startedMs == 0 || startedMs == a.StartedMs) {
+			gone = a
+			delete(g.held, held)
+		}
+	}
+	g.withdrawn = append(g.withdrawn, gone)
+	if len(g.withdrawn) > maxBackendServers {
+		g.withdrawn = g.withdrawn[1:]
+	}
+	g.mu.Unlock()
+	if name != "" {
+		g.Withdraw(name)
+	}
+}
+
+// isWithdrawn tells whether an announcement comes from a withdrawn instance. The caller holds mu.
+func (g *Gate) isWithdrawn(a *Announcement) bool {
+	for i := range g.withdrawn {
+		if a.sameInstance(&g.withdrawn[i]) {
+			return true
+		}
+	}
+	return false
+}
+
 // Withdraw removes a backend server. Its running requests finish; its queued requests are refused as not run.
 func (g *Gate) Withdraw(name string) {
 	g.mu.Lock()
@@ -134,7 +239,12 @@
 
 // Sweep marks backend servers whose announcement lapsed as lost, and forgets them after lostRetention.
 func (g *Gate) Sweep() {
+	g.adoptHeld()
 	for _, s := range g.list("") {
+		for _, event := range s.sweepRunning() {
+			g.opts.Log.Info().Str("server", s.name).Str("service", s.service).Dur("age", event).
+				Msg("gate: request is overdue.")
+		}
 		if s.forgotten() {
 			g.Withdraw(s.name)
 			continue
@@ -192,6 +302,9 @@
 		return nil, g.refusal(req, notRun(http.StatusServiceUnavailable, ReasonNoCapacity, "pick"), nil)
 	}
 	held, reason := s.acquire(ctx, req, g.opts.Fleet.TeamRate(req.Team))
+	if reason == admission.Reason(ReasonSuspect) {
+		return nil, g.refusal(req, notRun(http.StatusServiceUnavailable, ReasonSuspect, "breaker"), s)
+	}
 	if reason != admission.ReasonNone {
 		return nil, g.refusal(req, refusalFor(reason), s)
 	}
@@ -272,6 +385,21 @@
 	return sum
 }
 
+// CallFailed notes that a call of a backend server on this VM failed. A backend server that fails a request after that is
+// not to blame.
+func (g *Gate) CallFailed() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.callFailedAt = g.opts.Clock()
+}
+
+// callFailedSince tells whether a call of a backend server on this VM failed since a time.
+func (g *Gate) callFailedSince(since time.Duration) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.callFailedAt >= since
+}
+
 // track makes a running request known, so that nested calls can be made on its behalf.
 func (g *Gate) track(req *Request, server string) *parent {
 	p := &parent{
--- a/proxy/gatehttp.go
+++ b/proxy/gatehttp.go
@@ -23,6 +23,8 @@
 
 // ServeHTTP runs one forwarded request.
 func (h *GateHandler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	// The entry learns at once that the request arrived; the answer may take long.
+	w.WriteHeader(http.StatusProcessing)
 	req, err := h.parse(r)
 	if err != nil {
 		refusal := notRun(http.StatusBadRequest, ReasonBadRequest, "parse")
@@ -58,6 +60,10 @@
 	if depth < 0 {
 		return nil, errors.Errorf("%s: %d is negative", headerDepth, depth)
 	}
+	priority, err := optionalInt(r.Header, headerPriority)
+	if err != nil {
+		return nil, err
+	}
 	body, err := h.readBody(r)
 	if err != nil {
 		return nil, err
@@ -68,6 +74,9 @@
 		Team:           r.Header.Get(HeaderTeam),
 		Route:          r.Header.Get(headerRoute),
 		Depth:          depth,
+		CallerService:  r.Header.Get(headerCaller),
+		Priority:       priority,
+		Forced:         r.Header.Get(headerForced) != "",
 		ConfigVersion:  version,
 		Repeatable:     repeatable,
 		IdempotencyKey: r.Header.Get(HeaderIdempotencyKey),
@@ -84,7 +93,21 @@
 	return req, nil
 }
 
+// optionalInt reads a header that may be left out, which means 0.
+func optionalInt(h http.Header, name string) (int, error) {
+	text := h.Get(name)
+	if text == "" {
+		return 0, nil
+	}
+	n, err := strconv.Atoi(text)
+	return n, errors.Wrap(err, name)
+}
+
 func (h *GateHandler) readBody(r *http.Request) (*Body, error) {
+	if r.Header.Get("Expect") != "" && r.Header.Get(HeaderIdempotencyKey) == "" {
+		// The entry sends the body when the request holds a slot, which the first read tells it.
+		return NewLaterBody(r.Body, r.ContentLength), nil
+	}
 	body, err := NewBody(r.Body, r.ContentLength, h.HoldBody)
 	if err != nil || r.Header.Get(HeaderIdempotencyKey) == "" {
 		return body, err
@@ -118,10 +141,16 @@
 
 func writeGateRefusal(w http.ResponseWriter, id string, r *Refusal) {
 	w.Header().Set(headerReason, string(r.Reason))
+	if r.Reached {
+		w.Header().Set(headerReached, "true")
+	}
+	if r.RetryAfter > 0 {
+		w.Header().Set(headerRetryAfterMs, strconv.FormatInt(r.RetryAfter.Milliseconds(), 10))
+	}
 	if r.Load != nil {
 		w.Header().Set(headerLoad, formatLoad(*r.Load))
 	}
-	writeRefusal(w, id, r)
+	writeRefusal(w, ownDialect{}, id, r)
 }
 
 func writeGateAnswer(w http.ResponseWriter, req *Request, resp *Response) {
--- a/proxy/headers.go
+++ b/proxy/headers.go
@@ -27,6 +27,11 @@
 	headerQueue         = HeaderPrefix + "Queue-Us"
 	headerBackend       = HeaderPrefix + "Backend-Us"
 	headerServer        = HeaderPrefix + "Server"
+	headerCaller        = HeaderPrefix + "Caller-Service"
+	headerPriority      = HeaderPrefix + "Priority"
+	headerForced        = HeaderPrefix + "Forced"
+	headerReached       = HeaderPrefix + "Reached"
+	headerRetryAfterMs  = HeaderPrefix + "Retry-After-Ms"
 
 	// HeaderIdempotencyKey is the caller's name for a request that must not run twice.
 	HeaderIdempotencyKey = "Idempotency-Key"
@@ -68,16 +73,12 @@
 
 // requestHeaders returns the caller's headers as a backend server may see them: without the key, without hop-by-hop
 // headers and without headers that a caller could forge.
-func requestHeaders(caller http.Header) http.Header {
+func requestHeaders(caller http.Header, d Dialect) http.Header {
 	h := caller.Clone()
 	removeHopByHop(h)
 	removeFleetHeaders(h)
-	delete(h, "Authorization")
 	delete(h, "Expect")
-	delete(h, "Forwarded")
-	delete(h, "X-Forwarded-For")
-	delete(h, "X-Forwarded-Host")
-	delete(h, "X-Forwarded-Proto")
+	d.Strip(h)
 	return h
 }
 
--- a/proxy/message.go
+++ b/proxy/message.go
@@ -17,6 +17,14 @@
 	Route   string
 	// Depth is 0 for new work and the parent's depth + 1 for a nested call.
 	Depth int
+	// CallerService is the service of the backend server on whose VM the request began; empty where there is none.
+	CallerService string
+	// Priority ranks the request where work waits; 0 is the most urgent.
+	Priority int
+	// MaxAttempts bounds the backend servers that the request is sent to; 0 is no bound but that of the policy.
+	MaxAttempts int
+	// Forced requests found no other VM: the gate sends them also to a doubtful backend server.
+	Forced bool
 	// ConfigVersion is the fleet state version that the entry used.
 	ConfigVersion uint64
 	// Repeatable is true where the request may run more than once.
@@ -63,7 +71,8 @@
 	Queued int
 }
 
-// Runner runs a request on one VM. Errors are of type *Refusal.
+// Runner runs a request on one VM. It reads the body, or the beginning of a long one, before a backend server gets the
+// request: an entry that was not asked for the body takes the request for not run. Errors are of type *Refusal.
 type Runner interface {
 	Run(ctx context.Context, req *Request) (*Response, error)
 }
@@ -108,6 +117,10 @@
 	ReasonRetryBudget   Reason = "retry-budget"
 	ReasonCallerGone    Reason = "caller-gone"
 	ReasonAnswerNotKept Reason = "answer-not-kept"
+	ReasonShed          Reason = "shed"
+	ReasonOtherInstance Reason = "other-instance"
+	ReasonSuspect       Reason = "suspect"
+	ReasonPathSilent    Reason = "path-silent"
 )
 
 // Refusal is an answer that a process of the fleet writes itself.
@@ -122,7 +135,9 @@
 	RetryAfter time.Duration
 	// Load is set by a gate.
 	Load *Load
-	Err  error
+	// Reached is true where the request arrived at a backend server, also where that refused it.
+	Reached bool
+	Err     error
 }
 
 func (r *Refusal) Error() string {
@@ -144,5 +159,5 @@
 }
 
 func unknown(status int, reason Reason, step string) *Refusal {
-	return &Refusal{Status: status, Outcome: OutcomeUnknown, Reason: reason, Step: step}
+	return &Refusal{Status: status, Outcome: OutcomeUnknown, Reason: reason, Step: step, Reached: true}
 }
--- a/proxy/problem.go
+++ b/proxy/problem.go
@@ -47,6 +47,10 @@
 	ReasonWrongAnswer:   "The answer belongs to another request.",
 	ReasonRetryBudget:   "The retry budget is used up.",
 	ReasonCallerGone:    "The caller closed the connection.",
+	ReasonShed:          "The backend server is full.",
+	ReasonOtherInstance: "Another backend server has the address.",
+	ReasonSuspect:       "The backend server failed requests a moment ago.",
+	ReasonPathSilent:    "The path to the VM is silent.",
 	ReasonAnswerNotKept: "The request completed earlier; its answer was too large to keep.",
 
 	Reason(admission.ReasonTeamShare): "The team's share of the queue is full.",
@@ -57,16 +61,16 @@
 }
 
 // writeRefusal writes a refusal to a caller. The cause stays in the log: it may name addresses inside the fleet.
-func writeRefusal(w http.ResponseWriter, id string, r *Refusal) {
+func writeRefusal(w http.ResponseWriter, d Dialect, id string, r *Refusal) {
 	h := w.Header()
 	h.Set("Content-Type", "application/problem+json")
 	h.Set("Cache-Control", "no-store")
 	h.Set(HeaderOutcome, string(r.Outcome))
 	if id != "" {
-		h.Set(HeaderRequestID, id)
+		d.ToCaller(h, id)
 	}
 	if r.RetryAfter > 0 {
-		h.Set("Retry-After", retryAfterSeconds(r.RetryAfter))
+		h.Set("Retry-After", d.RetryAfter(r.RetryAfter))
 	}
 	if r.Status == http.StatusUnauthorized {
 		h.Set("WWW-Authenticate", "Bearer")
--- a/proxy/remote.go
+++ b/proxy/remote.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/tls"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -23,6 +24,8 @@
 	// gateAnswerGrace is how long after the deadline an entry waits for the gate's own answer. The gate knows whether
 	// the request ran; without the grace the entry gives up first, cannot tell, and takes the path for broken.
 	gateAnswerGrace = 50 * time.Millisecond
+	// pathSilence is the time within which a gate shows that it has a request. It leaves room for one retransmission.
+	pathSilence = 500 * time.Millisecond
 )
 
 // PeerClient sends requests to gates on other VMs.
@@ -89,7 +92,10 @@
 		return nil, &sendError{err: err}
 	}
 	out.Header = req.Header.Clone()
-	if !req.Body.held {
+	// A request that may not be repeated is complete at the gate only after the gate asked for its body, so that a path
+	// that is cut in one direction loses no request. One with an idempotency key is protected by its claim.
+	confirm := !req.Repeatable && req.IdempotencyKey == ""
+	if confirm || !req.Body.held {
 		// The gate can refuse before a long body is sent, which keeps the body for another attempt.
 		out.Header.Set("Expect", "100-continue")
 	}
@@ -97,14 +103,32 @@
 	if err := attachBody(ctx, cancel, out, req); err != nil {
 		return nil, &sendError{err: err}
 	}
-	return g.client.client.do(out, func(resp *http.Response) error {
-		if got := resp.Header.Get(HeaderRequestID); got != req.ID {
-			return errors.Wrapf(errWrongAnswer, "id %q", got)
-		}
-		return nil
+	if confirm {
+		withUnknownLength(out)
+	}
+	return g.client.client.exchange(out, exchangeOptions{
+		check:       func(resp *http.Response) error { return checkAnswerID(resp.Header.Get(HeaderRequestID), req.ID) },
+		confirm:     confirm,
+		firstAnswer: pathSilence,
 	})
 }
 
+// withUnknownLength sends a body in chunks, also an empty one.
+func withUnknownLength(out *http.Request) {
+	if out.Body == nil {
+		out.Body = io.NopCloser(strings.NewReader(""))
+	}
+	out.ContentLength = -1
+	out.TransferEncoding = []string{"chunked"}
+}
+
+func checkAnswerID(got, want string) error {
+	if got != want {
+		return errors.Wrapf(errWrongAnswer, "id %q", got)
+	}
+	return nil
+}
+
 func setGateHeaders(h http.Header, req *Request) {
 	h.Set(HeaderRequestID, req.ID)
 	h.Set(headerService, req.Service)
@@ -114,6 +138,15 @@
 	h.Set(headerConfigVersion, strconv.FormatUint(req.ConfigVersion, 10))
 	h.Set(headerRepeatable, strconv.FormatBool(req.Repeatable))
 	h.Set(HeaderDeadline, strconv.FormatInt(time.Until(req.Deadline).Milliseconds(), 10))
+	if req.CallerService != "" {
+		h.Set(headerCaller, req.CallerService)
+	}
+	if req.Priority != 0 {
+		h.Set(headerPriority, strconv.Itoa(req.Priority))
+	}
+	if req.Forced {
+		h.Set(headerForced, "true")
+	}
 	h.Set(headerURI, req.URI)
 	h.Set(headerHost, req.Host)
 	if req.IdempotencyKey != "" {
@@ -130,6 +163,9 @@
 	if errors.Is(err, errWrongAnswer) {
 		refusal.Reason = ReasonWrongAnswer
 	}
+	if errors.Is(err, errSilent) {
+		refusal.Reason = ReasonPathSilent
+	}
 	if !headersInTime {
 		refusal.Status = http.StatusGatewayTimeout
 		refusal.Reason = ReasonDeadline
@@ -154,12 +190,13 @@
 		Reason:  Reason(resp.Header.Get(headerReason)),
 		Step:    "gate",
 		Peer:    g.address,
+		Reached: outcome == OutcomeUnknown || resp.Header.Get(headerReached) != "",
 	}
 	if load, ok := parseLoad(resp.Header.Get(headerLoad)); ok {
 		refusal.Load = &load
 	}
-	if seconds, err := strconv.Atoi(resp.Header.Get("Retry-After")); err == nil {
-		refusal.RetryAfter = time.Duration(seconds) * time.Second
+	if millis, err := strconv.Atoi(resp.Header.Get(headerRetryAfterMs)); err == nil {
+		refusal.RetryAfter = time.Duration(millis) * time.Millisecond
 	}
 	return refusal
 }
--- a/proxy/router.go
+++ b/proxy/router.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"sync"
@@ -20,6 +21,8 @@
 	mu      sync.Mutex // guards the fields below
 	paths   *routing.PathHealth
 	budgets map[string]*routing.RetryBudget
+	// doubted holds the time until which a VM gets no request of a service that may not be repeated.
+	doubted map[loadKey]time.Duration
 	rnd     *rand.Rand
 }
 
@@ -30,6 +33,7 @@
 		loads:   newLoadTable(),
 		paths:   routing.NewPathHealth(),
 		budgets: map[string]*routing.RetryBudget{},
+		doubted: map[loadKey]time.Duration{},
 		rnd:     rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 }
@@ -40,53 +44,107 @@
 	reason routing.Reason
 }
 
+// course is the course of one request over its attempts.
+type course struct {
+	tried map[string]bool
+	// doubtful are the tried VMs whose backend servers were doubtful.
+	doubtful map[string]bool
+	// arrivals counts the attempts that arrived at a backend server, declined those that a gate refused for want of room.
+	arrivals, declined int
+	last               *Refusal
+	mayHaveRun         bool
+}
+
 // run tries VMs until one answers, the request must not be sent again, or the budget or deadline is used up. Errors
 // are of type *Refusal. The refusal says not-run only where no attempt may have run.
 func (t *router) run(ctx context.Context, req *Request) (*Response, error) {
 	t.countRequest(req.Service)
-	tried := map[string]bool{}
-	var last *Refusal
-	mayHaveRun := false
+	c := &course{tried: map[string]bool{}, doubtful: map[string]bool{}}
 	for number := 1; ; number++ {
-		chosen, ok := t.choose(req, tried)
+		chosen, ok := t.choose(req, c.tried)
+		if !ok && t.force(req, c) {
+			continue
+		}
 		if !ok {
-			return nil, finalRefusal(last, mayHaveRun)
+			return nil, c.finalRefusal()
 		}
 		t.logChoice(req, chosen, number)
 		resp, refusal := t.attempt(ctx, req, chosen)
 		if refusal == nil {
 			return resp, nil
 		}
-		last = refusal
-		mayHaveRun = mayHaveRun || refusal.Outcome == OutcomeUnknown
-		tried[chosen.peer.VM] = true
-		if !t.mayRetry(req, refusal, number) {
-			return nil, finalRefusal(last, mayHaveRun)
+		c.note(chosen.peer.VM, refusal)
+		t.noteDoubt(chosen.peer.VM, req.Service, refusal)
+		if !t.mayRetry(req, refusal, c) {
+			return nil, c.finalRefusal()
 		}
 	}
 }
 
-// finalRefusal is what the caller sees.
-func finalRefusal(last *Refusal, mayHaveRun bool) *Refusal {
-	if last == nil {
+// force lets the request go to the doubtful backend servers, once all others were tried. An answer from one of them is
+// worth more than a refusal.
+func (t *router) force(req *Request, c *course) bool {
+	if req.Forced {
+		return false
+	}
+	req.Forced = true
+	for vm := range c.doubtful {
+		delete(c.tried, vm)
+	}
+	return true
+}
+
+func (c *course) note(vm string, refusal *Refusal) {
+	c.last = refusal
+	c.mayHaveRun = c.mayHaveRun || refusal.Outcome == OutcomeUnknown
+	c.tried[vm] = true
+	switch {
+	case refusal.Reached:
+		c.arrivals++
+	case doubts(refusal.Reason):
+		c.doubtful[vm] = true
+	default:
+		c.declined++
+	}
+}
+
+// doubts tells whether a gate refused because its backend server is doubtful.
+func doubts(reason Reason) bool { return reason == ReasonSuspect || reason == ReasonEjected }
+
+// finalRefusal is what the caller sees. Its status never says that the request did not run where it may have.
+func (c *course) finalRefusal() *Refusal {
+	if c.last == nil {
 		return notRun(http.StatusServiceUnavailable, ReasonNoCapacity, "choose")
 	}
-	final := *last
-	if mayHaveRun {
+	final := *c.last
+	if c.mayHaveRun {
 		final.Outcome = OutcomeUnknown
+		if promisesNotRun(final.Status) {
+			final.Status = http.StatusBadGateway
+		}
 	}
 	return &final
 }
 
-func (t *router) mayRetry(req *Request, refusal *Refusal, number int) bool {
-	if final(refusal.Reason) {
+// promisesNotRun tells whether callers take a status for the promise that the request did not run.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	default:
+		return false
+	}
+}
+
+func (t *router) mayRetry(req *Request, refusal *Refusal, c *course) bool {
+	if final(refusal.Reason) || req.MaxAttempts > 0 && c.arrivals >= req.MaxAttempts {
 		return false
 	}
 	attempt := routing.Attempt{
 		Outcome:    routing.OutcomeNotRun,
 		Repeatable: req.Repeatable || req.IdempotencyKey != "",
 		BodySpent:  !req.Body.CanReplay(),
-		Number:     number,
+		Number:     max(c.arrivals+c.declined, 1),
 		Remaining:  time.Until(req.Deadline),
 	}
 	if refusal.Outcome == OutcomeUnknown {
@@ -95,6 +153,10 @@
 	if !routing.MayRetry(attempt) {
 		return false
 	}
+	if !refusal.Reached {
+		// Nothing arrived at a backend server, so the retry cannot multiply an overload there.
+		return true
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return t.budget(req.Service).Retry()
@@ -120,16 +182,61 @@
 func (t *router) budget(service string) *routing.RetryBudget {
 	b, ok := t.budgets[service]
 	if !ok {
-		b = routing.NewRetryBudget()
+		b = routing.NewRetryBudgetWith(t.opts.RetryRatio, t.opts.RetryReserve())
 		t.budgets[service] = b
 	}
 	return b
 }
 
+// doubtTime is how long an entry remembers that a backend server was doubtful before it asks its gate again.
+const doubtTime = 500 * time.Millisecond
+
+func (t *router) noteDoubt(vm, service string, refusal *Refusal) {
+	if !doubts(refusal.Reason) {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.doubted[loadKey{vm, service}] = t.opts.Clock() + doubtTime
+}
+
+// withDoubted adds the VMs whose backend servers are doubtful to those that a request already tried.
+func (t *router) withDoubted(service string, tried map[string]bool) map[string]bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.opts.Clock()
+	avoid := tried
+	for key, until := range t.doubted {
+		if now >= until {
+			delete(t.doubted, key)
+			continue
+		}
+		if key.service != service {
+			continue
+		}
+		if len(avoid) == len(tried) {
+			avoid = maps.Clone(tried)
+		}
+		avoid[key.vm] = true
+	}
+	return avoid
+}
+
+// pickService returns the service of a new request on a route.
+func (t *router) pickService(route *routing.Route) string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return route.Pick(t.rnd)
+}
+
 // choose returns the VM for the next attempt.
 func (t *router) choose(req *Request, tried map[string]bool) (choice, bool) {
 	hosts := t.opts.Directory.Hosts(req.Service)
-	_, i, reason := t.rank(hosts, req.Service, tried)
+	avoid := tried
+	if !req.Repeatable && !req.Forced {
+		avoid = t.withDoubted(req.Service, tried)
+	}
+	_, i, reason := t.rank(hosts, req.Service, avoid)
 	if i < 0 {
 		return choice{}, false
 	}
--- a/proxy/run.go
+++ b/proxy/run.go
@@ -1,9 +1,10 @@
 package proxy
 
 import (
+	"bytes"
 	"context"
+	"io"
 	"net/http"
-	"strconv"
 	"strings"
 	"time"
 
@@ -54,9 +55,27 @@
 	tracked := g.track(req, held.server.name)
 	began := g.opts.Clock()
 	resp, gaveUp, err := g.sendWatched(ctx, cancel, req, held)
+	var told BackendAnswer
+	var body []byte
+	whole := false
+	if err == nil {
+		told = g.opts.Dialect.FromBackend(resp)
+		body, whole, err = bufferBody(resp.Body)
+	}
 	latency := g.opts.Clock() - began
 	inTime := timer.Stop()
+	if err == nil && (told.NotRun || told.OtherInstance) {
+		resp.Body.Close()
+		cancel()
+		g.untrack(req)
+		tracked.end(admission.Overloaded)
+		held.release(latency, admission.Overloaded)
+		return nil, g.declined(req, held, resp, told)
+	}
 	if err != nil {
+		if resp != nil {
+			resp.Body.Close()
+		}
 		callerGone := req.Body.senderFault(!inTime) || ctx.Err() != nil && callerCtx.Err() != nil && inTime
 		cancel()
 		g.untrack(req)
@@ -64,6 +83,10 @@
 		if callerGone || gaveUp {
 			result = admission.Cancelled
 		}
+		if !inTime && latency < held.server.patience() {
+			// The deadline was too near to tell anything about the backend server.
+			result = admission.Cancelled
+		}
 		nested := tracked.end(result)
 		held.release(latency-nested, result)
 		refusal := sendRefusal(err, inTime, callerGone)
@@ -73,6 +96,9 @@
 		return nil, refusal
 	}
 	result := statusResult(resp.StatusCode)
+	if result == admission.Failed && (g.callFailedSince(began) || resp.StatusCode == http.StatusGatewayTimeout && latency < held.server.patience()) {
+		result = admission.Cancelled
+	}
 	nested := tracked.end(result)
 	release := func(whole bool) {
 		g.untrack(req)
@@ -81,6 +107,14 @@
 		}
 		held.release(latency-nested, result)
 	}
+	if whole {
+		// The backend server is done with the request.
+		resp.Body.Close()
+		release(true)
+		cancel()
+		return g.bufferedResponse(resp, body, held, latency, req), nil
+	}
+	resp.Body = &prefixedBody{Reader: io.MultiReader(bytes.NewReader(body), resp.Body), Closer: resp.Body}
 	return &Response{
 		Status:        resp.StatusCode,
 		Header:        answerHeaders(resp.Header),
@@ -92,13 +126,59 @@
 	}, nil
 }
 
+// maxBufferedAnswer is the largest answer in bytes that is read to its end before any of it is passed on, so that one that
+// breaks off can be replaced by an answer of another attempt or by an honest failure.
+const maxBufferedAnswer = 64 << 10
+
+// bufferBody reads a body of up to maxBufferedAnswer bytes. whole is false where more follows.
+func bufferBody(body io.Reader) (data []byte, whole bool, err error) {
+	data, err = io.ReadAll(io.LimitReader(body, maxBufferedAnswer+1))
+	if err != nil {
+		return nil, false, &sendError{sent: true, err: errors.Wrap(err, "read answer body")}
+	}
+	return data, len(data) <= maxBufferedAnswer, nil
+}
+
+// prefixedBody is a body of which the first bytes were read already.
+type prefixedBody struct {
+	io.Reader
+	io.Closer
+}
+
+func (g *Gate) bufferedResponse(resp *http.Response, body []byte, held *slot, latency time.Duration, req *Request) *Response {
+	length := int64(len(body))
+	if req.Method == http.MethodHead {
+		length = resp.ContentLength
+	}
+	return &Response{
+		Status:        resp.StatusCode,
+		Header:        answerHeaders(resp.Header),
+		Body:          io.NopCloser(bytes.NewReader(body)),
+		ContentLength: length,
+		Server:        held.server.name,
+		Timing:        Timing{Queue: held.wait, Backend: latency},
+		Load:          g.Load(req.Service),
+	}
+}
+
+// declined is the refusal of a request that the backend server did not begin.
+func (g *Gate) declined(req *Request, held *slot, resp *http.Response, told BackendAnswer) *Refusal {
+	reason := ReasonShed
+	if told.OtherInstance {
+		reason = ReasonOtherInstance
+		held.server.markLost()
+		g.opts.Log.Warn().Str("request", req.ID).Str("server", held.server.name).Str("instance", held.server.newest().Instance).
+			Msg("gate: another instance has the address.")
+	}
+	refusal := notRun(http.StatusServiceUnavailable, reason, "run")
+	refusal.Reached = true
+	refusal.Err = errors.Errorf("backend server answered %d", resp.StatusCode)
+	return refusal
+}
+
 // sendWatched sends the request. One that may be repeated is given up when its backend server is ejected meanwhile.
 func (g *Gate) sendWatched(ctx context.Context, cancel context.CancelFunc, req *Request, held *slot) (resp *http.Response, gaveUp bool, err error) {
-	if !req.Repeatable {
-		resp, err = g.roundTrip(ctx, cancel, req, held)
-		return resp, false, err
-	}
-	watched := held.server.watch(cancel)
+	watched := held.server.watch(cancel, req.Repeatable)
 	resp, err = g.roundTrip(ctx, cancel, req, held)
 	gaveUp = held.server.unwatch(watched)
 	if gaveUp && err == nil {
@@ -139,21 +219,28 @@
 	}
 	out.Host = req.Host
 	out.Header = req.Header.Clone()
-	out.Header.Set(HeaderRequestID, req.ID)
-	out.Header.Set(HeaderTeam, req.Team)
-	out.Header.Set(HeaderDeadline, strconv.FormatInt(time.Until(req.Deadline).Milliseconds(), 10))
+	g.opts.Dialect.ToBackend(out.Header, BackendRequest{
+		ID: req.ID, Team: req.Team, CallerService: req.CallerService,
+		Instance: held.server.newest().Instance, Remaining: time.Until(req.Deadline),
+	})
+	if err := req.Body.HoldShort(maxHeldAtGate); err != nil {
+		return nil, &sendError{err: errors.Wrap(err, "read body")}
+	}
 	if err := attachBody(ctx, cancel, out, req); err != nil {
 		return nil, &sendError{err: err}
 	}
 	return held.server.client.do(out, func(resp *http.Response) error {
 		// Backend servers need not echo the id, but one that does must echo this one.
-		if got := resp.Header.Get(HeaderRequestID); got != "" && got != req.ID {
-			return errors.Wrapf(errWrongAnswer, "id %q", got)
+		if got := g.opts.Dialect.FromBackend(resp).ID; got != "" {
+			return checkAnswerID(got, req.ID)
 		}
 		return nil
 	})
 }
 
+// maxHeldAtGate is the largest body in bytes that a gate reads to its end before it sends the request.
+const maxHeldAtGate = DefaultHoldBody
+
 func statusResult(status int) admission.Result {
 	switch {
 	case status == http.StatusServiceUnavailable, status == http.StatusTooManyRequests:
--- a/proxy/server.go
+++ b/proxy/server.go
@@ -7,6 +7,7 @@
 
 	"rosemaryline.dev/admission"
 	"rosemaryline.dev/fleet/config"
+	"rosemaryline.dev/outlier"
 )
 
 // server is one backend server on this VM. mu guards the fields below it.
@@ -29,8 +30,14 @@
 	lapsesAt time.Duration
 	cfg      admission.Config
 	gate     *admission.Gate
-	waiting  map[admission.Ticket]chan waitResult
-	// running holds the repeatable requests that wait for an answer.
+	breaker  outlier.Breaker
+	// last is the newest announcement.
+	last Announcement
+	ttl  time.Duration
+	// typical is the usual time to an answer, in nanoseconds; 0 before the first one.
+	typical float64
+	waiting map[admission.Ticket]chan waitResult
+	// running holds the requests that wait for an answer.
 	running map[*runningRequest]struct{}
 }
 
@@ -45,9 +52,10 @@
 	server *server
 	ticket admission.Ticket
 	wait   time.Duration
+	trial  bool
 }
 
-func newServer(a Announcement, settings config.Service, clock Clock) *server {
+func newServer(a Announcement, settings config.Service, clock Clock, ttl time.Duration) *server {
 	slots := announcedSlots(a, settings)
 	s := &server{
 		name:    a.Name,
@@ -58,6 +66,7 @@
 		waiting: map[admission.Ticket]chan waitResult{},
 		running: map[*runningRequest]struct{}{},
 		cfg:     admissionConfig(settings, slots),
+		ttl:     ttl,
 	}
 	s.gate = admission.NewGate(s.cfg)
 	return s
@@ -79,6 +88,7 @@
 		QueueLength:      settings.Queue.Length,
 		TeamPercent:      settings.Queue.TeamPercent,
 		MaxWait:          settings.Queue.MaxWait.Std(),
+		ColdRate:         settings.Ramp.Rate,
 	}
 	if settings.NestedCalls {
 		cfg.NestedLevels = 1
@@ -92,22 +102,48 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.reconfigure(a, settings)
-	fresh = a.Instance != s.instance
+	fresh = !a.sameInstance(&s.last) || s.instance == ""
 	if fresh {
+		s.breaker.Reset()
+		s.typical = 0
 		s.warm = false
 		s.warmBy = s.clock() + rampTime
 		s.instance = a.Instance
 		s.gate.SetInstance(a.Instance)
 		s.client.closeIdle()
 	}
+	s.last = a
+	s.gate.SetCold(s.coldUntil(a, settings, fresh))
 	s.address = a.Address
 	s.draining = a.Draining
 	s.lost = false
-	s.lapsesAt = s.clock() + announcementTTL
+	s.lapsesAt = s.clock() + s.ttl
 	s.applyState()
 	return fresh
 }
 
+// coldUntil returns the end of the cold time. A new instance that does not tell is cold for the service's time.
+func (s *server) coldUntil(a Announcement, settings config.Service, fresh bool) time.Duration {
+	if fresh && a.ColdMs == 0 && a.StartedMs == 0 {
+		return s.clock() + settings.Ramp.Time.Std()
+	}
+	return s.clock() + time.Duration(a.ColdMs)*time.Millisecond
+}
+
+// overtook tells whether a newer announcement than a arrived before it.
+func (s *server) overtook(a *Announcement) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return a.outdated(&s.last)
+}
+
+// newest returns the newest announcement.
+func (s *server) newest() Announcement {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.last
+}
+
 // reconfigure puts changed settings of the service in force. The caller holds mu.
 func (s *server) reconfigure(a Announcement, settings config.Service) {
 	slots := announcedSlots(a, settings)
@@ -147,7 +183,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.service != a.Service {
-		return s.lost
+		return s.lost || s.last.outdated(&a)
 	}
 	return s.instance != a.Instance && s.slots != announcedSlots(a, settings)
 }
@@ -174,15 +210,19 @@
 	return begins
 }
 
-// runningRequest is a repeatable request that waits for an answer.
+// runningRequest is a request that waits for an answer. The server's mu guards the fields below cancel.
 type runningRequest struct {
-	cancel context.CancelFunc
-	gaveUp bool // guarded by the server's mu
+	began      time.Duration
+	repeatable bool
+	cancel     context.CancelFunc
+	gaveUp     bool
+	// overdue is true once the request counted as a failure because it took too long.
+	overdue bool
 }
 
-// watch makes a request known that may be given up.
-func (s *server) watch(cancel context.CancelFunc) *runningRequest {
-	r := &runningRequest{cancel: cancel}
+// watch makes a running request known.
+func (s *server) watch(cancel context.CancelFunc, repeatable bool) *runningRequest {
+	r := &runningRequest{cancel: cancel, began: s.clock(), repeatable: repeatable}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.running[r] = struct{}{}
@@ -203,11 +243,77 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for r := range s.running {
-		r.gaveUp = true
-		r.cancel()
+		if r.repeatable {
+			r.gaveUp = true
+			r.cancel()
+		}
+	}
+}
+
+const (
+	// overdueFactor times the usual time is too long for an answer: the work of a request varies less than this.
+	overdueFactor = 5
+	// overdueLeast is the least time that is too long.
+	overdueLeast = time.Second
+)
+
+// sweepRunning counts requests that wait too long as failures, which finds a backend server that hangs before any
+// deadline does. One that may be repeated is given up, so that its entry tries it elsewhere. It returns the ages of the
+// requests that became overdue.
+func (s *server) sweepRunning() (ages []time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.clock()
+	for r := range s.running {
+		if r.overdue || now-r.began < s.overdueAfter() {
+			continue
+		}
+		r.overdue = true
+		s.breaker.Observe(now, true)
+		ages = append(ages, now-r.began)
+		if r.repeatable {
+			r.gaveUp = true
+			r.cancel()
+		}
+	}
+	return ages
+}
+
+// overdueAfter is the time after which a request counts as a failure. The caller holds mu.
+func (s *server) overdueAfter() time.Duration {
+	return max(time.Duration(overdueFactor*s.typical), overdueLeast)
+}
+
+// patience is the time after which a missing answer speaks against the backend server.
+func (s *server) patience() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.overdueAfter()
+}
+
+// learnLatency updates the usual time to an answer. It rises slowly, so that a backend server that turned slow does not
+// become the measure of itself. The caller holds mu.
+func (s *server) learnLatency(latency time.Duration) {
+	const rise, fall = 1.0 / 32, 1.0 / 8
+	sample := float64(latency)
+	switch {
+	case s.typical == 0:
+		s.typical = sample
+	case sample > s.typical:
+		s.typical += (sample - s.typical) * rise
+	default:
+		s.typical += (sample - s.typical) * fall
 	}
 }
 
+// markLost takes the backend server out until its next announcement.
+func (s *server) markLost() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lost = true
+	s.applyState()
+}
+
 // applyState passes the state to the admission gate and answers the requests that it refuses. The caller holds mu.
 func (s *server) applyState() {
 	refusals := s.gate.SetState(s.clock(), s.state())
@@ -251,13 +357,21 @@
 	now := s.clock()
 	deadline := now + time.Until(req.Deadline)
 	s.mu.Lock()
-	decision := s.gate.Offer(now, admission.Request{Team: req.Team, Weight: weight, Depth: req.Depth, Deadline: deadline})
+	admitted, trial := s.breaker.Admit(now, outlier.BreakerRequest{Repeatable: req.Repeatable, Forced: req.Forced})
+	if !admitted {
+		s.mu.Unlock()
+		return nil, admission.Reason(ReasonSuspect)
+	}
+	decision := s.gate.Offer(now, admission.Request{
+		Team: req.Team, Weight: weight, Depth: req.Depth, Priority: req.Priority, Deadline: deadline,
+	})
 	s.deliverRefusals(decision.Displaced)
 	if decision.Verdict == admission.Refused {
+		s.endTrial(trial)
 		s.mu.Unlock()
 		return nil, decision.Reason
 	}
-	held := &slot{server: s, ticket: decision.Ticket}
+	held := &slot{server: s, ticket: decision.Ticket, trial: trial}
 	if decision.Verdict == admission.Admitted {
 		s.mu.Unlock()
 		return held, admission.ReasonNone
@@ -276,6 +390,9 @@
 		select {
 		case r := <-result:
 			if r.refused != admission.ReasonNone {
+				s.mu.Lock()
+				s.endTrial(held.trial)
+				s.mu.Unlock()
 				return nil, r.refused
 			}
 			held.wait = r.wait
@@ -288,24 +405,37 @@
 	}
 }
 
-// expireQueue refuses requests that waited too long and returns the time until the next one is due.
+// expireQueue refuses requests that waited too long, starts those that waited for the rate of a cold backend server, and
+// returns the time until the next one is due.
 func (s *server) expireQueue() time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.clock()
+	s.deliverGrants(s.gate.Grant(now))
 	s.deliverRefusals(s.gate.Expire(now))
-	next, ok := s.gate.NextExpiry()
-	if !ok {
-		return admission.DefaultMaxWait
+	next := now + admission.DefaultMaxWait
+	if expiry, ok := s.gate.NextExpiry(); ok {
+		next = expiry
+	}
+	if grant, ok := s.gate.NextGrant(now); ok {
+		next = min(next, grant)
 	}
 	return max(next-now, time.Millisecond)
 }
 
+// endTrial ends a trial of the breaker where the request was one. The caller holds mu.
+func (s *server) endTrial(trial bool) {
+	if trial {
+		s.breaker.TrialEnded()
+	}
+}
+
 // abandon gives up a queued request whose caller left. A slot that was granted meanwhile is given back.
 func (s *server) abandon(held *slot, result chan waitResult) admission.Reason {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.waiting, held.ticket)
+	s.endTrial(held.trial)
 	select {
 	case r := <-result:
 		if r.refused != admission.ReasonNone {
@@ -322,6 +452,14 @@
 	s := h.server
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.endTrial(h.trial)
+	switch result {
+	case admission.Succeeded:
+		s.breaker.Observe(s.clock(), false)
+		s.learnLatency(latency)
+	case admission.Failed:
+		s.breaker.Observe(s.clock(), true)
+	}
 	s.deliverGrants(s.gate.Done(s.clock(), h.ticket, latency, result))
 }
 
--- a/proxy/stateful_test.go
+++ b/proxy/stateful_test.go
@@ -26,6 +26,9 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.next != "not run" {
+		if err := req.Body.HoldShort(DefaultHoldBody); err != nil {
+			return nil, notRun(503, ReasonBadRequest, "fake")
+		}
 		f.runs[req.ID]++
 	}
 	switch f.next {
--- a/raft/node.go
+++ b/raft/node.go
@@ -92,11 +92,17 @@
 		n.tickLeader()
 		return
 	}
-	if n.elapsed >= n.electionTimeout && n.mayCampaign() {
+	if (n.elapsed >= n.electionTimeout || n.isOnlyVoter()) && n.mayCampaign() {
 		n.campaignPreVote()
 	}
 }
 
+// isOnlyVoter reports whether this member needs nobody's vote, so that it need not wait for another leader.
+func (n *Node) isOnlyVoter() bool {
+	m := n.membership()
+	return len(m.Voters) == 1 && m.IsVoter(n.cfg.ID)
+}
+
 // Status describes the member.
 func (n *Node) Status() Status {
 	s := Status{
--- a/routing/budget.go
+++ b/routing/budget.go
@@ -9,19 +9,26 @@
 )
 
 // RetryBudget bounds the retries of one service, so that retries cannot multiply an overload. Over any time it allows
-// at most RetryRatio*requests + RetryReserve retries.
+// at most ratio*requests + reserve retries.
 type RetryBudget struct {
-	tokens float64
+	ratio, reserve float64
+	tokens         float64
 }
 
-// NewRetryBudget returns a budget with a full reserve.
+// NewRetryBudget returns a budget with the default ratio and a full reserve.
 func NewRetryBudget() *RetryBudget {
-	return &RetryBudget{tokens: RetryReserve}
+	return NewRetryBudgetWith(RetryRatio, RetryReserve)
+}
+
+// NewRetryBudgetWith returns a budget with a full reserve of at least one retry.
+func NewRetryBudgetWith(ratio, reserve float64) *RetryBudget {
+	reserve = max(reserve, 1)
+	return &RetryBudget{ratio: ratio, reserve: reserve, tokens: reserve}
 }
 
 // Request counts a new request, which is not a retry.
 func (b *RetryBudget) Request() {
-	b.tokens = min(b.tokens+RetryRatio, RetryReserve)
+	b.tokens = min(b.tokens+b.ratio, b.reserve)
 }
 
 // Retry takes one retry from the budget and tells whether it may be sent.
--- a/routing/table.go
+++ b/routing/table.go
@@ -1,6 +1,9 @@
 package routing
 
 import (
+	"maps"
+	"math/rand/v2"
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -13,16 +16,53 @@
 
 // Route is one route of the configuration in the form that entries use for each request.
 type Route struct {
-	Name    string
-	Host    string // lower case; empty matches every host
-	Path    string // prefix without a slash at its end; empty matches every path
-	Service string
-	Access  config.Access
+	Name   string
+	Host   string // lower case; empty matches every host
+	Path   string // prefix without a slash at its end; empty matches every path
+	Below  bool   // matches only paths that go on with a slash after Path
+	Access config.Access
+	// Priority ranks the route's requests; 0 is the most urgent.
+	Priority int
+	// MaxAttempts bounds the backend servers that one request is sent to; 0 is no bound.
+	MaxAttempts int
+	// Objective is the time within which an answer is of full use; 0 is the deadline.
+	Objective time.Duration
 	// Deadline bounds a request from its arrival to the last byte of its answer's header.
 	Deadline time.Duration
 
+	service    string
+	split      []config.SplitPart
+	weights    float64 // sum of the split's weights
 	teams      map[string]bool
 	repeatable map[string]bool
+	idempotent *bool
+}
+
+// Pick returns the service of one request. A split route draws it by weight.
+func (r *Route) Pick(rnd *rand.Rand) string {
+	if len(r.split) == 0 {
+		return r.service
+	}
+	at := rnd.Float64() * r.weights
+	for _, part := range r.split {
+		if at < part.Weight {
+			return part.Service
+		}
+		at -= part.Weight
+	}
+	return r.split[len(r.split)-1].Service
+}
+
+// Services returns the services that the route's requests may go to.
+func (r *Route) Services() []string {
+	if len(r.split) == 0 {
+		return []string{r.service}
+	}
+	names := map[string]bool{}
+	for _, part := range r.split {
+		names[part.Service] = true
+	}
+	return slices.Sorted(maps.Keys(names))
 }
 
 // AllowsTeam tells whether the team may use the route.
@@ -32,6 +72,9 @@
 
 // Repeatable tells whether requests with the method may be repeated.
 func (r *Route) Repeatable(method string) bool {
+	if r.idempotent != nil {
+		return *r.idempotent
+	}
 	return r.repeatable[method]
 }
 
@@ -57,14 +100,23 @@
 
 func newRoute(name string, c config.Route) *Route {
 	r := &Route{
-		Name:       name,
-		Host:       strings.ToLower(c.Host),
-		Path:       strings.TrimRight(c.Path, "/"),
-		Service:    c.Service,
-		Access:     c.Access,
-		Deadline:   c.Deadline.Std(),
-		teams:      set(c.Teams),
-		repeatable: set(c.RepeatableMethods),
+		Name:        name,
+		Host:        strings.ToLower(c.Host),
+		Path:        strings.TrimRight(c.Path, "/"),
+		Below:       c.Below,
+		Access:      c.Access,
+		Deadline:    c.Deadline.Std(),
+		Priority:    c.Priority,
+		MaxAttempts: c.MaxAttempts,
+		Objective:   c.Objective.Std(),
+		service:     c.Service,
+		split:       c.Split,
+		teams:       set(c.Teams),
+		repeatable:  set(c.RepeatableMethods),
+		idempotent:  c.Idempotent,
+	}
+	for _, part := range c.Split {
+		r.weights += part.Weight
 	}
 	if r.Deadline <= 0 {
 		r.Deadline = DefaultDeadline
@@ -81,8 +133,12 @@
 		paths = make(map[string]*Route)
 		t.hosts[r.Host] = paths
 	}
-	if paths[r.Path] == nil {
-		paths[r.Path] = r
+	key := r.Path
+	if r.Below {
+		key += "/"
+	}
+	if paths[key] == nil {
+		paths[key] = r
 	}
 }
 
@@ -101,8 +157,15 @@
 	if len(paths) == 0 {
 		return nil, false
 	}
-	prefix := strings.TrimRight(path, "/")
+	prefix := path
 	for {
+		// A key with a slash at its end belongs to a route for the paths below it.
+		if strings.HasSuffix(prefix, "/") {
+			if r := paths[prefix]; r != nil {
+				return r, true
+			}
+		}
+		prefix = strings.TrimSuffix(prefix, "/")
 		if r := paths[prefix]; r != nil {
 			return r, true
 		}
@@ -110,7 +173,7 @@
 		if cut < 0 {
 			return nil, false
 		}
-		prefix = prefix[:cut]
+		prefix = prefix[:cut+1]
 	}
 }
 
