--- a/admission/gate.go
+++ b/admission/gate.go
@@ -53,6 +53,9 @@
 	if r.Deadline != 0 && now >= r.Deadline {
 		return refuse(ReasonDeadline)
 	}
+	if r.Deadline != 0 && now+r.Work >= r.Deadline {
+		return refuse(ReasonHopeless)
+	}
 	level := g.level(r.Depth)
 	if g.queues[level].size == 0 && g.free(level) && g.cold.next(now) <= now {
 		ticket := g.newTicket()
@@ -73,8 +76,8 @@
 	if q.teamSize(r.Team) >= g.cfg.teamLength() {
 		return refuse(ReasonTeamShare)
 	}
-	if r.Deadline != 0 && now+g.ramp.wait(q.position(r.Priority, r.Team)) >= r.Deadline {
-		return refuse(ReasonDeadline)
+	if r.Deadline != 0 && now+g.ramp.wait(q.position(r.Priority, r.Team))+r.Work >= r.Deadline {
+		return refuse(r.lateReason())
 	}
 	var displaced []Refusal
 	if q.size >= g.cfg.QueueLength {
@@ -87,18 +90,19 @@
 		displaced = []Refusal{{Ticket: victim.ticket, Reason: ReasonDisplaced}}
 	}
 	w := &waiter{
-		ticket:   g.newTicket(),
-		team:     r.Team,
-		weight:   r.weight(),
-		priority: r.Priority,
-		depth:    level,
-		queuedAt: now,
-		expires:  now + g.cfg.MaxWait,
-		reason:   ReasonMaxWait,
+		ticket:    g.newTicket(),
+		team:      r.Team,
+		weight:    r.weight(),
+		priority:  r.Priority,
+		objective: r.Objective,
+		depth:     level,
+		queuedAt:  now,
+		expires:   now + g.cfg.MaxWait,
+		reason:    ReasonMaxWait,
 	}
-	if r.Deadline != 0 && r.Deadline < w.expires {
-		w.expires = r.Deadline
-		w.reason = ReasonDeadline
+	if last := r.Deadline - r.Work; r.Deadline != 0 && last < w.expires {
+		w.expires = last
+		w.reason = r.lateReason()
 	}
 	q.push(w)
 	g.waiting[w.ticket] = w
@@ -227,6 +231,15 @@
 	return 0, false
 }
 
+// Wait estimates how long a new request of the most common priority would wait for its start.
+func (g *Gate) Wait() time.Duration {
+	waiting := len(g.waiting)
+	if len(g.running) < g.ramp.effective && waiting == 0 {
+		return 0
+	}
+	return g.ramp.wait(waiting + 1)
+}
+
 // SetInstance records the backend server's instance id. A new id is a cold start.
 func (g *Gate) SetInstance(instance string) {
 	if instance == g.instance {
@@ -253,7 +266,7 @@
 	for level := g.cfg.NestedLevels; level >= 0; level-- {
 		q := g.queues[level]
 		for q.size > 0 && g.free(level) && g.cold.next(now) <= now {
-			w := q.next()
+			w := q.next(now)
 			if now >= w.expires {
 				q.remove(w)
 				delete(g.waiting, w.ticket)
@@ -305,6 +318,14 @@
 	return g.lastTicket
 }
 
+// lateReason is the reason of a refusal for want of time. With an expected time of work it comes before the deadline.
+func (r Request) lateReason() Reason {
+	if r.Work > 0 {
+		return ReasonHopeless
+	}
+	return ReasonDeadline
+}
+
 func (r Request) weight() float64 {
 	if r.Weight > 0 {
 		return r.Weight
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -9,6 +9,9 @@
 	weight float64
 	// priority is the rank in its queue, 0 first.
 	priority int
+	// objective is the time from which the waiter is late; 0 is never.
+	objective time.Duration
+	late      bool
 	// depth is at most Config.NestedLevels and so is the index of the waiter's queue.
 	depth    int
 	queuedAt time.Duration
@@ -18,6 +21,8 @@
 	reason Reason
 }
 
+func (w *waiter) rank() int { return rankOf(w.priority, w.late) }
+
 // teamQueue holds the waiters of one team in order of arrival.
 type teamQueue struct {
 	team    string
--- a/admission/ranked.go
+++ b/admission/ranked.go
@@ -1,8 +1,13 @@
 package admission
 
-import "slices"
+import (
+	"slices"
+	"time"
+)
 
-// rankedQueue serves more urgent priorities first and is fair among the teams of one priority.
+// rankedQueue serves more urgent ranks first and is fair among the teams of one rank. It answers a load above the
+// capacity: what is more urgent starts first, and among requests of one priority those that can still be answered in time
+// start before those that are late anyway, so that a backlog does not make every answer late.
 type rankedQueue struct {
 	// ranks are sorted, most urgent first; each one holds waiters.
 	ranks []*rank
@@ -11,7 +16,16 @@
 
 type rank struct {
 	*fairQueue
-	priority int
+	level int
+}
+
+// rankOf returns the level of a priority's requests, those past their objective after the others.
+func rankOf(priority int, late bool) int {
+	level := 2 * priority
+	if late {
+		level++
+	}
+	return level
 }
 
 func newRankedQueues(n int) []*rankedQueue {
@@ -22,8 +36,8 @@
 	return queues
 }
 
-func (q *rankedQueue) find(priority int) (int, bool) {
-	return slices.BinarySearchFunc(q.ranks, priority, func(r *rank, p int) int { return r.priority - p })
+func (q *rankedQueue) find(level int) (int, bool) {
+	return slices.BinarySearchFunc(q.ranks, level, func(r *rank, l int) int { return r.level - l })
 }
 
 func (q *rankedQueue) teamSize(team string) int {
@@ -36,12 +50,12 @@
 
 // position is the number of requests that would start up to and including a new one.
 func (q *rankedQueue) position(priority int, team string) int {
-	before := 0
+	before, level := 0, rankOf(priority, false)
 	for _, r := range q.ranks {
-		if r.priority == priority {
+		if r.level == level {
 			return before + r.position(team)
 		}
-		if r.priority > priority {
+		if r.level > level {
 			break
 		}
 		before += r.size
@@ -50,16 +64,26 @@
 }
 
 func (q *rankedQueue) push(w *waiter) {
-	i, ok := q.find(w.priority)
+	i, ok := q.find(w.rank())
 	if !ok {
-		q.ranks = slices.Insert(q.ranks, i, &rank{fairQueue: newFairQueue(), priority: w.priority})
+		q.ranks = slices.Insert(q.ranks, i, &rank{fairQueue: newFairQueue(), level: w.rank()})
 	}
 	q.ranks[i].push(w)
 	q.size++
 }
 
-// next returns the waiter that starts next. The queue must not be empty.
-func (q *rankedQueue) next() *waiter { return q.ranks[0].next() }
+// next returns the waiter that starts next, after it has moved those that became late. The queue must not be empty.
+func (q *rankedQueue) next(now time.Duration) *waiter {
+	for {
+		w := q.ranks[0].next()
+		if w.late || w.objective == 0 || now < w.objective {
+			return w
+		}
+		q.remove(w)
+		w.late = true
+		q.push(w)
+	}
+}
 
 // pop removes the waiter that next returns and charges its team.
 func (q *rankedQueue) pop() {
@@ -77,17 +101,18 @@
 		return nil
 	}
 	last := q.ranks[len(q.ranks)-1]
-	if last.priority < priority {
+	level := rankOf(priority, false)
+	if last.level < level {
 		return nil
 	}
-	if last.priority == priority {
+	if last.level == level {
 		return last.displaceable(team, weight)
 	}
 	return last.newestOfLongest()
 }
 
 func (q *rankedQueue) remove(w *waiter) {
-	i, ok := q.find(w.priority)
+	i, ok := q.find(w.rank())
 	if !ok {
 		return
 	}
--- a/admission/types.go
+++ b/admission/types.go
@@ -17,6 +17,12 @@
 	Priority int
 	// Deadline is the time after which the request must not start. 0 means no deadline but Config.MaxWait.
 	Deadline time.Duration
+	// Objective is the time up to which a start still leads to an answer of full use. Where work waits, requests past
+	// theirs start after all others of their priority. 0 means none.
+	Objective time.Duration
+	// Work is the expected time from the start to the answer. A request that cannot be answered before its deadline is
+	// refused, at its offer or as soon as it is certain. 0 means that nothing is expected.
+	Work time.Duration
 }
 
 // Verdict is the answer to an offered request.
@@ -42,10 +48,12 @@
 	ReasonTeamShare Reason = "team-queue-share"
 	ReasonDeadline  Reason = "deadline"
 	ReasonMaxWait   Reason = "max-wait"
-	ReasonNested    Reason = "nested-too-deep"
-	ReasonDraining  Reason = "draining"
-	ReasonEjected   Reason = "ejected"
-	ReasonLost      Reason = "lost"
+	// ReasonHopeless refuses a request that could not be answered before its deadline.
+	ReasonHopeless Reason = "hopeless"
+	ReasonNested   Reason = "nested-too-deep"
+	ReasonDraining Reason = "draining"
+	ReasonEjected  Reason = "ejected"
+	ReasonLost     Reason = "lost"
 	// ReasonDisplaced refuses a queued request in favour of a team that has fewer requests in the full queue.
 	ReasonDisplaced Reason = "displaced"
 )
--- a/membership/node.go
+++ b/membership/node.go
@@ -26,16 +26,22 @@
 	gossip gossip
 	sync   syncState
 
-	lastTick  time.Duration
-	statusAt  time.Duration // next check of suspects and dead members
-	started   bool
-	meta      []byte // newest metadata from SetMeta that is not published yet
-	metaDirty bool
+	lastTick time.Duration
+	// youngUntil is the end of the time in which digests are exchanged more often, because a new process and the fleet know
+	// little of each other.
+	youngUntil time.Duration
+	statusAt   time.Duration // next check of suspects and dead members
+	started    bool
+	meta       []byte // newest metadata from SetMeta that is not published yet
+	metaDirty  bool
 	// metaUrgent makes metaDirty metadata go out before the interval is over.
 	metaUrgent bool
 	metaAt     time.Duration
 }
 
+// youngTime is the time after the start in which digests are exchanged each Config.Period.
+const youngTime = 3 * time.Second
+
 // record is a member with the local state around it.
 type record struct {
 	Member
@@ -120,6 +126,7 @@
 // Join contacts the addresses of processes that are already in the fleet. Node repeats this until one answers.
 func (n *Node) Join(now time.Duration, addresses []string) []Outgoing {
 	n.begin(now)
+	n.takeMeta(now)
 	n.seeds = slices.Clone(addresses)
 	return n.joinSeeds(now)
 }
@@ -184,7 +191,8 @@
 	n.metaAt = now - n.cfg.MetaInterval
 	n.evidence.begin(now)
 	n.prober.begin(now, n)
-	n.sync.next = now + jitter(n.cfg.SyncInterval, n.rnd)
+	n.sync.next = now + jitter(n.cfg.Period, n.rnd)
+	n.youngUntil = now + youngTime
 }
 
 // skipPause moves all running timers by the length of a pause of this process, since answers that came during the
@@ -206,11 +214,7 @@
 	if !n.metaDirty || !n.metaUrgent && now-n.metaAt < n.metaInterval() {
 		return nil
 	}
-	n.metaDirty, n.metaUrgent = false, false
-	n.metaAt = now
-	n.self.Meta = n.meta
-	n.self.MetaVersion++
-	n.announceMeta(n.self)
+	n.takeMeta(now)
 	const fanout = 3
 	var out []Outgoing
 	for _, r := range n.pick(fanout, func(r *record) bool { return r.Status != StatusDead }) {
@@ -220,6 +224,18 @@
 	return out
 }
 
+// takeMeta makes the newest metadata part of the own entry.
+func (n *Node) takeMeta(now time.Duration) {
+	if !n.metaDirty {
+		return
+	}
+	n.metaDirty, n.metaUrgent = false, false
+	n.metaAt = now
+	n.self.Meta = n.meta
+	n.self.MetaVersion++
+	n.announceMeta(n.self)
+}
+
 func (n *Node) metaInterval() time.Duration {
 	return max(n.cfg.MetaInterval, time.Duration(len(n.names))*n.cfg.MetaIntervalPerMember)
 }
--- a/membership/sync.go
+++ b/membership/sync.go
@@ -17,6 +17,9 @@
 		return nil
 	}
 	n.sync.next = now + n.cfg.SyncInterval
+	if now < n.youngUntil {
+		n.sync.next = now + n.cfg.Period
+	}
 	out := n.reconnect(now)
 	for _, r := range n.pick(1, func(r *record) bool { return r.Status != StatusDead }) {
 		p := n.digest(n.sync.cursor)
@@ -29,6 +32,13 @@
 // reconnect contacts the seeds while no other member is known, and one listed process that is unknown or counted as
 // dead, so that the two sides of a healed partition find each other again.
 func (n *Node) reconnect(now time.Duration) []Outgoing {
+	if now < n.youngUntil && len(n.seeds) > 0 {
+		// The first contact may have come before the seed listened.
+		seed := n.seeds[n.rnd.IntN(len(n.seeds))]
+		if seed != n.self.Address {
+			return []Outgoing{n.packet(seed, nil, now, n.introduction())}
+		}
+	}
 	if len(n.names) == 1 {
 		n.sync.next = now + n.cfg.Period
 		if out := n.joinSeeds(now); len(out) > 0 {
@@ -52,12 +62,21 @@
 	var out []Outgoing
 	for _, address := range n.seeds {
 		if address != n.self.Address {
-			out = append(out, n.packet(address, nil, now, n.digest("")))
+			out = append(out, n.packet(address, nil, now, n.introduction()))
 		}
 	}
 	return out
 }
 
+// introduction is a digest that brings the own metadata along.
+func (n *Node) introduction() Packet {
+	p := n.digest("")
+	if len(n.self.Meta) > 0 {
+		p.Updates = []Update{{Member: n.self.Member, HasMeta: true}}
+	}
+	return p
+}
+
 // digest returns a KindSync packet for the names from the cursor on, as many as fit into half a packet. An empty RangeTo
 // means that the range goes to the last name.
 func (n *Node) digest(cursor string) Packet {
--- a/node/ejections.go
+++ b/node/ejections.go
@@ -40,6 +40,8 @@
 	log       *log.Logger
 	tomb      *tomb.Tomb
 	probing   *http.Client
+	// off leaves out all judgements; the rows of this VM are published all the same.
+	off bool
 
 	mu       sync.Mutex // guards the fields below
 	detector *outlier.Detector
@@ -69,6 +71,7 @@
 		owners:    n.shards,
 		log:       n.opts.Log,
 		tomb:      &n.tomb,
+		off:       n.opts.NoPeerEjection,
 		probing:   &http.Client{Timeout: probeTimeout, Transport: &http.Transport{DisableKeepAlives: true}},
 		detector:  outlier.NewDetector(outlier.Config{}),
 		holder:    holder,
@@ -79,6 +82,9 @@
 }
 
 func (e *ejections) start() {
+	if e.off {
+		return
+	}
 	e.tomb.Go(func() error { return every(e.tomb, evaluateInterval, e.evaluate) })
 	e.tomb.Go(func() error { return every(e.tomb, digestInterval, e.pushDigests) })
 	e.tomb.Go(func() error { return every(e.tomb, time.Second, e.dropArbiters) })
--- a/node/limiter.go
+++ b/node/limiter.go
@@ -40,6 +40,9 @@
 	owners owners
 	tomb   *tomb.Tomb
 	vm     string
+	// rateExcess and burstExcess are those of Options.
+	rateExcess  float64
+	burstExcess int
 
 	mu      sync.Mutex // guards the fields below
 	holder  *quota.Holder
@@ -197,7 +200,7 @@
 func (l *limiter) limit(team string) (limit quota.Limit, ok bool) {
 	l.fleet.Read(func(s *state.State) {
 		t, found := s.Config().Teams[team]
-		limit = quota.Limit{Rate: t.Rate, Burst: t.Burst}
+		limit = quota.Limit{Rate: t.Rate * (1 + l.rateExcess), Burst: t.Burst + l.burstExcess}
 		ok = found
 	})
 	return limit, ok
--- a/node/node.go
+++ b/node/node.go
@@ -94,6 +94,7 @@
 	n.shards = newShards(o.Name, n.clock, n.fleet, n.right.MayAdmit)
 	holder := quota.Config{Process: o.Name, Incarnation: n.incarnation}
 	n.limiter = newLimiter(holder, n.clock, n.fleet, n.client, n.shards, &n.tomb)
+	n.limiter.rateExcess, n.limiter.burstExcess = o.RateExcess, o.BurstExcess
 	n.ejections = newEjections(n)
 	n.groups = &groupClient{node: n, leaders: map[groupName]string{}}
 	claimer := idempotency.Claimer{Process: o.Name, Incarnation: n.incarnation}
@@ -138,7 +139,15 @@
 	if n.opts.RetryReserve <= 0 {
 		return nil
 	}
-	return func() float64 { return n.opts.RetryReserve / float64(len(n.gossip.list())) }
+	return func() float64 {
+		entries := 0
+		for _, m := range n.gossip.list() {
+			if m.meta.Control == 0 {
+				entries++
+			}
+		}
+		return n.opts.RetryReserve / float64(max(entries, 1))
+	}
 }
 
 // register adds the methods that peers may call.
@@ -163,10 +172,12 @@
 
 // run starts the drivers.
 func (n *Node) run() {
+	publisher := &publisher{node: n}
+	// The first packets carry the metadata, so that control learns of a new member at once.
+	publisher.publish()
 	n.gossip.start(&n.tomb, n.opts.Join)
 	n.limiter.start()
 	n.ejections.start()
-	publisher := &publisher{node: n}
 	n.tomb.Go(func() error { return every(&n.tomb, gossipTick, n.right.refresh) })
 	n.tomb.Go(func() error { return every(&n.tomb, directoryInterval, publisher.run) })
 	n.tomb.Go(func() error { return every(&n.tomb, time.Second, n.entry.Sweep) })
--- a/node/options.go
+++ b/node/options.go
@@ -60,6 +60,10 @@
 	// that were withdrawn meanwhile then work on. Default: it refuses new work.
 	AdmitIsolated bool
 
+	// NoPeerEjection leaves out the ejection of backend servers by comparison with their peers; the breaker beside each one
+	// stays. It suits services whose backend servers often fail for a few seconds: an ejection lasts longer than that.
+	NoPeerEjection bool
+
 	// Dialect maps the headers of callers and backend servers. Default: the project's own.
 	Dialect proxy.Dialect
 	// CallerService returns the service of the backend server on this VM. Default: none.
@@ -75,6 +79,10 @@
 	// RetryReserve is the number of retries of one service that all processes together may send before any request
 	// earned them. Default 0: each process has routing.RetryReserve of its own.
 	RetryReserve float64
+	// RateExcess is the share by which a team's rate, and BurstExcess the number of requests by which its burst, may be
+	// exceeded before a request is refused. Default 0.
+	RateExcess  float64
+	BurstExcess int
 	// Listeners are served in addition to the process's own.
 	Listeners []Listener
 
--- a/outlier/breaker.go
+++ b/outlier/breaker.go
@@ -17,8 +17,10 @@
 	openScore = 6
 	// maxScore bounds the successes that a backend server needs after a long fault: five from here to below suspectScore.
 	maxScore = 7
-	// trialInterval is the least time between two trials of an open backend server.
-	trialInterval = 250 * time.Millisecond
+	// firstTrialWait is the time after which an open backend server is tried first. It doubles with each failed trial, up
+	// to lastTrialWait, so that a long fault takes few retries out of the budget.
+	firstTrialWait = 250 * time.Millisecond
+	lastTrialWait  = time.Second
 	// lastTrialAfter is the time without any result after which one request that may not be repeated is tried, for
 	// services that get no others.
 	lastTrialAfter = 3 * time.Second
@@ -42,14 +44,17 @@
 	// trials are the requests that run as trials.
 	trials    int
 	lastTrial time.Duration
+	// wait is the least time between two trials of an open backend server.
+	wait time.Duration
 	// lastResult is the time of the newest result, or of the failure that raised the score.
 	lastResult time.Duration
 }
 
 // BreakerRequest is what a Breaker needs to know of a request.
 type BreakerRequest struct {
-	// Repeatable requests can be sent elsewhere after a failure, so they try a doubtful backend server.
-	Repeatable bool
+	// MayFail is true for a request that can be sent elsewhere after a failure, so that it may try a doubtful backend
+	// server. A request on its last attempt cannot.
+	MayFail bool
 	// Forced requests found no other backend server.
 	Forced bool
 }
@@ -59,7 +64,7 @@
 	if b.score < suspectScore || r.Forced {
 		return true, false
 	}
-	if !b.mayTry(now, r.Repeatable) {
+	if !b.mayTry(now, r.MayFail) {
 		return false, false
 	}
 	b.trials++
@@ -67,14 +72,14 @@
 	return true, true
 }
 
-func (b *Breaker) mayTry(now time.Duration, repeatable bool) bool {
-	if !repeatable && (b.trials > 0 || now-max(b.lastResult, b.lastTrial) < lastTrialAfter) {
+func (b *Breaker) mayTry(now time.Duration, mayFail bool) bool {
+	if !mayFail && (b.trials > 0 || now-max(b.lastResult, b.lastTrial) < lastTrialAfter) {
 		return false
 	}
 	if b.score < openScore {
 		return b.trials < suspectTrials
 	}
-	return b.trials == 0 && now-b.lastTrial >= trialInterval
+	return b.trials == 0 && now-b.lastTrial >= b.wait
 }
 
 // TrialEnded ends a trial, whatever its result.
@@ -84,15 +89,25 @@
 func (b *Breaker) Observe(now time.Duration, failed bool) {
 	b.lastResult = now
 	if failed {
+		open := b.score >= openScore
 		b.score = min(b.score+failScore, maxScore)
+		if open {
+			b.wait = min(2*b.wait, lastTrialWait)
+		} else {
+			b.wait = firstTrialWait
+		}
 		return
 	}
+	b.wait = 0
 	b.score = max(b.score+successScore, 0)
 }
 
 // Reset forgets everything, for a new instance.
 func (b *Breaker) Reset() { *b = Breaker{} }
 
+// Score returns the evidence against the backend server: 0 is none, above suspectScore is doubt.
+func (b *Breaker) Score() float64 { return b.score }
+
 // Health returns the present judgement.
 func (b *Breaker) Health() Health {
 	switch {
--- a/proxy/entry.go
+++ b/proxy/entry.go
@@ -62,6 +62,8 @@
 	DefaultKeyedBody = 1 << 20
 	// minRateRetry is the least time after which a caller over its team's rate is asked to return.
 	minRateRetry = time.Second
+	// callPriority goes before all priorities of routes and teams.
+	callPriority = -1
 	// maxIdempotencyKey bounds the length of an Idempotency-Key in bytes.
 	maxIdempotencyKey = 256
 )
@@ -142,6 +144,9 @@
 		return nil, refusal
 	}
 	req := e.newRequest(r, id, route)
+	if route.Objective > 0 {
+		req.Objective = time.Now().Add(route.Objective)
+	}
 	if caller.Remaining > 0 {
 		req.Deadline = earlier(req.Deadline, time.Now().Add(caller.Remaining))
 	}
@@ -149,6 +154,9 @@
 		return req, notRun(http.StatusServiceUnavailable, ReasonIsolated, "accept")
 	}
 	if route.Access == config.AccessPublic {
+		req.Call = true
+		// A call holds up the request that it is made for.
+		req.Priority = callPriority
 		return req, e.readBody(r, req)
 	}
 	if refusal := e.authorise(req, route, caller); refusal != nil {
@@ -288,6 +296,9 @@
 	// The gate lets a request that may not be repeated go on once it was sent; before that, a caller that left takes the
 	// request out of the queue.
 	resp, err := e.route.run(r.Context(), req)
+	if req.Call && (err != nil || resp.Status >= http.StatusInternalServerError) {
+		e.opts.Gate.CallFailed()
+	}
 	if err != nil {
 		e.refuse(w, req.ID, req, asRefusal(err))
 		return
--- a/proxy/gate.go
+++ b/proxy/gate.go
@@ -130,7 +130,7 @@
 		return errors.Errorf("more than %d backend servers", maxBackendServers)
 	}
 	if !ok {
-		s = newServer(a, settings, g.opts.Clock, g.opts.AnnouncementTTL)
+		s = newServer(a, settings, g.opts.Clock, g.opts.AnnouncementTTL, g.opts.Log)
 		s.client.untilClose = g.opts.AnswersUntilClose
 		g.servers[a.Name] = s
 		g.relist()
@@ -308,12 +308,13 @@
 	if reason != admission.ReasonNone {
 		return nil, g.refusal(req, refusalFor(reason), s)
 	}
-	g.opts.Log.Info().Str("request", req.ID).Str("team", req.Team).Str("service", req.Service).
-		Str("server", s.name).Dur("queue", held.wait).Msg("gate: placed request.")
 	resp, err := g.runHeld(ctx, req, held)
 	if err != nil {
 		return nil, g.refusal(req, asRefusal(err), s)
 	}
+	g.opts.Log.Info().Str("request", req.ID).Str("team", req.Team).Str("service", req.Service).
+		Str("server", s.name).Int("status", resp.Status).Dur("queue", held.wait).Dur("took", resp.Timing.Backend).
+		Bool("trial", held.trial).Bool("forced", req.Forced).Msg("gate: request answered.")
 	return resp, nil
 }
 
@@ -340,11 +341,25 @@
 	if s != nil {
 		entry = entry.Str("server", s.name)
 		r.Peer = s.name
+		if wantsRoom(r.Reason) && r.RetryAfter == 0 {
+			r.RetryAfter = s.retryAfter()
+		}
 	}
 	entry.Err(r.Err).Msg("gate: refused request.")
 	return r
 }
 
+// wantsRoom tells whether a request was refused for want of room that comes back by itself.
+func wantsRoom(reason Reason) bool {
+	switch reason {
+	case ReasonQueueFull, ReasonShed, ReasonSuspect, Reason(admission.ReasonHopeless), Reason(admission.ReasonTeamShare),
+		Reason(admission.ReasonDisplaced), Reason(admission.ReasonMaxWait):
+		return true
+	default:
+		return false
+	}
+}
+
 func refusalFor(reason admission.Reason) *Refusal {
 	status := http.StatusServiceUnavailable
 	if reason == admission.ReasonDeadline {
--- a/proxy/gatehttp.go
+++ b/proxy/gatehttp.go
@@ -64,6 +64,10 @@
 	if err != nil {
 		return nil, err
 	}
+	objective, err := optionalInt(r.Header, headerObjective)
+	if err != nil {
+		return nil, err
+	}
 	body, err := h.readBody(r)
 	if err != nil {
 		return nil, err
@@ -76,6 +80,7 @@
 		Depth:          depth,
 		CallerService:  r.Header.Get(headerCaller),
 		Priority:       priority,
+		MayFail:        r.Header.Get(headerMayFail) != "",
 		Forced:         r.Header.Get(headerForced) != "",
 		ConfigVersion:  version,
 		Repeatable:     repeatable,
@@ -87,6 +92,9 @@
 		Header:         forwardedHeaders(r.Header),
 		Body:           body,
 	}
+	if objective != 0 {
+		req.Objective = time.Now().Add(time.Duration(objective) * time.Millisecond)
+	}
 	if req.ID == "" || req.Service == "" || req.URI == "" {
 		return nil, errors.New("request id, service or URI is missing")
 	}
--- a/proxy/headers.go
+++ b/proxy/headers.go
@@ -29,6 +29,8 @@
 	headerServer        = HeaderPrefix + "Server"
 	headerCaller        = HeaderPrefix + "Caller-Service"
 	headerPriority      = HeaderPrefix + "Priority"
+	headerObjective     = HeaderPrefix + "Objective-Ms"
+	headerMayFail       = HeaderPrefix + "May-Fail"
 	headerForced        = HeaderPrefix + "Forced"
 	headerReached       = HeaderPrefix + "Reached"
 	headerRetryAfterMs  = HeaderPrefix + "Retry-After-Ms"
--- a/proxy/message.go
+++ b/proxy/message.go
@@ -23,6 +23,10 @@
 	Priority int
 	// MaxAttempts bounds the backend servers that the request is sent to; 0 is no bound but that of the policy.
 	MaxAttempts int
+	// Call is true for a request without a key, as backend servers make them while they run another one.
+	Call bool
+	// MayFail is true while the request could still be sent to another backend server after a failure.
+	MayFail bool
 	// Forced requests found no other VM: the gate sends them also to a doubtful backend server.
 	Forced bool
 	// ConfigVersion is the fleet state version that the entry used.
@@ -31,6 +35,8 @@
 	Repeatable bool
 	// IdempotencyKey is the caller's name for the request; empty where it gave none.
 	IdempotencyKey string
+	// Objective is the time by which an answer is of full use; zero where there is none.
+	Objective time.Time
 	// Deadline is the time by which the answer's headers must have arrived.
 	Deadline time.Time
 
@@ -120,6 +126,7 @@
 	ReasonShed          Reason = "shed"
 	ReasonOtherInstance Reason = "other-instance"
 	ReasonSuspect       Reason = "suspect"
+	ReasonFailed        Reason = "failed"
 	ReasonPathSilent    Reason = "path-silent"
 )
 
--- a/proxy/problem.go
+++ b/proxy/problem.go
@@ -50,11 +50,13 @@
 	ReasonShed:          "The backend server is full.",
 	ReasonOtherInstance: "Another backend server has the address.",
 	ReasonSuspect:       "The backend server failed requests a moment ago.",
+	ReasonFailed:        "The backend server failed the request.",
 	ReasonPathSilent:    "The path to the VM is silent.",
 	ReasonAnswerNotKept: "The request completed earlier; its answer was too large to keep.",
 
 	Reason(admission.ReasonTeamShare): "The team's share of the queue is full.",
 	Reason(admission.ReasonMaxWait):   "The request waited too long for a slot.",
+	Reason(admission.ReasonHopeless):  "The request could not be answered in time.",
 	Reason(admission.ReasonNested):    "The nested call is too deep for the service.",
 	Reason(admission.ReasonLost):      "The backend server is lost.",
 	Reason(admission.ReasonDisplaced): "The request made room for a team with fewer requests in the queue.",
--- a/proxy/remote.go
+++ b/proxy/remote.go
@@ -144,6 +144,12 @@
 	if req.Priority != 0 {
 		h.Set(headerPriority, strconv.Itoa(req.Priority))
 	}
+	if !req.Objective.IsZero() {
+		h.Set(headerObjective, strconv.FormatInt(time.Until(req.Objective).Milliseconds(), 10))
+	}
+	if req.MayFail {
+		h.Set(headerMayFail, "true")
+	}
 	if req.Forced {
 		h.Set(headerForced, "true")
 	}
--- a/proxy/router.go
+++ b/proxy/router.go
@@ -53,38 +53,116 @@
 	arrivals, declined int
 	last               *Refusal
 	mayHaveRun         bool
+	// reserved is true while the request holds a retry of the budget that it has not used.
+	reserved bool
+	// failed is the last answer of a backend server that failed the request; nil where there is none.
+	failed *Response
 }
 
 // run tries VMs until one answers, the request must not be sent again, or the budget or deadline is used up. Errors
 // are of type *Refusal. The refusal says not-run only where no attempt may have run.
 func (t *router) run(ctx context.Context, req *Request) (*Response, error) {
-	t.countRequest(req.Service)
 	c := &course{tried: map[string]bool{}, doubtful: map[string]bool{}}
+	c.reserved = t.reserveRetry(req)
+	defer t.refundRetry(req, c)
 	for number := 1; ; number++ {
+		req.MayFail = t.mayFail(req, c)
 		chosen, ok := t.choose(req, c.tried)
 		if !ok && t.force(req, c) {
 			continue
 		}
 		if !ok {
-			return nil, c.finalRefusal()
+			return c.end()
 		}
 		t.logChoice(req, chosen, number)
 		resp, refusal := t.attempt(ctx, req, chosen)
-		if refusal == nil {
+		if refusal == nil && !t.retryAnswer(req, resp, c) {
+			c.drop()
 			return resp, nil
 		}
+		if refusal == nil {
+			c.keep(chosen.peer.VM, resp)
+			continue
+		}
 		c.note(chosen.peer.VM, refusal)
 		t.noteDoubt(chosen.peer.VM, req.Service, refusal)
 		if !t.mayRetry(req, refusal, c) {
-			return nil, c.finalRefusal()
+			return c.end()
 		}
 	}
 }
 
+// retryAnswer tells whether another backend server should be asked instead of passing a failure on.
+func (t *router) retryAnswer(req *Request, resp *Response, c *course) bool {
+	if !routing.RetryAnswer(resp.Status, req.Repeatable && req.IdempotencyKey == "") {
+		return false
+	}
+	failed := unknown(resp.Status, ReasonFailed, "run")
+	c.arrivals++
+	defer func() { c.arrivals-- }()
+	return t.mayRetry(req, failed, c)
+}
+
+// keep holds a failed answer for when no other attempt does better.
+func (c *course) keep(vm string, resp *Response) {
+	c.drop()
+	c.failed = resp
+	c.tried[vm] = true
+	c.arrivals++
+	c.mayHaveRun = true
+}
+
+// drop closes the held answer.
+func (c *course) drop() {
+	if c.failed != nil {
+		c.failed.Body.Close()
+		c.failed = nil
+	}
+}
+
+// end returns the held answer of a backend server, or the final refusal. A failure that a backend server reported says
+// more than a refusal.
+func (c *course) end() (*Response, error) {
+	if c.failed != nil {
+		return c.failed, nil
+	}
+	return nil, c.finalRefusal()
+}
+
+// mayFail tells whether a failure of the next attempt would leave another one. Only the first attempt may meet a doubtful
+// backend server: a second one there would fail as likely.
+func (t *router) mayFail(req *Request, c *course) bool {
+	return c.reserved && c.arrivals == 0 && req.MaxAttempts != 1 && req.Body.CanReplay() &&
+		time.Until(req.Deadline) > minTrialRemaining
+}
+
+// reserveRetry counts a new request, and takes a retry for one that may be repeated: without it the request must not meet
+// a doubtful backend server.
+func (t *router) reserveRetry(req *Request) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	budget := t.budget(req.Service)
+	budget.Request()
+	return req.Repeatable && budget.Retry()
+}
+
+func (t *router) refundRetry(req *Request, c *course) {
+	if !c.reserved {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.budget(req.Service).Refund()
+}
+
+// minTrialRemaining is the time before the deadline that a request needs to try a doubtful backend server first.
+const minTrialRemaining = 500 * time.Millisecond
+
 // force lets the request go to the doubtful backend servers, once all others were tried. An answer from one of them is
 // worth more than a refusal.
 func (t *router) force(req *Request, c *course) bool {
-	if req.Forced {
+	if req.Forced || c.declined+c.arrivals > 0 {
+		// A sound backend server exists. A run that fails helps nobody, while a refusal tells the caller that nothing ran.
 		return false
 	}
 	req.Forced = true
@@ -117,6 +195,8 @@
 		return notRun(http.StatusServiceUnavailable, ReasonNoCapacity, "choose")
 	}
 	final := *c.last
+	// Callers that were refused together must not return together.
+	final.RetryAfter = time.Duration(float64(final.RetryAfter) * (0.75 + rand.Float64()/2))
 	if c.mayHaveRun {
 		final.Outcome = OutcomeUnknown
 		if promisesNotRun(final.Status) {
@@ -157,6 +237,10 @@
 		// Nothing arrived at a backend server, so the retry cannot multiply an overload there.
 		return true
 	}
+	if c.reserved {
+		c.reserved = false
+		return true
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return t.budget(req.Service).Retry()
@@ -172,12 +256,6 @@
 	}
 }
 
-func (t *router) countRequest(service string) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.budget(service).Request()
-}
-
 // budget returns the service's retry budget. The caller holds mu.
 func (t *router) budget(service string) *routing.RetryBudget {
 	b, ok := t.budgets[service]
@@ -233,7 +311,7 @@
 func (t *router) choose(req *Request, tried map[string]bool) (choice, bool) {
 	hosts := t.opts.Directory.Hosts(req.Service)
 	avoid := tried
-	if !req.Repeatable && !req.Forced {
+	if !req.MayFail && !req.Forced {
 		avoid = t.withDoubted(req.Service, tried)
 	}
 	_, i, reason := t.rank(hosts, req.Service, avoid)
--- a/proxy/run.go
+++ b/proxy/run.go
@@ -83,6 +83,10 @@
 		if callerGone || gaveUp {
 			result = admission.Cancelled
 		}
+		var failed *sendError
+		if errors.As(err, &failed) && failed.local {
+			result = admission.Cancelled
+		}
 		if !inTime && latency < held.server.patience() {
 			// The deadline was too near to tell anything about the backend server.
 			result = admission.Cancelled
@@ -211,11 +215,11 @@
 func (g *Gate) roundTrip(ctx context.Context, cancel func(), req *Request, held *slot) (*http.Response, error) {
 	if !strings.HasPrefix(req.URI, "/") {
 		// The target would become part of the address.
-		return nil, &sendError{err: errors.Errorf("request target %q is no path", req.URI)}
+		return nil, &sendError{local: true, err: errors.Errorf("request target %q is no path", req.URI)}
 	}
 	out, err := http.NewRequestWithContext(ctx, req.Method, "http://"+held.server.currentAddress()+req.URI, nil)
 	if err != nil {
-		return nil, &sendError{err: errors.Wrap(err, "request target")}
+		return nil, &sendError{local: true, err: errors.Wrap(err, "request target")}
 	}
 	out.Host = req.Host
 	out.Header = req.Header.Clone()
@@ -224,10 +228,10 @@
 		Instance: held.server.newest().Instance, Remaining: time.Until(req.Deadline),
 	})
 	if err := req.Body.HoldShort(maxHeldAtGate); err != nil {
-		return nil, &sendError{err: errors.Wrap(err, "read body")}
+		return nil, &sendError{local: true, err: errors.Wrap(err, "read body")}
 	}
 	if err := attachBody(ctx, cancel, out, req); err != nil {
-		return nil, &sendError{err: err}
+		return nil, &sendError{local: true, err: err}
 	}
 	return held.server.client.do(out, func(resp *http.Response) error {
 		// Backend servers need not echo the id, but one that does must echo this one.
--- a/proxy/server.go
+++ b/proxy/server.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/phuslu/log"
+
 	"rosemaryline.dev/admission"
 	"rosemaryline.dev/fleet/config"
 	"rosemaryline.dev/outlier"
@@ -31,11 +33,15 @@
 	cfg      admission.Config
 	gate     *admission.Gate
 	breaker  outlier.Breaker
+	// judged is the breaker's last logged judgement.
+	judged outlier.Health
+	log    *log.Logger
 	// last is the newest announcement.
 	last Announcement
 	ttl  time.Duration
-	// typical is the usual time to an answer, in nanoseconds; 0 before the first one.
+	// typical is the usual time to an answer, in nanoseconds; 0 before the first one. work is the same for each route.
 	typical float64
+	work    map[string]float64
 	waiting map[admission.Ticket]chan waitResult
 	// running holds the requests that wait for an answer.
 	running map[*runningRequest]struct{}
@@ -53,9 +59,10 @@
 	ticket admission.Ticket
 	wait   time.Duration
 	trial  bool
+	route  string
 }
 
-func newServer(a Announcement, settings config.Service, clock Clock, ttl time.Duration) *server {
+func newServer(a Announcement, settings config.Service, clock Clock, ttl time.Duration, logger *log.Logger) *server {
 	slots := announcedSlots(a, settings)
 	s := &server{
 		name:    a.Name,
@@ -65,8 +72,10 @@
 		slots:   slots,
 		waiting: map[admission.Ticket]chan waitResult{},
 		running: map[*runningRequest]struct{}{},
+		work:    map[string]float64{},
 		cfg:     admissionConfig(settings, slots),
 		ttl:     ttl,
+		log:     logger,
 	}
 	s.gate = admission.NewGate(s.cfg)
 	return s
@@ -105,7 +114,9 @@
 	fresh = !a.sameInstance(&s.last) || s.instance == ""
 	if fresh {
 		s.breaker.Reset()
+		s.judged = outlier.Healthy
 		s.typical = 0
+		clear(s.work)
 		s.warm = false
 		s.warmBy = s.clock() + rampTime
 		s.instance = a.Instance
@@ -269,7 +280,7 @@
 			continue
 		}
 		r.overdue = true
-		s.breaker.Observe(now, true)
+		s.observe(true, "overdue")
 		ages = append(ages, now-r.began)
 		if r.repeatable {
 			r.gaveUp = true
@@ -284,6 +295,18 @@
 	return max(time.Duration(overdueFactor*s.typical), overdueLeast)
 }
 
+// observe passes a result to the breaker and logs a changed judgement. The caller holds mu.
+func (s *server) observe(failed bool, cause string) {
+	s.breaker.Observe(s.clock(), failed)
+	health := s.breaker.Health()
+	if health == s.judged {
+		return
+	}
+	s.judged = health
+	s.log.Info().Str("server", s.name).Str("service", s.service).Str("health", health.String()).Str("cause", cause).
+		Float64("score", s.breaker.Score()).Int("running", len(s.running)).Msg("gate: judged backend server.")
+}
+
 // patience is the time after which a missing answer speaks against the backend server.
 func (s *server) patience() time.Duration {
 	s.mu.Lock()
@@ -293,19 +316,50 @@
 
 // learnLatency updates the usual time to an answer. It rises slowly, so that a backend server that turned slow does not
 // become the measure of itself. The caller holds mu.
-func (s *server) learnLatency(latency time.Duration) {
+func (s *server) learnLatency(route string, latency time.Duration) {
+	s.typical = typicalLatency(s.typical, float64(latency))
+	if _, known := s.work[route]; !known && len(s.work) >= maxKnownRoutes {
+		clear(s.work)
+	}
+	s.work[route] = typicalLatency(s.work[route], float64(latency))
+}
+
+func typicalLatency(typical, sample float64) float64 {
 	const rise, fall = 1.0 / 32, 1.0 / 8
-	sample := float64(latency)
 	switch {
-	case s.typical == 0:
-		s.typical = sample
-	case sample > s.typical:
-		s.typical += (sample - s.typical) * rise
+	case typical == 0:
+		return sample
+	case sample > typical:
+		return typical + (sample-typical)*rise
 	default:
-		s.typical += (sample - s.typical) * fall
+		return typical + (sample-typical)*fall
 	}
 }
 
+const (
+	// maxKnownRoutes bounds the routes whose usual time is known.
+	maxKnownRoutes = 256
+	// leastWorkShare of the usual time is needed to answer at all: most of the shorter requests end within it.
+	leastWorkShare = 0.6
+)
+
+// expectedWork returns the usual time to an answer on a route; 0 where it is not known. The caller holds mu.
+func (s *server) expectedWork(route string) time.Duration { return time.Duration(s.work[route]) }
+
+// retryAfter tells when a refused request may find room.
+func (s *server) retryAfter() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return min(max(s.gate.Wait(), minRetryAfter), maxRetryAfter)
+}
+
+const (
+	// minRetryAfter and maxRetryAfter bound the advice to callers when to come back, so that they neither return in a
+	// busy loop nor stay away for long after a short overload.
+	minRetryAfter = 200 * time.Millisecond
+	maxRetryAfter = 5 * time.Second
+)
+
 // markLost takes the backend server out until its next announcement.
 func (s *server) markLost() {
 	s.mu.Lock()
@@ -357,21 +411,27 @@
 	now := s.clock()
 	deadline := now + time.Until(req.Deadline)
 	s.mu.Lock()
-	admitted, trial := s.breaker.Admit(now, outlier.BreakerRequest{Repeatable: req.Repeatable, Forced: req.Forced})
+	admitted, trial := s.breaker.Admit(now, outlier.BreakerRequest{MayFail: req.MayFail, Forced: req.Forced})
 	if !admitted {
 		s.mu.Unlock()
 		return nil, admission.Reason(ReasonSuspect)
 	}
-	decision := s.gate.Offer(now, admission.Request{
+	work := s.expectedWork(req.Route)
+	offer := admission.Request{
 		Team: req.Team, Weight: weight, Depth: req.Depth, Priority: req.Priority, Deadline: deadline,
-	})
+		Work: time.Duration(leastWorkShare * float64(work)),
+	}
+	if !req.Objective.IsZero() {
+		offer.Objective = max(now+time.Until(req.Objective)-work, 1)
+	}
+	decision := s.gate.Offer(now, offer)
 	s.deliverRefusals(decision.Displaced)
 	if decision.Verdict == admission.Refused {
 		s.endTrial(trial)
 		s.mu.Unlock()
 		return nil, decision.Reason
 	}
-	held := &slot{server: s, ticket: decision.Ticket, trial: trial}
+	held := &slot{server: s, ticket: decision.Ticket, trial: trial, route: req.Route}
 	if decision.Verdict == admission.Admitted {
 		s.mu.Unlock()
 		return held, admission.ReasonNone
@@ -455,10 +515,10 @@
 	s.endTrial(h.trial)
 	switch result {
 	case admission.Succeeded:
-		s.breaker.Observe(s.clock(), false)
-		s.learnLatency(latency)
+		s.observe(false, "answered")
+		s.learnLatency(h.route, latency)
 	case admission.Failed:
-		s.breaker.Observe(s.clock(), true)
+		s.observe(true, "failed")
 	}
 	s.deliverGrants(s.gate.Done(s.clock(), h.ticket, latency, result))
 }
--- a/proxy/transport.go
+++ b/proxy/transport.go
@@ -39,7 +39,9 @@
 type sendError struct {
 	// sent is false where no connection was obtained, so nothing can have been sent.
 	sent bool
-	err  error
+	// local is true where the fault lies in the request, so that the other side is not to blame.
+	local bool
+	err   error
 }
 
 func (e *sendError) Error() string { return e.err.Error() }
--- a/routing/budget.go
+++ b/routing/budget.go
@@ -31,6 +31,9 @@
 	b.tokens = min(b.tokens+b.ratio, b.reserve)
 }
 
+// Refund gives back a retry that was taken and not sent.
+func (b *RetryBudget) Refund() { b.tokens = min(b.tokens+1, b.reserve) }
+
 // Retry takes one retry from the budget and tells whether it may be sent.
 func (b *RetryBudget) Retry() bool {
 	if b.tokens < 1 {
