membership: metadata of a restarted process replaces that of its former run

Cause: metadata versions started at 0 in each run, so a wiped control process kept its former member id at its peers and was never added again; with two more disks lost the group had no quorum. Ruled out: raft (the group of three elects where they are members). TestRestartReplacesMetadata fails on the former code.

--- a/membership/node.go
+++ b/membership/node.go
@@ -61,6 +61,9 @@
 // with each start of the process, for example by taking the wall clock's seconds.
 func New(self Member, cfg Config, rnd *rand.Rand) *Node {
 	self.Status = StatusAlive
+	// The versions of a later run start above those of this one, so that its metadata replaces that of the former run at
+	// once. Where the clock was set back, mergeSelf raises them.
+	self.MetaVersion = self.Incarnation
 	n := &Node{
 		cfg:      cfg.withDefaults(),
 		rnd:      rnd,
--- a/node/controlrole.go
+++ b/node/controlrole.go
@@ -102,7 +102,7 @@
 // memberAddress returns the peer address of a member of a group.
 func (n *Node) memberAddress(group groupName, id raft.ID) (string, bool) {
 	for _, m := range n.gossip.list() {
-		if m.meta.id(group) == id {
+		if id != 0 && m.meta.id(group) == id {
 			return m.Address, true
 		}
 	}
--- a/node/memberkeeper.go
+++ b/node/memberkeeper.go
@@ -26,6 +26,8 @@
 type memberKeeper struct {
 	// unheldSince is when a member was first seen without a process that holds it.
 	unheldSince map[raft.ID]time.Duration
+	// lastError is the text of the last failure that was logged.
+	lastError string
 }
 
 func newMemberKeeper() *memberKeeper {
@@ -101,11 +103,16 @@
 	ctx, cancel := context.WithTimeout(c.node.tomb.Context(context.Background()), memberChangeTimeout)
 	defer cancel()
 	err := group.ChangeMembership(ctx, change)
+	if err != nil && err.Error() == k.lastError {
+		return
+	}
 	entry := c.node.opts.Log.Info()
+	k.lastError = ""
 	if err != nil {
-		// A learner that has not caught up is promoted at a later look.
-		entry = c.node.opts.Log.Debug().Err(err)
+		// The next look tries again, for example when a learner has caught up.
+		k.lastError = err.Error()
+		entry = c.node.opts.Log.Warn().Err(err)
 	}
-	entry.Str("change", change.Kind.String()).Str("member", formatID(change.ID)).
-		Int("voters", len(group.Status().Membership.Voters)).Msg("control: changed the members of the group.")
+	entry.Str("change", change.Kind.String()).Str("member", formatID(change.ID)).Bool("done", err == nil).
+		Int("voters", len(group.Status().Membership.Voters)).Msg("control: changes the members of the group.")
 }
