--- a/node/beats.go
+++ b/node/beats.go
@@ -10,8 +10,8 @@
 )
 
 const (
-	// beatInterval is the time between two beats of the control leader.
-	beatInterval = 500 * time.Millisecond
+	// defaultBeatInterval is the time between two beats of the control leader.
+	defaultBeatInterval = 500 * time.Millisecond
 	// relayInterval is the time between two messages with confirmations to the control leader.
 	relayInterval = 200 * time.Millisecond
 )
@@ -64,7 +64,7 @@
 	}
 	issued, at := time.Now(), b.role.node.clock()
 	term := b.role.groups[groupControl].Status().Term
-	ctx, cancel := context.WithTimeout(b.role.node.tomb.Context(context.Background()), beatInterval)
+	ctx, cancel := context.WithTimeout(b.role.node.tomb.Context(context.Background()), b.role.node.opts.BeatInterval)
 	defer cancel()
 	if err := b.role.groups[groupControl].Barrier(ctx); err != nil {
 		b.setLeading(false)
--- a/node/controlrole.go
+++ b/node/controlrole.go
@@ -84,6 +84,8 @@
 	}
 	transport := newRaftTransport(name, c.node.opts.PeerAddress, c.node.client, c.node.memberAddress, &c.node.tomb)
 	group, err := replica.Join(replica.Options{
+		HeartbeatTicks: c.node.opts.RaftHeartbeatTicks,
+
 		Store:        store,
 		Recovered:    recovered,
 		StateMachine: machine,
@@ -124,7 +126,7 @@
 	for name, group := range c.groups {
 		t.Go(func() error { return c.watchGroup(name, group) })
 	}
-	t.Go(func() error { return every(t, beatInterval, c.beats.issue) })
+	t.Go(func() error { return every(t, c.node.opts.BeatInterval, c.beats.issue) })
 	t.Go(func() error { return every(t, relayInterval, c.beats.relayConfirmations) })
 	t.Go(func() error { return every(t, rosterInterval, c.keepRoster) })
 	if !c.node.opts.NoRecords {
--- a/node/limiter.go
+++ b/node/limiter.go
@@ -30,6 +30,9 @@
 	// owns tells whether this process owns the shard and holds the right to act. since is the time from which no other
 	// process acts for the shard.
 	owns(shard int) (since time.Duration, ok bool)
+	// ownsProvisionally tells whether this process is named as the owner of the shard and holds the right to act, while a
+	// former owner may still be acting. since is when it was first seen as the owner.
+	ownsProvisionally(shard int) (since time.Duration, ok bool)
 }
 
 // limiter drives a quota.Holder, and a quota.Owner for the shards that this process owns.
@@ -40,8 +43,12 @@
 	owners owners
 	tomb   *tomb.Tomb
 	vm     string
+	parts  rateParts
+	cfg    quota.Config
 	// rateExcess and burstExcess are those of Options.
-	rateExcess  float64
+	rateExcess float64
+	// provisional is Options.ProvisionalRate.
+	provisional float64
 	burstExcess int
 
 	mu      sync.Mutex // guards the fields below
@@ -58,6 +65,8 @@
 		owners:  o,
 		tomb:    t,
 		vm:      cfg.Process,
+		parts:   newRateParts(defaultRateParts, cfg.Process),
+		cfg:     cfg,
 		holder:  quota.NewHolder(cfg),
 		granter: map[int]*quota.Owner{},
 		waiters: map[string]chan struct{}{},
@@ -69,31 +78,42 @@
 	l.tomb.Go(func() error { return every(l.tomb, time.Second, l.sweep) })
 }
 
-// Take takes one request from the team's rate. It waits a short time for a token that the owner may grant.
+// Take takes one request from the team's rate. It waits a short time for a token that an owner may grant.
 func (l *limiter) Take(ctx context.Context, team string) (ok bool, retryAfter time.Duration) {
-	l.mu.Lock()
-	ok, retryAfter = l.holder.Take(l.clock(), team)
-	if ok {
-		l.mu.Unlock()
-		return true, 0
+	whole, known := l.teamLimit(team)
+	if !known {
+		return false, maxTokenWait
 	}
-	arrived := l.waiter(team)
-	l.mu.Unlock()
+	parts := l.parts.of(team, whole.Burst)
+	ok, retryAfter, arrived := l.spend(team, parts, l.holder.Take)
 	giveUp := l.clock() + maxTokenWait
-	for {
+	for !ok {
 		l.poll()
 		wait := min(max(retryAfter, time.Millisecond), giveUp-l.clock())
 		if wait <= 0 || !waitFor(ctx, arrived, wait) {
 			return false, retryAfter
 		}
-		l.mu.Lock()
-		ok, retryAfter = l.holder.Retry(l.clock(), team)
-		arrived = l.waiter(team)
-		l.mu.Unlock()
+		ok, retryAfter, arrived = l.spend(team, parts, l.holder.Retry)
+	}
+	return true, 0
+}
+
+// spend spends a token of the first part that has one. Otherwise it returns the least time until a retry is worthwhile and
+// a channel that is closed at the team's next grant.
+func (l *limiter) spend(team string, parts []string, take func(time.Duration, string) (bool, time.Duration)) (bool, time.Duration, <-chan struct{}) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	least := time.Duration(0)
+	for i, part := range parts {
+		ok, retryAfter := take(l.clock(), part)
 		if ok {
-			return true, 0
+			return true, 0, nil
+		}
+		if i == 0 || retryAfter < least {
+			least = retryAfter
 		}
 	}
+	return false, least, l.waiter(team)
 }
 
 // waitFor waits for tokens to arrive or for the time; it returns false when the caller left.
@@ -126,8 +146,8 @@
 	l.mu.Unlock()
 	byOwner := map[string][]quota.GrantRequest{}
 	for _, r := range requests {
-		if since, ok := l.owners.owns(state.ShardOf(r.Team)); ok {
-			l.receive(l.grant(r, since))
+		if reply, ok := l.decide(r); ok {
+			l.receive(reply)
 			continue
 		}
 		if address, ok := l.owners.ownerOf(r.Team); ok {
@@ -167,9 +187,10 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.holder.Receive(l.clock(), reply)
-	if c, ok := l.waiters[reply.Team]; ok {
+	team := l.parts.team(reply.Team)
+	if c, ok := l.waiters[team]; ok {
 		close(c)
-		delete(l.waiters, reply.Team)
+		delete(l.waiters, team)
 	}
 }
 
@@ -177,15 +198,32 @@
 func (l *limiter) serveGrant(_ context.Context, _ string, batch grantBatch) (grantReplies, error) {
 	var answer grantReplies
 	for _, r := range batch.Requests {
-		if since, ok := l.owners.owns(state.ShardOf(r.Team)); ok {
-			answer.Replies = append(answer.Replies, l.grant(r, since))
+		if reply, ok := l.decide(r); ok {
+			answer.Replies = append(answer.Replies, reply)
 		}
 	}
 	return answer, nil
 }
 
-func (l *limiter) grant(r quota.GrantRequest, since time.Duration) quota.GrantReply {
+// decide answers a request where this process may act for the shard of its team. While a former owner may still be acting,
+// only a share of the rate is granted, so that both together stay near it.
+func (l *limiter) decide(r quota.GrantRequest) (quota.GrantReply, bool) {
+	shard := state.ShardOf(r.Team)
+	if since, ok := l.owners.owns(shard); ok {
+		return l.grant(r, since, 1), true
+	}
+	since, ok := l.owners.ownsProvisionally(shard)
+	if !ok || l.provisional <= 0 {
+		return quota.GrantReply{}, false
+	}
+	return l.grant(r, since, l.provisional), true
+}
+
+func (l *limiter) grant(r quota.GrantRequest, since time.Duration, share float64) quota.GrantReply {
 	limit, known := l.limit(r.Team)
+	if share < 1 {
+		limit = quota.Limit{Rate: limit.Rate * share, Burst: max(int(float64(limit.Burst)*share), 1)}
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	owner := l.ownerFor(state.ShardOf(r.Team), since)
@@ -197,7 +235,14 @@
 	return owner.Request(l.clock(), r)
 }
 
-func (l *limiter) limit(team string) (limit quota.Limit, ok bool) {
+// limit returns the limit of a part of a team.
+func (l *limiter) limit(part string) (limit quota.Limit, ok bool) {
+	whole, ok := l.teamLimit(l.parts.team(part))
+	limit = l.parts.limit(part, whole)
+	return limit, ok && limit.Burst > 0
+}
+
+func (l *limiter) teamLimit(team string) (limit quota.Limit, ok bool) {
 	l.fleet.Read(func(s *state.State) {
 		t, found := s.Config().Teams[team]
 		limit = quota.Limit{Rate: t.Rate * (1 + l.rateExcess), Burst: t.Burst + l.burstExcess}
@@ -210,7 +255,9 @@
 func (l *limiter) ownerFor(shard int, since time.Duration) *quota.Owner {
 	owner, ok := l.granter[shard]
 	if !ok {
-		owner = quota.NewOwner(quota.Config{Start: since})
+		cfg := l.cfg
+		cfg.Start = since
+		owner = quota.NewOwner(cfg)
 		l.granter[shard] = owner
 	}
 	return owner
--- a/node/node.go
+++ b/node/node.go
@@ -85,15 +85,19 @@
 	n.client = rpc.NewClient(o.PeerClientTLS)
 	n.rpc = rpc.NewServer()
 	self := membership.Member{Name: o.Name, Address: o.PeerAddress, Domain: o.Domain, Incarnation: n.incarnation}
-	n.gossip = newGossip(self, n.clock, n.client, o.Log)
+	n.gossip = newGossip(self, o.GossipPeriod, n.clock, n.client, o.Log)
 	n.gossip.nameTaken = func(address string) {
 		n.tomb.Kill(errors.Errorf("name %q is used by a process that started later, at %s", o.Name, address))
 	}
 	n.right = &right{clock: n.clock, gossip: n.gossip, fleet: n.fleet, log: o.Log}
 	n.directory = newDirectory(n.clock)
 	n.shards = newShards(o.Name, n.clock, n.fleet, n.right.MayAdmit)
-	holder := quota.Config{Process: o.Name, Incarnation: n.incarnation}
+	holder := quota.Config{Process: o.Name, Incarnation: n.incarnation, Lifetime: o.RateLease, Spare: o.RateSpare}
 	n.limiter = newLimiter(holder, n.clock, n.fleet, n.client, n.shards, &n.tomb)
+	if o.RateParts > 0 {
+		n.limiter.parts = newRateParts(o.RateParts, o.Name)
+	}
+	n.limiter.provisional = o.ProvisionalRate
 	n.limiter.rateExcess, n.limiter.burstExcess = o.RateExcess, o.BurstExcess
 	n.ejections = newEjections(n)
 	n.groups = &groupClient{node: n, leaders: map[groupName]string{}}
--- a/node/options.go
+++ b/node/options.go
@@ -64,6 +64,13 @@
 	// stays. It suits services whose backend servers often fail for a few seconds: an ejection lasts longer than that.
 	NoPeerEjection bool
 
+	// GossipPeriod is the time between two pings of the membership protocol. Default 500ms.
+	GossipPeriod time.Duration
+	// BeatInterval is the time between two beats of the control leader. Default 500ms.
+	BeatInterval time.Duration
+	// RaftHeartbeatTicks is the number of ticks of 100 ms between two heartbeats of the leader of a group. Default 1.
+	RaftHeartbeatTicks int
+
 	// Dialect maps the headers of callers and backend servers. Default: the project's own.
 	Dialect proxy.Dialect
 	// CallerService returns the service of the backend server on this VM. Default: none.
@@ -79,6 +86,15 @@
 	// RetryReserve is the number of retries of one service that all processes together may send before any request
 	// earned them. Default 0: each process has routing.RetryReserve of its own.
 	RetryReserve float64
+	// RateParts is the number of owners that each team's rate is divided among. Default 1.
+	RateParts int
+	// RateLease is how long a process may spend tokens of a team's rate after it asked for them. Default 250ms.
+	RateLease time.Duration
+	// RateSpare is the time for which a process keeps tokens at the observed demand. Default 100ms.
+	RateSpare time.Duration
+	// ProvisionalRate is the share of a team's rate that a new owner grants while a former one may still be acting. Default
+	// 0: it waits until that is impossible.
+	ProvisionalRate float64
 	// RateExcess is the share by which a team's rate, and BurstExcess the number of requests by which its burst, may be
 	// exceeded before a request is refused. Default 0.
 	RateExcess  float64
@@ -119,6 +135,9 @@
 	if o.StopTimeout <= 0 {
 		o.StopTimeout = DefaultStopTimeout
 	}
+	if o.BeatInterval <= 0 {
+		o.BeatInterval = defaultBeatInterval
+	}
 	if o.Log == nil {
 		o.Log = &log.Logger{Level: log.PanicLevel}
 	}
--- a/node/shards.go
+++ b/node/shards.go
@@ -25,7 +25,9 @@
 	owners [state.Shards]string
 	since  [state.Shards]time.Duration
 	// named is the version of this copy in which the owner was first seen.
-	named   [state.Shards]uint64
+	named [state.Shards]uint64
+	// seen is when the present owner was first seen.
+	seen    [state.Shards]time.Duration
 	inForce uint64
 }
 
@@ -46,6 +48,7 @@
 			continue
 		}
 		s.since[i] = now + handoverWait
+		s.seen[i] = now
 		s.named[i] = s.fleet.Version()
 		if s.known && s.owners[i] == "" {
 			s.since[i] = now
@@ -82,6 +85,16 @@
 	return s.since[shard], true
 }
 
+// ownsProvisionally implements owners.
+func (s *shards) ownsProvisionally(shard int) (since time.Duration, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.owners[shard] != s.vm || !s.mayAct() {
+		return 0, false
+	}
+	return s.seen[shard], true
+}
+
 // ownerOf implements owners.
 func (s *shards) ownerOf(name string) (address string, ok bool) {
 	shard := state.ShardOf(name)
--- a/proxy/client.go
+++ b/proxy/client.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"rosemaryline.dev/rpc"
 )
 
 // client sends requests over HTTP/1.1 with keep-alive. Unlike http.Transport it never repeats a request by itself, and it
@@ -41,7 +43,7 @@
 	}
 	return &client{
 		tls:            tlsConfig,
-		open:           newDialer().DialContext,
+		open:           rpc.NewDialer().DialContext,
 		connectTimeout: connectTimeout,
 		maxConns:       max(maxConns, 1),
 		maxIdle:        maxIdle,
--- a/proxy/transport.go
+++ b/proxy/transport.go
@@ -1,29 +1,18 @@
 package proxy
 
 import (
-	"cmp"
 	"context"
 	"io"
-	"net"
 	"net/http"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
-	"golang.org/x/sys/unix"
 )
 
 const (
 	// defaultConnectTimeout bounds opening a connection to a backend server or peer.
 	defaultConnectTimeout = 250 * time.Millisecond
-	// keepAliveIdle, keepAliveInterval and keepAliveProbes find a dead path on a connection that waits, within 5 s. The
-	// times are above a few retransmissions, so that lost packets alone do not end a connection.
-	keepAliveIdle     = 2 * time.Second
-	keepAliveInterval = time.Second
-	keepAliveProbes   = 3
-	// userTimeout bounds the time for which sent bytes stay unacknowledged.
-	userTimeout = 3 * time.Second
 	// tlsHandshakeTimeout bounds the TLS handshake on a connection to a peer.
 	tlsHandshakeTimeout = 2 * time.Second
 	// idleConnTimeout closes a connection before usual server-side idle limits do, which avoids sending a request on a
@@ -48,26 +37,6 @@
 
 func (e *sendError) Unwrap() error { return e.err }
 
-// newDialer returns a dialer whose connections do not stay silent for long: a path that was cut shows neither a reset
-// nor an end.
-func newDialer() *net.Dialer {
-	return &net.Dialer{
-		KeepAliveConfig: net.KeepAliveConfig{
-			Enable:   true,
-			Idle:     keepAliveIdle,
-			Interval: keepAliveInterval,
-			Count:    keepAliveProbes,
-		},
-		Control: func(_, _ string, raw syscall.RawConn) error {
-			var failed error
-			err := raw.Control(func(fd uintptr) {
-				failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
-			})
-			return cmp.Or(err, failed)
-		},
-	}
-}
-
 // errWrongAnswer reports an answer that carries another request's id.
 var errWrongAnswer = errors.New("answer belongs to another request")
 
--- a/rpc/client.go
+++ b/rpc/client.go
@@ -36,6 +36,8 @@
 	conn    *jsonrpc2.Conn
 	attempt *attempt
 	used    uint64
+	// late counts the calls in a row that timed out on conn.
+	late int
 }
 
 type attempt struct {
@@ -46,7 +48,7 @@
 
 // NewClient returns a Client. tlsConfig is nil for plain connections.
 func NewClient(tlsConfig *tls.Config) *Client {
-	return &Client{tls: tlsConfig, Dial: (&net.Dialer{}).DialContext, peers: map[string]*peer{}}
+	return &Client{tls: tlsConfig, Dial: NewDialer().DialContext, peers: map[string]*peer{}}
 }
 
 // Call sends a request to the peer at address and waits for its result. Errors are of type *PeerError; the cause is a
@@ -58,8 +60,12 @@
 	}
 	if err := conn.Call(ctx, method, params, result); err != nil {
 		c.dropClosed(address, conn)
+		if errors.Is(err, context.DeadlineExceeded) {
+			c.suspect(address, conn)
+		}
 		return &PeerError{Step: method, Peer: address, Err: fromWire(err)}
 	}
+	c.answered(address, conn)
 	return nil
 }
 
@@ -137,7 +143,7 @@
 	switch {
 	case a.err != nil:
 	case c.peers[address] == p:
-		p.conn = a.conn
+		p.conn, p.late = a.conn, 0
 	default:
 		// The peer was evicted or the client closed meanwhile, so nothing would close the connection later.
 		a.conn.Close()
@@ -177,6 +183,34 @@
 	}
 }
 
+// maxLateCalls is the number of calls in a row that may time out on a connection before it is opened anew. A connection can
+// go silent for good while new ones work.
+const maxLateCalls = 2
+
+// suspect counts a call that timed out, and closes a connection on which several did in a row.
+func (c *Client) suspect(address string, conn *jsonrpc2.Conn) {
+	c.mu.Lock()
+	p, ok := c.peers[address]
+	late := ok && p.conn == conn
+	if late {
+		p.late++
+		late = p.late >= maxLateCalls
+	}
+	c.mu.Unlock()
+	if late {
+		c.drop(address, conn)
+	}
+}
+
+// answered notes that a connection works.
+func (c *Client) answered(address string, conn *jsonrpc2.Conn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if p, ok := c.peers[address]; ok && p.conn == conn {
+		p.late = 0
+	}
+}
+
 func (c *Client) drop(address string, conn *jsonrpc2.Conn) {
 	conn.Close()
 	c.mu.Lock()
--- a/rpc/codec.go
+++ b/rpc/codec.go
@@ -18,7 +18,7 @@
 // connection stays usable for other calls.
 var ErrMessageTooLarge = errors.New("message is too large")
 
-// boundedCodec writes a message as its length, a varint, and its JSON text. It refuses a message above MaxMessageBytes
+// boundedCodec writes a message as its length, a varint, and its JSON text, which is compressed where it is long. It refuses a message above MaxMessageBytes
 // before it allocates memory for it, and one whose text is not exactly as long as its length says.
 type boundedCodec struct{}
 
@@ -30,6 +30,9 @@
 	if len(data) > MaxMessageBytes {
 		return errors.Wrapf(ErrMessageTooLarge, "%d bytes", len(data))
 	}
+	if data, err = compress(data); err != nil {
+		return err
+	}
 	sentMessages.Add(1)
 	prefix := binary.AppendUvarint(nil, uint64(len(data)))
 	if _, err := stream.Write(prefix); err != nil {
@@ -54,7 +57,11 @@
 	if _, err := io.CopyN(&text, stream, int64(size)); err != nil {
 		return err
 	}
-	return json.Unmarshal(text.Bytes(), v)
+	data, err := decompress(text.Bytes())
+	if err != nil {
+		return err
+	}
+	return json.Unmarshal(data, v)
 }
 
 func peekSize(stream *bufio.Reader) (uint64, error) {
--- /dev/null
+++ b/rpc/compress.go
@@ -0,0 +1,78 @@
+package rpc
+
+import (
+	"bytes"
+	"compress/flate"
+	"io"
+	"sync"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	// compressFrom is the length in bytes from which a message is compressed. Shorter ones gain less than a packet's header.
+	compressFrom = 128
+	// compressedMark is the first byte of a compressed message; JSON text never begins with it.
+	compressedMark = 0
+	// compressionLevel is the lowest one that uses the dictionary.
+	compressionLevel = 2
+)
+
+// dictionary holds texts that most messages repeat, the most frequent ones last. Both sides need the same one, so a change
+// needs another Protocol.
+var dictionary = []byte(`"setDomain":{"domain":"out":true,"force":true,"anyBase":true},"replace":{"label":"baseLabel":"change":{` +
+	`"services":{"set":{"routes":{"set":{"teams":{"set":{"rate":"burst":"keyHashes":["domains":{"set":{"region":"` +
+	`"slots":"connections":"floorPercent":"ramp":{"initialSlots":"successesPerSlot":"queue":{"length":"teamPercent":"maxWait":"` +
+	`"host":"path":"below":true,"service":"access":"public","access":"open","idempotent":true,"priority":"maxAttempts":"objective":"deadline":"` +
+	`"assignShards":{"owners":{"rosterInForce":{"version":"leave":{"name":"join":{"name":"address":"domain":"` +
+	`{"jsonrpc":"2.0","method":"fleet.fetch","params":{"process":"incarnation":"version":"chain":"waitMillis":"beatNumber":` +
+	`"result":{"version":"needSnapshot":"deltas":[{"from":"chain":"command":{"changeId":"operator":"time":"2026-` +
+	`"method":"control.confirm","params":{"confirmations":[{"process":"` +
+	`"method":"quota.requests","params":{"requests":[{"process":"incarnation":"team":"id":"need":"spare":"held":"returned":"replies":[` +
+	`{"jsonrpc":"2.0","method":"raft.message","params":{"group":"control","from":"message":{"kind":7,"from":"to":"term":"logTerm":"index":"commit":"entries":[{"kind":0,"data":"context":` +
+	`"packet":{"kind":4,"updates":[{"name":"core-sidecar-","domain":"status":0,"meta":"eyJyb3dzIjpbeyJzZXJ2aWNlIjoi","metaVersion":"hasMeta":true}],"notices":[` +
+	`{"jsonrpc":"2.0","method":"gossip.packet","params":{"from":":70","packet":{"kind":3,"from":"subject":"beat":{"number":"version":"age":"established":true,` +
+	`"digest":[{"name":"incarnation":17,"metaVersion":17},{"name":"`)
+
+var compressors = sync.Pool{New: func() any {
+	// The level is valid, so there is no error.
+	w, _ := flate.NewWriterDict(nil, compressionLevel, dictionary)
+	return w
+}}
+
+// compress returns the compressed form of a long message with its mark, and other messages as they are.
+func compress(text []byte) ([]byte, error) {
+	if len(text) < compressFrom {
+		return text, nil
+	}
+	w := compressors.Get().(*flate.Writer)
+	defer compressors.Put(w)
+	packed := bytes.NewBuffer(make([]byte, 0, len(text)/2))
+	packed.WriteByte(compressedMark)
+	w.Reset(packed)
+	if _, err := w.Write(text); err != nil {
+		return nil, errors.Wrap(err, "compress message")
+	}
+	if err := w.Close(); err != nil {
+		return nil, errors.Wrap(err, "compress message")
+	}
+	if packed.Len() >= len(text) {
+		return text, nil
+	}
+	return packed.Bytes(), nil
+}
+
+// decompress is the inverse of compress. It refuses a message whose text is above MaxMessageBytes.
+func decompress(data []byte) ([]byte, error) {
+	if len(data) == 0 || data[0] != compressedMark {
+		return data, nil
+	}
+	text, err := io.ReadAll(io.LimitReader(flate.NewReaderDict(bytes.NewReader(data[1:]), dictionary), MaxMessageBytes+1))
+	if err != nil {
+		return nil, errors.Wrap(err, "decompress message")
+	}
+	if len(text) > MaxMessageBytes {
+		return nil, errors.Wrapf(ErrMessageTooLarge, "more than %d bytes decompressed", MaxMessageBytes)
+	}
+	return text, nil
+}
--- a/rpc/doc.go
+++ b/rpc/doc.go
@@ -8,7 +8,7 @@
 	// Path is where the peer listener accepts upgrades.
 	Path = "/v1/rpc"
 	// Protocol is the value of the Upgrade header. It changes when messages change incompatibly.
-	Protocol = "rosemaryline-rpc/1"
+	Protocol = "rosemaryline-rpc/2"
 	// MaxMessageBytes bounds one message. Larger ones close the connection.
 	MaxMessageBytes = 16 << 20
 	// handshakeTimeout bounds connecting, the TLS handshake and the upgrade.
--- a/rpc/rpc_test.go
+++ b/rpc/rpc_test.go
@@ -5,9 +5,11 @@
 	"bytes"
 	"context"
 	"encoding/binary"
+	"encoding/hex"
 	"flag"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -146,7 +148,7 @@
 // stops the server for others.
 func TestServerRefusesGarbage(t *testing.T) {
 	_, c, address := newPeer(t)
-	for _, upgrade := range []string{"", "rosemaryline-rpc/2", "websocket"} {
+	for _, upgrade := range []string{"", "rosemaryline-rpc/1", "websocket"} {
 		req, _ := http.NewRequest("GET", "http://"+address+Path, nil)
 		req.Header.Set("Upgrade", upgrade)
 		resp, err := http.DefaultClient.Do(req)
@@ -223,8 +225,10 @@
 	c := NewClient(nil)
 	defer c.Close()
 	address := listener.Addr().String()
-	// The message is larger than the socket buffers.
-	assert.Assert(t, c.Call(t.Context(), address, "echo", echo{strings.Repeat("x", 7<<20)}, nil) != nil)
+	// The message is larger than the socket buffers, also when it is compressed.
+	noise := make([]byte, 4<<20)
+	rand.NewChaCha8([32]byte{}).Read(noise)
+	assert.Assert(t, c.Call(t.Context(), address, "echo", echo{hex.EncodeToString(noise)[:7<<20]}, nil) != nil)
 	assert.NilError(t, c.Notify(t.Context(), address, "echo", echo{}))
 	for range 2 {
 		(<-accepted).Close()
