--- a/cmd/rosemarylined/main.go
+++ b/cmd/rosemarylined/main.go
@@ -61,6 +61,7 @@
 		fmt.Fprintln(os.Stderr, "rosemarylined:", err)
 		return exitSettings
 	}
+	defer closeLogger(options.Log)
 	n, err := node.Start(options)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "rosemarylined:", err)
@@ -83,6 +84,7 @@
 // runPlatform runs one process on the users' platform.
 func runPlatform(s *settings) int {
 	logger := newLogger(s.logLevel, os.Stdout)
+	defer closeLogger(logger)
 	reload := make(chan os.Signal, 1)
 	signal.Notify(reload, syscall.SIGHUP)
 	if err := platform.Run(logger, stopSignals(), reload); err != nil {
--- a/cmd/rosemarylined/settings.go
+++ b/cmd/rosemarylined/settings.go
@@ -228,8 +228,17 @@
 	"error": log.ErrorLevel,
 }
 
+// newLogger returns a logger that never blocks. closeLogger must be called before the process ends.
 func newLogger(level string, output io.Writer) *log.Logger {
-	return &log.Logger{Level: logLevels[level], Writer: &log.IOWriter{Writer: output}}
+	return &log.Logger{Level: logLevels[level], Writer: newLogWriter(output)}
+}
+
+// closeLogger writes the lines that wait.
+func closeLogger(l *log.Logger) {
+	if w, ok := l.Writer.(*logWriter); ok {
+		// A failing write means that nobody reads the log any more.
+		_ = w.Close()
+	}
 }
 
 // options returns the settings of the process. It reads the certificate files.
@@ -250,7 +259,7 @@
 		KeyedBody:           int64(s.keyedBody),
 		MaxHeaderBytes:      int(s.maxHeader),
 		StopTimeout:         time.Duration(s.stopTimeout),
-		Log:                 newLogger(s.logLevel, os.Stderr),
+		Log:                 newLogger(s.logLevel, os.Stdout),
 	}
 	var err error
 	if o.CallerTLS, err = s.callerTLS(); err != nil {
--- a/node/listeners.go
+++ b/node/listeners.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/pkg/errors"
 	"github.com/uptrace/bunrouter"
 
@@ -149,6 +150,7 @@
 func (n *Node) adminHandler() http.Handler {
 	router := bunrouter.New()
 	router.GET("/debug/vars", bunrouter.HTTPHandler(expvar.Handler()))
+	router.GET("/metrics", bunrouter.HTTPHandler(http.HandlerFunc(ServeMetrics)))
 	router.GET("/livez", func(w http.ResponseWriter, _ bunrouter.Request) error {
 		_, err := w.Write([]byte("ok\n"))
 		return err
@@ -165,6 +167,12 @@
 	return router
 }
 
+// ServeMetrics answers with the process's counters and histograms as text.
+func ServeMetrics(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "text/plain; version=0.0.4")
+	metrics.WritePrometheus(w, true)
+}
+
 func (n *Node) notReadyReason() string {
 	if n.fleet.Version() == 0 {
 		return "no fleet state yet"
--- a/node/memberkeeper.go
+++ b/node/memberkeeper.go
@@ -51,6 +51,10 @@
 				return raft.MemberChange{Kind: raft.RemoveMember, ID: id}, true
 			}
 		}
+		if len(k.unheldSince) > 0 {
+			// The next replacement waits for the removal; added before it, it would make the group odd again.
+			return raft.MemberChange{}, false
+		}
 	}
 	if len(m.Learners) > 0 {
 		return raft.MemberChange{}, false
--- /dev/null
+++ b/node/memberkeeper_test.go
@@ -0,0 +1,89 @@
+package node
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"rosemaryline.dev/raft"
+)
+
+// keeperRun applies a keeper's changes to a membership and checks that no step leaves fewer members that hold an
+// acknowledged change than three.
+type keeperRun struct {
+	t          *testing.T
+	keeper     *memberKeeper
+	now        time.Duration
+	membership raft.Membership
+	changes    []raft.MemberChange
+}
+
+func (r *keeperRun) settle(held ...raft.ID) {
+	for range 200 {
+		r.now += memberInterval
+		change, ok := r.keeper.next(r.now, r.membership, held)
+		if !ok {
+			continue
+		}
+		r.changes = append(r.changes, change)
+		m := &r.membership
+		switch change.Kind {
+		case raft.AddLearner:
+			m.Learners = append(m.Learners, change.ID)
+		case raft.PromoteLearner:
+			m.Learners = slices.DeleteFunc(m.Learners, func(id raft.ID) bool { return id == change.ID })
+			m.Voters = append(m.Voters, change.ID)
+		case raft.RemoveMember:
+			m.Voters = slices.DeleteFunc(m.Voters, func(id raft.ID) bool { return id == change.ID })
+			m.Learners = slices.DeleteFunc(m.Learners, func(id raft.ID) bool { return id == change.ID })
+		}
+		alive := 0
+		for _, id := range m.Voters {
+			if slices.Contains(held, id) {
+				alive++
+			}
+		}
+		assert.Assert(r.t, alive >= m.Quorum() || len(m.Voters) < 5, "%v leaves %v without a quorum of %v", change, m, held)
+	}
+	slices.Sort(r.membership.Voters)
+}
+
+func newKeeperRun(t *testing.T, voters ...raft.ID) *keeperRun {
+	return &keeperRun{t: t, keeper: newMemberKeeper(), membership: raft.Membership{Voters: voters}}
+}
+
+// Guards against a group that does not grow to all control VMs, or shrinks while members are replaced: two lost disks at
+// once, a member at another address, and one that is only cut off.
+func TestMemberKeeper(t *testing.T) {
+	tests := []struct {
+		desc   string
+		voters []raft.ID
+		held   []raft.ID
+		want   []raft.ID
+	}{
+		{"founding", []raft.ID{1}, []raft.ID{1, 2, 3, 4, 5}, []raft.ID{1, 2, 3, 4, 5}},
+		{"one lost disk", []raft.ID{1, 2, 3, 4, 5}, []raft.ID{1, 2, 3, 4, 6}, []raft.ID{1, 2, 3, 4, 6}},
+		{"two lost disks", []raft.ID{1, 2, 3, 4, 5}, []raft.ID{1, 2, 3, 6, 7}, []raft.ID{1, 2, 3, 6, 7}},
+		{"one cut off", []raft.ID{1, 2, 3, 4, 5}, []raft.ID{1, 2, 3, 4}, []raft.ID{1, 2, 3, 4, 5}},
+		{"nothing to do", []raft.ID{1, 2, 3, 4, 5}, []raft.ID{1, 2, 3, 4, 5}, []raft.ID{1, 2, 3, 4, 5}},
+	}
+	for _, test := range tests {
+		t.Run(test.desc, func(t *testing.T) {
+			r := newKeeperRun(t, test.voters...)
+			r.settle(test.held...)
+			assert.DeepEqual(t, r.membership.Voters, test.want)
+			assert.Equal(t, len(r.membership.Learners), 0)
+		})
+	}
+}
+
+// Guards against a second learner before the first one votes: a change of members would take longer than the time in
+// which further disks may be lost.
+func TestMemberKeeperChangesOneAtATime(t *testing.T) {
+	k := newMemberKeeper()
+	change, ok := k.next(0, raft.Membership{Voters: []raft.ID{1}, Learners: []raft.ID{2}}, []raft.ID{1, 2, 3})
+	assert.Assert(t, ok)
+	assert.Equal(t, change, raft.MemberChange{Kind: raft.PromoteLearner, ID: 2})
+}
--- a/proxy/entry.go
+++ b/proxy/entry.go
@@ -304,6 +304,7 @@
 		return
 	}
 	defer resp.Body.Close()
+	countAnswer(resp.Status)
 	copyHeader(w.Header(), resp.Header)
 	e.opts.Dialect.ToCaller(w.Header(), req.ID)
 	writeBody(w, req.Method, resp)
--- a/proxy/metrics.go
+++ b/proxy/metrics.go
@@ -4,8 +4,22 @@
 	"expvar"
 	"fmt"
 	"io"
+	"strconv"
 	"sync"
 	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"rosemaryline.dev/outlier"
+)
+
+// Latency histograms and counters by outcome, served at /metrics. Times are in seconds.
+var (
+	answerSeconds  = metrics.NewHistogram("rosemaryline_answer_seconds")
+	queueSeconds   = metrics.NewHistogram("rosemaryline_queue_seconds")
+	backendSeconds = metrics.NewHistogram("rosemaryline_backend_seconds")
+	pathSeconds    = metrics.NewHistogram("rosemaryline_path_seconds")
+	retriesCounter = metrics.NewCounter("rosemaryline_retries_total")
 )
 
 // Counters of this process, served at /debug/vars.
@@ -17,13 +31,30 @@
 	overheadMicros = expvar.NewInt("rosemaryline_overhead_microseconds_total")
 )
 
-func countRefusal(r *Refusal) { refusalsTotal.Add(string(r.Reason), 1) }
+func countRefusal(r *Refusal) {
+	refusalsTotal.Add(string(r.Reason), 1)
+	metrics.GetOrCreateCounter(fmt.Sprintf("rosemaryline_refusals_total{reason=%q,outcome=%q}", r.Reason, r.Outcome)).Inc()
+}
+
+// countAnswer counts an answer of a backend server that was passed on to a caller.
+func countAnswer(status int) {
+	metrics.GetOrCreateCounter(fmt.Sprintf("rosemaryline_answers_total{status=%q}", strconv.Itoa(status))).Inc()
+}
+
+// countJudgement counts a changed judgement of a backend server.
+func countJudgement(service string, health outlier.Health) {
+	metrics.GetOrCreateCounter(fmt.Sprintf("rosemaryline_judgements_total{service=%q,health=%q}", service, health.String())).Inc()
+}
 
 func countTiming(t Timing, total time.Duration) {
 	requestsTotal.Add(1)
 	queueMicros.Add(t.Queue.Microseconds())
 	backendMicros.Add(t.Backend.Microseconds())
 	overheadMicros.Add((total - t.Queue - t.Backend).Microseconds())
+	answerSeconds.Update(total.Seconds())
+	queueSeconds.Update(t.Queue.Seconds())
+	backendSeconds.Update(t.Backend.Seconds())
+	pathSeconds.Update(max(total-t.Queue-t.Backend, 0).Seconds())
 }
 
 // endingBody calls end once when the body is closed.
--- a/proxy/router.go
+++ b/proxy/router.go
@@ -74,6 +74,9 @@
 		if !ok {
 			return c.end()
 		}
+		if number > 1 {
+			retriesCounter.Inc()
+		}
 		t.logChoice(req, chosen, number)
 		resp, refusal := t.attempt(ctx, req, chosen)
 		if refusal == nil && !t.retryAnswer(req, resp, c) {
--- a/proxy/server.go
+++ b/proxy/server.go
@@ -314,6 +314,7 @@
 		return
 	}
 	s.judged = health
+	countJudgement(s.service, health)
 	s.log.Info().Str("server", s.name).Str("service", s.service).Str("health", health.String()).Str("cause", cause).
 		Float64("score", s.breaker.Score()).Int("running", len(s.running)).Msg("gate: judged backend server.")
 }
