--- a/node/limiter.go
+++ b/node/limiter.go
@@ -19,8 +19,9 @@
 	quotaTick = 25 * time.Millisecond
 	// grantTimeout bounds one request to an owner. The holder sends it again earlier.
 	grantTimeout = time.Second
-	// maxTokenWait bounds the time for which a request waits for a token that may be on its way.
-	maxTokenWait = 250 * time.Millisecond
+	// maxTokenWait bounds the time for which a request waits for a token that may be on its way: some round trips between
+	// failure domains, and no more than an eighth of the shortest usual objective.
+	maxTokenWait = 100 * time.Millisecond
 )
 
 // owners tells which process owns a shard and whether this process may act as the owner.
--- a/proxy/entry.go
+++ b/proxy/entry.go
@@ -312,9 +312,10 @@
 
 func (e *Entry) refuse(w http.ResponseWriter, id string, req *Request, refusal *Refusal) {
 	entry := e.opts.Log.Info().Str("request", id).Str("reason", string(refusal.Reason)).
-		Str("outcome", string(refusal.Outcome)).Str("step", refusal.Step).Str("peer", refusal.Peer)
+		Str("outcome", string(refusal.Outcome)).Str("step", refusal.Step).Str("peer", refusal.Peer).
+		Int("status", refusal.Status).Dur("retryAfter", refusal.RetryAfter)
 	if req != nil {
-		entry = entry.Str("team", req.Team).Str("route", req.Route).Str("service", req.Service)
+		entry = entry.Uint64("version", req.ConfigVersion).Str("team", req.Team).Str("route", req.Route).Str("service", req.Service)
 	}
 	entry.Err(refusal.Err).Msg("entry: refused request.")
 	countRefusal(refusal)
--- a/proxy/gate.go
+++ b/proxy/gate.go
@@ -337,9 +337,10 @@
 	load := g.Load(req.Service)
 	r.Load = &load
 	entry := g.opts.Log.Info().Str("request", req.ID).Str("team", req.Team).Str("service", req.Service).
-		Str("reason", string(r.Reason)).Str("outcome", string(r.Outcome))
+		Str("reason", string(r.Reason)).Str("outcome", string(r.Outcome)).Int("inFlight", load.InFlight).
+		Int("slots", load.Slots).Int("queued", load.Queued).Uint64("version", req.ConfigVersion)
 	if s != nil {
-		entry = entry.Str("server", s.name)
+		entry = entry.Str("server", s.name).Float64("score", s.score())
 		r.Peer = s.name
 		if wantsRoom(r.Reason) && r.RetryAfter == 0 {
 			r.RetryAfter = s.retryAfter()
--- a/proxy/server.go
+++ b/proxy/server.go
@@ -226,7 +226,14 @@
 	repeatable bool
 	// mayFail is true where the entry holds a retry for the request.
 	mayFail bool
-	// patience is the time after which the request counts as a failure where its route's usual time is not known.
+	// score returns the breaker's evidence against the backend server.
+func (s *server) score() float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.breaker.Score()
+}
+
+// patience is the time after which the request counts as a failure where its route's usual time is not known.
 	patience time.Duration
 	cancel   context.CancelFunc
 	gaveUp   bool
