--- a/proxy/server.go
+++ b/proxy/server.go
@@ -226,14 +226,7 @@
 	repeatable bool
 	// mayFail is true where the entry holds a retry for the request.
 	mayFail bool
-	// score returns the breaker's evidence against the backend server.
-func (s *server) score() float64 {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.breaker.Score()
-}
-
-// patience is the time after which the request counts as a failure where its route's usual time is not known.
+	// patience is the time after which the request counts as a failure where its route's usual time is not known.
 	patience time.Duration
 	cancel   context.CancelFunc
 	gaveUp   bool
@@ -326,6 +319,13 @@
 		Float64("score", s.breaker.Score()).Int("running", len(s.running)).Msg("gate: judged backend server.")
 }
 
+// score returns the breaker's evidence against the backend server.
+func (s *server) score() float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.breaker.Score()
+}
+
 // patience is the time after which a missing answer speaks against the backend server.
 func (s *server) patience(req *Request, given time.Duration) time.Duration {
 	s.mu.Lock()
