--- a/cmd/rosemarylined/fleet_test.go
+++ b/cmd/rosemarylined/fleet_test.go
@@ -34,10 +34,12 @@
 type testVM struct {
 	name, domain               string
 	peer, local, admin, caller string
-	dataDir                    string
-	bootstrap                  bool
-	cmd                        *exec.Cmd
-	standin                    *standin.Server
+	// through is the address by which peers reach the process; empty means peer.
+	through   string
+	dataDir   string
+	bootstrap bool
+	cmd       *exec.Cmd
+	standin   *standin.Server
 }
 
 // testFleet is a fleet of separate processes on loopback.
@@ -46,6 +48,8 @@
 	binary string
 	vms    []*testVM
 	client *control.Client
+	// prepare is applied to each VM before it starts.
+	prepare func(*testVM)
 }
 
 func buildDaemon(t *testing.T) string {
@@ -59,11 +63,18 @@
 // startFleet starts three control VMs with the proxy role, one in each failure domain, and configures them.
 func startFleet(t *testing.T) *testFleet {
 	t.Helper()
-	f := &testFleet{t: t, binary: buildDaemon(t)}
+	return startFleetThrough(t, func(*testVM) {})
+}
+
+// startFleetThrough is startFleet with a change to each VM before it starts.
+func startFleetThrough(t *testing.T, change func(*testVM)) *testFleet {
+	t.Helper()
+	f := &testFleet{t: t, binary: buildDaemon(t), prepare: change}
 	for i, domain := range []string{"dom-a", "dom-b", "dom-c"} {
 		vm := newVM("vm-"+domain[4:], domain)
 		vm.bootstrap = i == 0
 		vm.dataDir = filepath.Join(t.TempDir(), domain)
+		change(vm)
 		f.vms = append(f.vms, vm)
 		f.start(vm)
 	}
@@ -86,6 +97,7 @@
 	domains := []string{"dom-a", "dom-b", "dom-c"}
 	for i := range count {
 		vm := newVM(fmt.Sprintf("proxy-%d", i), domains[i%len(domains)])
+		f.prepare(vm)
 		f.vms = append(f.vms, vm)
 		f.start(vm)
 		proxies = append(proxies, vm)
@@ -119,10 +131,13 @@
 	if vm.bootstrap {
 		args = append(args, "-bootstrap")
 	}
+	if vm.through != "" {
+		args = append(args, "-peer-address", vm.through)
+	}
 	join := ""
 	for _, other := range f.vms {
 		if other != vm {
-			join += "," + other.peer
+			join += "," + other.reached()
 		}
 	}
 	if join != "" {
@@ -133,6 +148,14 @@
 	assert.NilError(f.t, vm.cmd.Start())
 }
 
+// reached returns the address by which peers reach the process.
+func (vm *testVM) reached() string {
+	if vm.through != "" {
+		return vm.through
+	}
+	return vm.peer
+}
+
 // prefixWriter passes a process's log to the test's log.
 type prefixWriter struct {
 	prefix string
@@ -232,7 +255,7 @@
 		if err != nil {
 			return err
 		}
-		request := control.GroupRequest{GroupChange: control.GroupChange{Action: control.GroupAdd, ID: id, Address: vm.peer}}
+		request := control.GroupRequest{GroupChange: control.GroupChange{Action: control.GroupAdd, ID: id, Address: vm.reached()}}
 		_, err = f.client.PostOnce(ctx, "/v1/group", request)
 		return err
 	})
