--- a/control/follow.go
+++ b/control/follow.go
@@ -12,6 +12,8 @@
 const (
 	// peerWait is the long poll with a peer while control cannot be reached; it is short, so that control is tried again.
 	peerWait = time.Second
+	// emptyPeerWait is the same for a process without any state: the peer may have none either.
+	emptyPeerWait = 100 * time.Millisecond
 	// followPause is the time before the next attempt after nobody answered.
 	followPause = 100 * time.Millisecond
 )
@@ -53,6 +55,9 @@
 	r.failed(err)
 	viaPeer := *r.Follower
 	viaPeer.Wait = peerWait
+	if f := r.Follower; f.Copy.Version() == 0 {
+		viaPeer.Wait = emptyPeerWait
+	}
 	n, err = viaPeer.pollOne(ctx, pick(peers, ""), r.known)
 	if err != nil && ctx.Err() == nil {
 		r.failed(err)
--- a/node/beats.go
+++ b/node/beats.go
@@ -24,8 +24,10 @@
 
 	mu      sync.Mutex // guards the fields below
 	leading bool
-	number  uint64
-	known   uint64 // version of the roster in the confirmations
+	// issuedAt is when the last beat was issued.
+	issuedAt time.Duration
+	number   uint64
+	known    uint64 // version of the roster in the confirmations
 }
 
 func newBeats(c *controlRole) *beats {
@@ -55,6 +57,20 @@
 	_ = b.relay.Flush(ctx, b.role.node.client, address)
 }
 
+// leadCheckInterval is the time between two looks whether this process leads, so that the first beat of a new leader does
+// not wait for the interval: owners of rates wait for it after a restart.
+const leadCheckInterval = 100 * time.Millisecond
+
+// issueDue issues a beat where the interval is over or this process has begun to lead.
+func (b *beats) issueDue() {
+	b.mu.Lock()
+	due := !b.leading || b.role.node.clock()-b.issuedAt >= b.role.node.opts.BeatInterval
+	b.mu.Unlock()
+	if due {
+		b.issue()
+	}
+}
+
 // issue issues a beat after a quorum confirmed that this process leads. The beat counts as issued at the start of the
 // confirmation: everything that was accepted before is part of the version that it carries.
 func (b *beats) issue() {
@@ -71,6 +87,9 @@
 		return
 	}
 	b.setLeading(true)
+	b.mu.Lock()
+	b.issuedAt = at
+	b.mu.Unlock()
 	b.refreshRoster()
 	beat := b.next(term)
 	b.confirmations.Issued(beat.Number, at)
--- a/node/controlrole.go
+++ b/node/controlrole.go
@@ -126,7 +126,7 @@
 	for name, group := range c.groups {
 		t.Go(func() error { return c.watchGroup(name, group) })
 	}
-	t.Go(func() error { return every(t, c.node.opts.BeatInterval, c.beats.issue) })
+	t.Go(func() error { return every(t, leadCheckInterval, c.beats.issueDue) })
 	t.Go(func() error { return every(t, relayInterval, c.beats.relayConfirmations) })
 	t.Go(func() error { return every(t, rosterInterval, c.keepRoster) })
 	if !c.node.opts.NoRecords {
--- a/rpc/dialer.go
+++ b/rpc/dialer.go
@@ -17,12 +17,16 @@
 	keepAliveProbes   = 3
 	// userTimeout bounds the time for which sent bytes stay unacknowledged.
 	userTimeout = 2500 * time.Millisecond
+	// connectTimeout bounds opening a connection. It covers several round trips between regions; where the first packet is
+	// lost, a new attempt comes sooner than TCP's second one after a second.
+	connectTimeout = 400 * time.Millisecond
 )
 
 // NewDialer returns a dialer whose connections do not stay silent for long: a path that was cut shows neither a reset nor
 // an end.
 func NewDialer() *net.Dialer {
 	return &net.Dialer{
+		Timeout: connectTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{
 			Enable:   true,
 			Idle:     keepAliveIdle,
