--- a/node/node.go
+++ b/node/node.go
@@ -232,10 +232,14 @@
 	return n.stopErr
 }
 
+// answerReserve is the part of a graceful stop in which requests that still wait are answered.
+const answerReserve = 300 * time.Millisecond
+
 func (n *Node) stop() error {
 	ctx, cancel := context.WithTimeout(context.Background(), n.opts.StopTimeout)
 	defer cancel()
 	n.Leave()
+	defer time.AfterFunc(max(n.opts.StopTimeout-answerReserve, 0), n.entry.EndRequests).Stop()
 	var failed error
 	for _, s := range n.servers {
 		if err := s.Shutdown(ctx); err != nil && failed == nil {
--- a/proxy/entry.go
+++ b/proxy/entry.go
@@ -72,6 +72,9 @@
 type Entry struct {
 	opts  EntryOptions
 	route *router
+	// ending is done when the requests that still wait must be answered.
+	ending context.Context
+	end    context.CancelFunc
 }
 
 // NewEntry returns an Entry.
@@ -94,9 +97,15 @@
 	if opts.CallerService == nil {
 		opts.CallerService = func() string { return "" }
 	}
-	return &Entry{opts: opts, route: newRouter(opts)}
+	e := &Entry{opts: opts, route: newRouter(opts)}
+	e.ending, e.end = context.WithCancel(context.Background())
+	return e
 }
 
+// EndRequests ends the wait of all requests, so that each caller gets an answer before the process stops: one that
+// certainly did not run is refused as not run.
+func (e *Entry) EndRequests() { e.end() }
+
 // Sweep drops what the entry remembers of gates without traffic.
 func (e *Entry) Sweep() { e.route.loads.sweep(e.opts.Clock()) }
 
@@ -295,7 +304,10 @@
 func (e *Entry) run(w http.ResponseWriter, r *http.Request, req *Request) {
 	// The gate lets a request that may not be repeated go on once it was sent; before that, a caller that left takes the
 	// request out of the queue.
-	resp, err := e.route.run(r.Context(), req)
+	ctx, cancel := context.WithCancel(r.Context())
+	defer cancel()
+	defer context.AfterFunc(e.ending, cancel)()
+	resp, err := e.route.run(ctx, req)
 	if req.Call && (err != nil || resp.Status >= http.StatusInternalServerError) {
 		e.opts.Gate.CallFailed()
 	}
--- a/proxy/refusal_test.go
+++ b/proxy/refusal_test.go
@@ -201,3 +201,40 @@
 	cands, _, _ := entry.entry.Explain("svc")
 	assert.Equal(t, cands[0].Capacity, 4.0)
 }
+
+// Guards against a stop that closes connections on which a request waits: each waiting caller gets an answer first, and it
+// says truly that the request did not run.
+func TestEndRequestsAnswersThoseThatWait(t *testing.T) {
+	release := make(chan struct{})
+	b := newBackend(t, func(http.ResponseWriter, *http.Request) { <-release })
+	defer close(release)
+	v := newView(t, 1)
+	far := newVM(t, "vm2", v, nil)
+	far.announce(t, "b", addressOf(b.Server), "1")
+	for _, m := range []*vm{single(t, v, b), newVM(t, "vm3", v, directory{host("vm2", addressOf(far.peer))})} {
+		gate := m.gate
+		if m.entry.opts.VM == "vm3" {
+			gate = far.gate
+		}
+		before := b.count()
+		running := make(chan struct{})
+		go func() {
+			defer close(running)
+			call(t, m.caller, "POST", "/once", strings.NewReader("first"))
+		}()
+		eventually(t, "one runs", func() bool { return b.count() == before+1 })
+		answered := make(chan *http.Response, 1)
+		go func() {
+			resp, _, _ := call(t, m.caller, "POST", "/once", strings.NewReader("second"))
+			answered <- resp
+		}()
+		eventually(t, "the other waits", func() bool { return gate.Load("svc").Queued == 1 })
+		m.entry.EndRequests()
+		resp := <-answered
+		assert.Equal(t, resp.StatusCode, http.StatusServiceUnavailable)
+		assert.Equal(t, resp.Header.Get(HeaderOutcome), "not-run")
+		release <- struct{}{}
+		<-running
+		assert.Equal(t, b.count(), before+1)
+	}
+}
