raft: only the founder of a group campaigns at once

Ruled out: the election itself (one leader a term). The exception now needs a group without any entry; TestOnlyFounderCampaignsAtOnce fails on the former code.

--- a/raft/node.go
+++ b/raft/node.go
@@ -46,14 +46,17 @@
 	outstanding     *Ready
 }
 
+// foundingSnapshotIndex is the index of a new group's first snapshot, before any entry.
+const foundingSnapshotIndex = 1
+
 // Bootstrap returns the state with which each founding voter of a group starts. It must be saved before New is called.
 // Its snapshot has empty data, which stands for the state machine's initial state.
 func Bootstrap(voters []ID) Restored {
 	sorted := slices.Clone(voters)
 	slices.Sort(sorted)
 	return Restored{
-		HardState: HardState{Term: 1, Commit: 1},
-		Snapshot:  Snapshot{Index: 1, Term: 1, Membership: Membership{Voters: sorted}},
+		HardState: HardState{Term: 1, Commit: foundingSnapshotIndex},
+		Snapshot:  Snapshot{Index: foundingSnapshotIndex, Term: 1, Membership: Membership{Voters: sorted}},
 	}
 }
 
@@ -92,15 +95,16 @@
 		n.tickLeader()
 		return
 	}
-	if (n.elapsed >= n.electionTimeout || n.isOnlyVoter()) && n.mayCampaign() {
+	if (n.elapsed >= n.electionTimeout || n.isFounder()) && n.mayCampaign() {
 		n.campaignPreVote()
 	}
 }
 
-// isOnlyVoter reports whether this member needs nobody's vote, so that it need not wait for another leader.
-func (n *Node) isOnlyVoter() bool {
+// isFounder reports whether this member is the only voter of a group without any entry yet, so that no other leader can
+// exist and it need not wait for one. A later group of one may still have a former leader with a lease.
+func (n *Node) isFounder() bool {
 	m := n.membership()
-	return len(m.Voters) == 1 && m.IsVoter(n.cfg.ID)
+	return len(m.Voters) == 1 && m.IsVoter(n.cfg.ID) && n.log.last() == foundingSnapshotIndex
 }
 
 // Status describes the member.
