--- a/proxy/announce.go
+++ b/proxy/announce.go
@@ -47,7 +47,8 @@
 	Sequence uint64 `json:"sequence,omitempty"`
 }
 
-// outdates tells whether the announcement came from an earlier instance than other, or earlier from the same one.
+// outdated tells whether the announcement came from an earlier instance than the other one, or earlier from the same
+// instance.
 func (a *Announcement) outdated(by *Announcement) bool {
 	if a.StartedMs != by.StartedMs {
 		return a.StartedMs != 0 && a.StartedMs < by.StartedMs
--- a/proxy/gate.go
+++ b/proxy/gate.go
@@ -241,8 +241,8 @@
 func (g *Gate) Sweep() {
 	g.adoptHeld()
 	for _, s := range g.list("") {
-		for _, event := range s.sweepRunning() {
-			g.opts.Log.Info().Str("server", s.name).Str("service", s.service).Dur("age", event).
+		for _, age := range s.sweepRunning() {
+			g.opts.Log.Info().Str("server", s.name).Str("service", s.service).Dur("age", age).
 				Msg("gate: request is overdue.")
 		}
 		if s.forgotten() {
--- a/proxy/router.go
+++ b/proxy/router.go
@@ -44,8 +44,9 @@
 	reason routing.Reason
 }
 
-// course is the course of one request over its attempts.
+// course is what a router knows of one request over its attempts.
 type course struct {
+	// tried are the VMs that the request must not go to again.
 	tried map[string]bool
 	// doubtful are the tried VMs whose backend servers were doubtful.
 	doubtful map[string]bool
