proxy: build both kinds of a gate's response in one place; node: keep the limiter's excess fields together

Found in the last read of the change: the response of a buffered answer repeated that of a streamed one, and a field had slipped between a comment and what it names.

--- a/node/limiter.go
+++ b/node/limiter.go
@@ -47,10 +47,10 @@
 	parts  rateParts
 	cfg    quota.Config
 	// rateExcess and burstExcess are those of Options.
-	rateExcess float64
+	rateExcess  float64
+	burstExcess int
 	// provisional is Options.ProvisionalRate.
 	provisional float64
-	burstExcess int
 
 	mu      sync.Mutex // guards the fields below
 	holder  *quota.Holder
--- a/proxy/run.go
+++ b/proxy/run.go
@@ -119,16 +119,8 @@
 		cancel()
 		return g.bufferedResponse(resp, body, held, latency, req), nil
 	}
-	resp.Body = &prefixedBody{Reader: io.MultiReader(bytes.NewReader(body), resp.Body), Closer: resp.Body}
-	return &Response{
-		Status:        resp.StatusCode,
-		Header:        answerHeaders(resp.Header),
-		Body:          newAnswerBody(resp.Body, cancel, release),
-		ContentLength: resp.ContentLength,
-		Server:        held.server.name,
-		Timing:        Timing{Queue: held.wait, Backend: latency},
-		Load:          g.Load(req.Service),
-	}, nil
+	rest := &prefixedBody{Reader: io.MultiReader(bytes.NewReader(body), resp.Body), Closer: resp.Body}
+	return g.response(resp, newAnswerBody(rest, cancel, release), resp.ContentLength, held, latency, req), nil
 }
 
 // maxBufferedAnswer is the largest answer in bytes that is read to its end before any of it is passed on, so that one that
@@ -150,15 +142,20 @@
 	io.Closer
 }
 
+// bufferedResponse is the response with a body that was read to its end.
 func (g *Gate) bufferedResponse(resp *http.Response, body []byte, held *slot, latency time.Duration, req *Request) *Response {
 	length := int64(len(body))
 	if req.Method == http.MethodHead {
 		length = resp.ContentLength
 	}
+	return g.response(resp, io.NopCloser(bytes.NewReader(body)), length, held, latency, req)
+}
+
+func (g *Gate) response(resp *http.Response, body io.ReadCloser, length int64, held *slot, latency time.Duration, req *Request) *Response {
 	return &Response{
 		Status:        resp.StatusCode,
 		Header:        answerHeaders(resp.Header),
-		Body:          io.NopCloser(bytes.NewReader(body)),
+		Body:          body,
 		ContentLength: length,
 		Server:        held.server.name,
 		Timing:        Timing{Queue: held.wait, Backend: latency},
