--- a/control/follow.go
+++ b/control/follow.go
@@ -13,7 +13,7 @@
 	// peerWait is the long poll with a peer while control cannot be reached; it is short, so that control is tried again.
 	peerWait = time.Second
 	// followPause is the time before the next attempt after nobody answered.
-	followPause = 500 * time.Millisecond
+	followPause = 100 * time.Millisecond
 )
 
 // Targets returns the peer listeners of control VMs and of other processes at this moment.
--- a/node/follower.go
+++ b/node/follower.go
@@ -29,8 +29,7 @@
 	return nil
 }
 
-// sources returns the peer listeners of control VMs and of all other processes. A new process knows only the addresses
-// to join.
+// sources returns the peer listeners of control VMs and of all other processes.
 func (n *Node) sources() (controlVMs, peers []string) {
 	for _, m := range n.gossip.list() {
 		switch {
@@ -40,6 +39,10 @@
 			peers = append(peers, m.Address)
 		}
 	}
+	if len(controlVMs) == 0 {
+		// A new process has no member list yet; the addresses to join answer the same questions.
+		controlVMs = n.opts.Join
+	}
 	return controlVMs, peers
 }
 
--- a/proxy/run.go
+++ b/proxy/run.go
@@ -54,6 +54,7 @@
 	timer := time.AfterFunc(g.responseTime(req), cancel)
 	tracked := g.track(req, held.server.name)
 	began := g.opts.Clock()
+	given := time.Until(req.Deadline)
 	resp, gaveUp, err := g.sendWatched(ctx, cancel, req, held)
 	var told BackendAnswer
 	var body []byte
@@ -87,7 +88,7 @@
 		if errors.As(err, &failed) && failed.local {
 			result = admission.Cancelled
 		}
-		if !inTime && latency < held.server.patience() {
+		if !inTime && latency < held.server.patience(req, given) {
 			// The deadline was too near to tell anything about the backend server.
 			result = admission.Cancelled
 		}
@@ -100,7 +101,7 @@
 		return nil, refusal
 	}
 	result := statusResult(resp.StatusCode)
-	if result == admission.Failed && (g.callFailedSince(began) || resp.StatusCode == http.StatusGatewayTimeout && latency < held.server.patience()) {
+	if result == admission.Failed && (g.callFailedSince(began) || resp.StatusCode == http.StatusGatewayTimeout && latency < held.server.patience(req, given)) {
 		result = admission.Cancelled
 	}
 	nested := tracked.end(result)
@@ -182,7 +183,7 @@
 
 // sendWatched sends the request. One that may be repeated is given up when its backend server is ejected meanwhile.
 func (g *Gate) sendWatched(ctx context.Context, cancel context.CancelFunc, req *Request, held *slot) (resp *http.Response, gaveUp bool, err error) {
-	watched := held.server.watch(cancel, req.Repeatable)
+	watched := held.server.watch(cancel, req)
 	resp, err = g.roundTrip(ctx, cancel, req, held)
 	gaveUp = held.server.unwatch(watched)
 	if gaveUp && err == nil {
--- a/proxy/server.go
+++ b/proxy/server.go
@@ -39,8 +39,7 @@
 	// last is the newest announcement.
 	last Announcement
 	ttl  time.Duration
-	// typical is the usual time to an answer, in nanoseconds; 0 before the first one. work is the same for each route.
-	typical float64
+	// work is the usual time to an answer of each route, in nanoseconds.
 	work    map[string]float64
 	waiting map[admission.Ticket]chan waitResult
 	// running holds the requests that wait for an answer.
@@ -115,7 +114,6 @@
 	if fresh {
 		s.breaker.Reset()
 		s.judged = outlier.Healthy
-		s.typical = 0
 		clear(s.work)
 		s.warm = false
 		s.warmBy = s.clock() + rampTime
@@ -224,16 +222,24 @@
 // runningRequest is a request that waits for an answer. The server's mu guards the fields below cancel.
 type runningRequest struct {
 	began      time.Duration
+	route      string
 	repeatable bool
-	cancel     context.CancelFunc
-	gaveUp     bool
+	// mayFail is true where the entry holds a retry for the request.
+	mayFail bool
+	// patience is the time after which the request counts as a failure where its route's usual time is not known.
+	patience time.Duration
+	cancel   context.CancelFunc
+	gaveUp   bool
 	// overdue is true once the request counted as a failure because it took too long.
 	overdue bool
 }
 
 // watch makes a running request known.
-func (s *server) watch(cancel context.CancelFunc, repeatable bool) *runningRequest {
-	r := &runningRequest{cancel: cancel, began: s.clock(), repeatable: repeatable}
+func (s *server) watch(cancel context.CancelFunc, req *Request) *runningRequest {
+	r := &runningRequest{
+		cancel: cancel, began: s.clock(), route: req.Route, repeatable: req.Repeatable, mayFail: req.MayFail,
+		patience: time.Until(req.Deadline) / 2,
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.running[r] = struct{}{}
@@ -269,20 +275,20 @@
 )
 
 // sweepRunning counts requests that wait too long as failures, which finds a backend server that hangs before any
-// deadline does. One that may be repeated is given up, so that its entry tries it elsewhere. It returns the ages of the
-// requests that became overdue.
+// deadline does. One for which its entry holds a retry is given up, so that it is tried elsewhere; others wait on, because a
+// late answer is better than none. It returns the ages of the requests that became overdue.
 func (s *server) sweepRunning() (ages []time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.clock()
 	for r := range s.running {
-		if r.overdue || now-r.began < s.overdueAfter() {
+		if r.overdue || now-r.began < s.overdueAfter(r.route, r.patience) {
 			continue
 		}
 		r.overdue = true
 		s.observe(true, "overdue")
 		ages = append(ages, now-r.began)
-		if r.repeatable {
+		if r.repeatable && r.mayFail {
 			r.gaveUp = true
 			r.cancel()
 		}
@@ -290,9 +296,14 @@
 	return ages
 }
 
-// overdueAfter is the time after which a request counts as a failure. The caller holds mu.
-func (s *server) overdueAfter() time.Duration {
-	return max(time.Duration(overdueFactor*s.typical), overdueLeast)
+// overdueAfter is the time after which a request of a route counts as a failure; unknown is that of a route whose usual
+// time is not known. The caller holds mu.
+func (s *server) overdueAfter(route string, unknown time.Duration) time.Duration {
+	usual, known := s.work[route]
+	if !known {
+		return max(unknown, overdueLeast)
+	}
+	return max(time.Duration(overdueFactor*usual), overdueLeast)
 }
 
 // observe passes a result to the breaker and logs a changed judgement. The caller holds mu.
@@ -308,16 +319,15 @@
 }
 
 // patience is the time after which a missing answer speaks against the backend server.
-func (s *server) patience() time.Duration {
+func (s *server) patience(req *Request, given time.Duration) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.overdueAfter()
+	return s.overdueAfter(req.Route, given/2)
 }
 
 // learnLatency updates the usual time to an answer. It rises slowly, so that a backend server that turned slow does not
 // become the measure of itself. The caller holds mu.
 func (s *server) learnLatency(route string, latency time.Duration) {
-	s.typical = typicalLatency(s.typical, float64(latency))
 	if _, known := s.work[route]; !known && len(s.work) >= maxKnownRoutes {
 		clear(s.work)
 	}
