node: owners of rates act provisionally right after a restart, without waiting for tokens of their former run

Cause: after a loss of all processes every request of a team was refused (over-rate) for 1.1 s and a part for 4 s more: an owner waited for a beat of control (election, 1.0 s) and then for the lifetime of its former run's tokens (1 s). Ruled out: missing state (in use after 0.1 s on all VMs) and unreachable owners (grants come at once when asked).

--- a/node/limiter.go
+++ b/node/limiter.go
@@ -31,8 +31,8 @@
 	// owns tells whether this process owns the shard and holds the right to act. since is the time from which no other
 	// process acts for the shard.
 	owns(shard int) (since time.Duration, ok bool)
-	// ownsProvisionally tells whether this process is named as the owner of the shard and holds the right to act, while a
-	// former owner may still be acting. since is when it was first seen as the owner.
+	// ownsProvisionally tells whether this process is named as the owner of the shard and holds the right to act or has just
+	// started, while a former owner may still be acting. since is when it was first seen as the owner.
 	ownsProvisionally(shard int) (since time.Duration, ok bool)
 }
 
@@ -217,7 +217,9 @@
 	if !ok || l.provisional <= 0 {
 		return quota.GrantReply{}, false
 	}
-	return l.grant(r, since, l.provisional), true
+	// The wait for tokens of a former owner is left out: they are part of what that owner's burst allowed, and the new bucket
+	// starts empty.
+	return l.grant(r, since-l.cfg.LongestLifetime(), l.provisional), true
 }
 
 func (l *limiter) grant(r quota.GrantRequest, since time.Duration, share float64) quota.GrantReply {
--- a/node/shards.go
+++ b/node/shards.go
@@ -12,6 +12,11 @@
 // names the new owner or lost its right to act. It is the time of the in-force rule with some reserve.
 const handoverWait = 6 * time.Second
 
+// restartGrace is the time after the start of a process in which it acts provisionally for the shards that its copy gives
+// it, although no beat of control has reached it yet. It covers the election of a control leader after all processes were
+// lost at once (1 to 2 s in docs/incidents/inc-7632.md) and its first beat.
+const restartGrace = 3 * time.Second
+
 // shards tells who owns each shard.
 type shards struct {
 	vm    string
@@ -20,6 +25,9 @@
 	// mayAct tells whether this process has the right to act for the fleet.
 	mayAct func() bool
 
+	// started is when the process started.
+	started time.Duration
+
 	mu     sync.Mutex // guards the fields below
 	known  bool
 	owners [state.Shards]string
@@ -32,7 +40,7 @@
 }
 
 func newShards(vm string, clock proxy.Clock, fleet *proxy.Fleet, mayAct func() bool) *shards {
-	return &shards{vm: vm, clock: clock, fleet: fleet, mayAct: mayAct}
+	return &shards{vm: vm, clock: clock, fleet: fleet, mayAct: mayAct, started: clock()}
 }
 
 // update takes over the owners of the fleet state. A shard that had no owner before can be used at once; for any other
@@ -89,7 +97,7 @@
 func (s *shards) ownsProvisionally(shard int) (since time.Duration, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.owners[shard] != s.vm || !s.mayAct() {
+	if s.owners[shard] != s.vm || !s.mayAct() && s.clock() >= s.started+restartGrace {
 		return 0, false
 	}
 	return s.seen[shard], true
--- a/node/shards_test.go
+++ b/node/shards_test.go
@@ -161,3 +161,28 @@
 		}
 	}
 }
+
+// Guards against a fleet that grants no rates until control has elected a leader and issued a beat after all processes were
+// lost at once, and against a process that goes on to act for shards long after it was cut off.
+func TestRestartedShardOwnerActsProvisionally(t *testing.T) {
+	const shard = 7
+	now := time.Duration(0)
+	may := false
+	f := newFleetFixture(t, "vm-a")
+	f.assign(shard, "vm-a")
+	s := newShards("vm-a", func() time.Duration { return now }, f.fleet, func() bool { return may })
+	s.update()
+	provisionally := func() bool {
+		_, ok := s.ownsProvisionally(shard)
+		return ok
+	}
+	assert.Assert(t, provisionally(), "the process has just started")
+	_, owns := s.owns(shard)
+	assert.Assert(t, !owns, "a former owner may still act")
+	now = restartGrace - time.Millisecond
+	assert.Assert(t, provisionally())
+	now = restartGrace
+	assert.Assert(t, !provisionally(), "no beat has come")
+	may = true
+	assert.Assert(t, provisionally())
+}
--- a/quota/config.go
+++ b/quota/config.go
@@ -64,6 +64,12 @@
 	return c.Lifetime
 }
 
+// LongestLifetime is how long a token of a former owner may be spent, on an owner's clock.
+func (c Config) LongestLifetime() time.Duration {
+	c = c.withDefaults()
+	return c.ownerLifetime(max(c.Lifetime, c.NeedLifetime))
+}
+
 // ownerLifetime is the time on an owner's clock that covers a lifetime on any holder's clock.
 func (c Config) ownerLifetime(lifetime time.Duration) time.Duration {
 	return time.Duration(float64(lifetime)*(1+c.Drift)/(1-c.Drift)) + time.Microsecond
--- a/quota/owner.go
+++ b/quota/owner.go
@@ -26,7 +26,7 @@
 	cfg = cfg.withDefaults()
 	return &Owner{
 		cfg:     cfg,
-		opens:   cfg.Start + cfg.ownerLifetime(max(cfg.Lifetime, cfg.NeedLifetime)),
+		opens:   cfg.Start + cfg.LongestLifetime(),
 		limits:  make(map[string]Limit),
 		buckets: make(map[string]*bucket),
 	}
