routing: entries remember backend servers that keep failing until the gate tells of the recovery

Ruled out: gossip of each judgement (262 changes in 32 s to 32 processes cost as much as they save). Change: a refusal after repeated failures holds for 5 s or until the gate tells the refused entries of the recovery; only entries of the same failure domain try such a backend server, and they do so on purpose; a single failure holds for 500 ms as before.

--- a/node/node.go
+++ b/node/node.go
@@ -107,7 +107,7 @@
 		VM: o.Name, Domain: o.Domain, Fleet: n.fleet, Clock: n.clock, Log: o.Log,
 		Claimer: n.claims, Observer: n.ejections, Admitter: n.admitter(),
 		Dialect: o.Dialect, AnnouncementTTL: o.AnnouncementTTL, HoldUnknown: o.HoldUnknown,
-		AnswersUntilClose: o.AnswersUntilClose,
+		AnswersUntilClose: o.AnswersUntilClose, Recovered: n.tellRecovered,
 	})
 	n.ejections.gate = n.gate
 	n.peers = proxy.NewPeerClient(o.PeerClientTLS)
@@ -157,6 +157,7 @@
 // register adds the methods that peers may call.
 func (n *Node) register() {
 	rpc.Register(n.rpc, methodGossip, n.gossip.receive)
+	rpc.Register(n.rpc, methodRecovered, n.takeRecovered)
 	rpc.Register(n.rpc, methodGrant, n.limiter.serveGrant)
 	rpc.Register(n.rpc, methodPermit, n.ejections.servePermit)
 	rpc.Register(n.rpc, methodDigest, n.ejections.takeDigests)
--- /dev/null
+++ b/node/recovery.go
@@ -0,0 +1,46 @@
+package node
+
+import (
+	"context"
+	"time"
+)
+
+const (
+	methodRecovered = "gate.recovered"
+	// recoveredTimeout bounds one message. An entry that misses it finds out after routing.DoubtTime.
+	recoveredTimeout = 500 * time.Millisecond
+)
+
+// recovery tells an entry that the backend server of a service on a VM is sound again.
+type recovery struct {
+	VM      string `json:"vm"`
+	Service string `json:"service"`
+}
+
+// tellRecovered tells entries that the backend server of a service on this VM is sound again. It does not block.
+func (n *Node) tellRecovered(service string, entries []string) {
+	told := recovery{VM: n.opts.Name, Service: service}
+	for _, entry := range entries {
+		if entry == n.opts.Name {
+			n.entry.Recovered(told.VM, told.Service)
+			continue
+		}
+		member, ok := n.gossip.member(entry)
+		if !ok {
+			continue // the entry has left the fleet
+		}
+		spawn(&n.tomb, func() {
+			ctx, cancel := context.WithTimeout(n.tomb.Context(context.Background()), recoveredTimeout)
+			defer cancel()
+			if err := n.client.Notify(ctx, member.Address, methodRecovered, told); err != nil {
+				n.opts.Log.Debug().Err(err).Str("entry", entry).Msg("gate: the entry was not told of a recovery.")
+			}
+		})
+	}
+}
+
+// takeRecovered takes such a message.
+func (n *Node) takeRecovered(_ context.Context, _ string, told recovery) (struct{}, error) {
+	n.entry.Recovered(told.VM, told.Service)
+	return struct{}{}, nil
+}
--- a/proxy/entry.go
+++ b/proxy/entry.go
@@ -109,6 +109,9 @@
 // Sweep drops what the entry remembers of gates without traffic.
 func (e *Entry) Sweep() { e.route.loads.sweep(e.opts.Clock()) }
 
+// Recovered tells that the backend server of a service on a VM is sound again.
+func (e *Entry) Recovered(vm, service string) { e.route.recovered(vm, service) }
+
 // Explain returns the VMs that host a service, as the routing policy sees them now, and the index of the one that it
 // would choose, or -1.
 func (e *Entry) Explain(service string) ([]routing.Candidate, int, routing.Reason) {
@@ -258,6 +261,7 @@
 func (e *Entry) newRequest(r *http.Request, id string, route *routing.Route) *Request {
 	return &Request{
 		ID:             id,
+		Entry:          e.opts.VM,
 		Service:        e.route.pickService(route),
 		Route:          route.Name,
 		CallerService:  e.opts.CallerService(),
--- a/proxy/gate.go
+++ b/proxy/gate.go
@@ -60,6 +60,9 @@
 	// AnswersUntilClose accepts answers of backend servers that end with their connection. Default: such an answer is
 	// refused, since one that is cut looks the same where a backend server dies in an orderly way.
 	AnswersUntilClose bool
+	// Recovered is called when a backend server is sound again, with the VMs of the entries that were refused meanwhile. It
+	// must not block. Default: nobody is told.
+	Recovered func(service string, entries []string)
 	// HoldUnknown keeps the announcements of services that the configuration does not know yet, instead of refusing them.
 	HoldUnknown bool
 }
@@ -132,6 +135,7 @@
 	if !ok {
 		s = newServer(a, settings, g.opts.Clock, g.opts.AnnouncementTTL, g.opts.Log)
 		s.client.untilClose = g.opts.AnswersUntilClose
+		s.recovered = g.opts.Recovered
 		g.servers[a.Name] = s
 		g.relist()
 		g.opts.Log.Info().Str("server", a.Name).Str("service", a.Service).Str("instance", a.Instance).
@@ -302,8 +306,8 @@
 		return nil, g.refusal(req, notRun(http.StatusServiceUnavailable, ReasonNoCapacity, "pick"), nil)
 	}
 	held, reason := s.acquire(ctx, req, g.opts.Fleet.TeamRate(req.Team))
-	if reason == admission.Reason(ReasonSuspect) {
-		return nil, g.refusal(req, notRun(http.StatusServiceUnavailable, ReasonSuspect, "breaker"), s)
+	if doubts(Reason(reason)) {
+		return nil, g.refusal(req, notRun(http.StatusServiceUnavailable, Reason(reason), "breaker"), s)
 	}
 	if reason != admission.ReasonNone {
 		return nil, g.refusal(req, refusalFor(reason), s)
@@ -353,7 +357,7 @@
 // wantsRoom tells whether a request was refused for want of room that comes back by itself.
 func wantsRoom(reason Reason) bool {
 	switch reason {
-	case ReasonQueueFull, ReasonShed, ReasonSuspect, Reason(admission.ReasonHopeless), Reason(admission.ReasonTeamShare),
+	case ReasonQueueFull, ReasonShed, ReasonSuspect, ReasonFaulty, Reason(admission.ReasonHopeless), Reason(admission.ReasonTeamShare),
 		Reason(admission.ReasonDisplaced), Reason(admission.ReasonMaxWait):
 		return true
 	default:
--- a/proxy/gatehttp.go
+++ b/proxy/gatehttp.go
@@ -74,6 +74,7 @@
 	}
 	req := &Request{
 		ID:             r.Header.Get(HeaderRequestID),
+		Entry:          r.Header.Get(headerEntry),
 		Service:        r.Header.Get(headerService),
 		Team:           r.Header.Get(HeaderTeam),
 		Route:          r.Header.Get(headerRoute),
--- a/proxy/gray_test.go
+++ b/proxy/gray_test.go
@@ -1,9 +1,12 @@
 package proxy
 
 import (
+	"context"
 	"io"
 	"net/http"
+	"sort"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -60,6 +63,74 @@
 	assert.Assert(t, served >= 18, "%d served", served)
 }
 
+// Guards against entries that go on to avoid a backend server after its recovery, and against those that are told although
+// nothing was refused them.
+func TestGateTellsRefusedEntriesOfRecovery(t *testing.T) {
+	v := newView(t, 4)
+	failed := atomic.Bool{}
+	failed.Store(true)
+	b := newBackend(t, func(w http.ResponseWriter, _ *http.Request) {
+		if failed.Load() {
+			w.WriteHeader(http.StatusInternalServerError)
+		}
+	})
+	m := newVM(t, "vm1", v, nil)
+	var told []string
+	m.gate.opts.Recovered = func(service string, entries []string) {
+		assert.Equal(t, service, "svc")
+		told = append(told, entries...)
+	}
+	m.announce(t, "b", addressOf(b.Server), "1")
+	run := func(entry string, mayFail bool) Reason {
+		req := testRequest(t, "once")
+		req.Entry, req.MayFail = entry, mayFail
+		resp, err := m.gate.Run(context.Background(), req)
+		if err != nil {
+			return asRefusal(err).Reason
+		}
+		resp.Body.Close()
+		return ""
+	}
+	assert.Equal(t, run("vm2", false), Reason(""))
+	assert.Equal(t, run("vm3", false), ReasonSuspect)
+	assert.Equal(t, run("vm2", true), Reason(""))
+	assert.Equal(t, run("vm3", false), ReasonFaulty)
+	failed.Store(false)
+	for range 200 {
+		if run("vm2", true) == "" && run("vm2", false) == "" {
+			break
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	sort.Strings(told)
+	assert.DeepEqual(t, told, []string{"vm2", "vm3"})
+}
+
+// Guards against requests that cross failure domains to a backend server which keeps failing, where each would be refused,
+// and against one that no entry tries again.
+func TestOnlyNearEntriesTryAFaultyServer(t *testing.T) {
+	v := newView(t, 4)
+	for _, test := range []struct{ domain, want string }{{"d1", "vm2"}, {"d2", "vm3"}} {
+		faulty, sound := host("vm2", "address"), host("vm3", "address")
+		faulty.Domain = test.domain
+		r := newVM(t, "vm1", v, directory{faulty, sound}).entry.route
+		r.noteDoubt("vm2", "svc", notRun(503, ReasonFaulty, "test"))
+		time.Sleep(routing.TrialSpacing)
+		req := testRequest(t, "a")
+		req.MayFail = true
+		chosen, ok := r.choose(req, map[string]bool{})
+		assert.Assert(t, ok)
+		assert.Equal(t, chosen.peer.VM, test.want)
+		req.MayFail = false
+		chosen, ok = r.choose(req, map[string]bool{})
+		assert.Assert(t, ok)
+		assert.Equal(t, chosen.peer.VM, "vm3")
+		r.recovered("vm2", "svc")
+		_, ok = r.choose(req, map[string]bool{"vm3": true})
+		assert.Assert(t, ok)
+	}
+}
+
 // Guards against retries beyond the budget, and against a refusal in place of the failure that the backend server
 // reported.
 func TestRetriesOfFailedAnswersKeepTheBudget(t *testing.T) {
--- a/proxy/headers.go
+++ b/proxy/headers.go
@@ -15,6 +15,7 @@
 	// HeaderDeadline holds the remaining time in milliseconds, so that clocks need not agree.
 	HeaderDeadline = HeaderPrefix + "Deadline-Ms"
 
+	headerEntry         = HeaderPrefix + "Entry"
 	headerService       = HeaderPrefix + "Service"
 	headerRoute         = HeaderPrefix + "Route"
 	headerDepth         = HeaderPrefix + "Depth"
--- a/proxy/message.go
+++ b/proxy/message.go
@@ -11,7 +11,9 @@
 // Request is one request on its way to a backend server.
 type Request struct {
 	// ID is unique for each request that an entry accepts.
-	ID      string
+	ID string
+	// Entry is the VM of the entry that accepted the request.
+	Entry   string
 	Service string
 	Team    string
 	Route   string
@@ -126,6 +128,7 @@
 	ReasonShed          Reason = "shed"
 	ReasonOtherInstance Reason = "other-instance"
 	ReasonSuspect       Reason = "suspect"
+	ReasonFaulty        Reason = "faulty"
 	ReasonFailed        Reason = "failed"
 	ReasonPathSilent    Reason = "path-silent"
 )
--- a/proxy/remote.go
+++ b/proxy/remote.go
@@ -131,6 +131,7 @@
 
 func setGateHeaders(h http.Header, req *Request) {
 	h.Set(HeaderRequestID, req.ID)
+	h.Set(headerEntry, req.Entry)
 	h.Set(headerService, req.Service)
 	h.Set(HeaderTeam, req.Team)
 	h.Set(headerRoute, req.Route)
--- a/proxy/router.go
+++ b/proxy/router.go
@@ -21,8 +21,7 @@
 	mu      sync.Mutex // guards the fields below
 	paths   *routing.PathHealth
 	budgets map[string]*routing.RetryBudget
-	// doubted holds the time until which a VM gets no request of a service that may not be repeated.
-	doubted map[loadKey]time.Duration
+	doubts  *routing.Doubts
 	rnd     *rand.Rand
 }
 
@@ -33,7 +32,7 @@
 		loads:   newLoadTable(),
 		paths:   routing.NewPathHealth(),
 		budgets: map[string]*routing.RetryBudget{},
-		doubted: map[loadKey]time.Duration{},
+		doubts:  routing.NewDoubts(),
 		rnd:     rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 }
@@ -80,6 +79,9 @@
 		}
 		t.logChoice(req, chosen, number)
 		resp, refusal := t.attempt(ctx, req, chosen)
+		if refusal == nil && req.MayFail && resp.Status < http.StatusInternalServerError {
+			t.trialPassed(chosen.peer.VM, req.Service)
+		}
 		if refusal == nil && !t.retryAnswer(req, resp, c) {
 			c.drop()
 			return resp, nil
@@ -191,7 +193,9 @@
 }
 
 // doubts tells whether a gate refused because its backend server is doubtful.
-func doubts(reason Reason) bool { return reason == ReasonSuspect || reason == ReasonEjected }
+func doubts(reason Reason) bool {
+	return reason == ReasonSuspect || reason == ReasonFaulty || reason == ReasonEjected
+}
 
 // finalRefusal is what the caller sees. Its status never says that the request did not run where it may have.
 func (c *course) finalRefusal() *Refusal {
@@ -270,40 +274,66 @@
 	return b
 }
 
-// doubtTime is how long an entry remembers that a backend server was doubtful before it asks its gate again.
-const doubtTime = 500 * time.Millisecond
-
 func (t *router) noteDoubt(vm, service string, refusal *Refusal) {
 	if !doubts(refusal.Reason) {
 		return
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.doubted[loadKey{vm, service}] = t.opts.Clock() + doubtTime
+	t.doubts.Note(routing.Place{VM: vm, Service: service}, t.opts.Clock(), refusal.Reason == ReasonFaulty)
+}
+
+// trialPassed lets the next trial of a doubtful backend server follow at once.
+func (t *router) trialPassed(vm, service string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.doubts.TrialPassed(routing.Place{VM: vm, Service: service}, t.opts.Clock())
+}
+
+// recovered ends the doubt of a backend server.
+func (t *router) recovered(vm, service string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.doubts.Clear(routing.Place{VM: vm, Service: service})
 }
 
 // withDoubted adds the VMs whose backend servers are doubtful to those that a request already tried.
-func (t *router) withDoubted(service string, tried map[string]bool) map[string]bool {
+func (t *router) withDoubted(req *Request, hosts []Peer, tried map[string]bool) map[string]bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.opts.Clock()
 	avoid := tried
-	for key, until := range t.doubted {
-		if now >= until {
-			delete(t.doubted, key)
-			continue
-		}
-		if key.service != service {
+	for i := range hosts {
+		offer := routing.Offer{MayFail: req.MayFail, Near: hosts[i].Domain == t.opts.Domain}
+		if !t.doubts.Avoid(routing.Place{VM: hosts[i].VM, Service: req.Service}, now, offer) {
 			continue
 		}
 		if len(avoid) == len(tried) {
 			avoid = maps.Clone(tried)
 		}
-		avoid[key.vm] = true
+		avoid[hosts[i].VM] = true
 	}
 	return avoid
 }
 
+// trial returns the index of a near VM whose doubtful backend server the request should try, or -1.
+func (t *router) trial(req *Request, hosts []Peer, tried map[string]bool) int {
+	if !req.MayFail {
+		return -1
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.opts.Clock()
+	for i := range hosts {
+		h := &hosts[i]
+		near := h.Domain == t.opts.Domain && h.State == routing.StateServing && !tried[h.VM]
+		if near && !t.opts.Fleet.DomainOut(h.Domain) && t.doubts.TrialDue(routing.Place{VM: h.VM, Service: req.Service}, now) {
+			return i
+		}
+	}
+	return -1
+}
+
 // pickService returns the service of a new request on a route.
 func (t *router) pickService(route *routing.Route) string {
 	t.mu.Lock()
@@ -314,9 +344,12 @@
 // choose returns the VM for the next attempt.
 func (t *router) choose(req *Request, tried map[string]bool) (choice, bool) {
 	hosts := t.opts.Directory.Hosts(req.Service)
+	if i := t.trial(req, hosts, tried); i >= 0 {
+		return choice{peer: hosts[i], reason: routing.ReasonTrial}, true
+	}
 	avoid := tried
-	if !req.MayFail && !req.Forced {
-		avoid = t.withDoubted(req.Service, tried)
+	if !req.Forced {
+		avoid = t.withDoubted(req, hosts, tried)
 	}
 	_, i, reason := t.rank(hosts, req.Service, avoid)
 	if i < 0 {
--- a/proxy/server.go
+++ b/proxy/server.go
@@ -10,6 +10,7 @@
 	"rosemaryline.dev/admission"
 	"rosemaryline.dev/fleet/config"
 	"rosemaryline.dev/outlier"
+	"rosemaryline.dev/routing"
 )
 
 // server is one backend server on this VM. mu guards the fields below it.
@@ -35,7 +36,12 @@
 	breaker  outlier.Breaker
 	// judged is the breaker's last logged judgement.
 	judged outlier.Health
-	log    *log.Logger
+	// doubters are the VMs of entries that were refused while the backend server was doubtful, with the time of the last
+	// refusal.
+	doubters map[string]time.Duration
+	// recovered is GateOptions.Recovered.
+	recovered func(service string, entries []string)
+	log       *log.Logger
 	// last is the newest announcement.
 	last Announcement
 	ttl  time.Duration
@@ -72,9 +78,11 @@
 		waiting: map[admission.Ticket]chan waitResult{},
 		running: map[*runningRequest]struct{}{},
 		work:    map[string]float64{},
-		cfg:     admissionConfig(settings, slots),
-		ttl:     ttl,
-		log:     logger,
+
+		doubters: map[string]time.Duration{},
+		cfg:      admissionConfig(settings, slots),
+		ttl:      ttl,
+		log:      logger,
 	}
 	s.gate = admission.NewGate(s.cfg)
 	return s
@@ -114,6 +122,7 @@
 	if fresh {
 		s.breaker.Reset()
 		s.judged = outlier.Healthy
+		s.tellRecovered()
 		clear(s.work)
 		s.warm = false
 		s.warmBy = s.clock() + rampTime
@@ -317,6 +326,38 @@
 	countJudgement(s.service, health)
 	s.log.Info().Str("server", s.name).Str("service", s.service).Str("health", health.String()).Str("cause", cause).
 		Float64("score", s.breaker.Score()).Int("running", len(s.running)).Msg("gate: judged backend server.")
+	if health == outlier.Healthy {
+		s.tellRecovered()
+	}
+}
+
+// maxDoubters bounds the entries that are told of a recovery; the others find out after routing.DoubtTime.
+const maxDoubters = 4096
+
+// refuseDoubtful notes an entry whose request is refused because the backend server is doubtful, and returns the reason. The
+// caller holds mu.
+func (s *server) refuseDoubtful(entry string) Reason {
+	if _, known := s.doubters[entry]; entry != "" && (known || len(s.doubters) < maxDoubters) {
+		s.doubters[entry] = s.clock()
+	}
+	if s.breaker.Health() == outlier.Faulty {
+		return ReasonFaulty
+	}
+	return ReasonSuspect
+}
+
+// tellRecovered tells the entries that still avoid the backend server that it is sound. The caller holds mu.
+func (s *server) tellRecovered() {
+	var entries []string
+	for entry, at := range s.doubters {
+		if s.clock()-at < routing.DoubtTime {
+			entries = append(entries, entry)
+		}
+	}
+	clear(s.doubters)
+	if s.recovered != nil && len(entries) > 0 {
+		s.recovered(s.service, entries)
+	}
 }
 
 // score returns the breaker's evidence against the backend server.
@@ -431,8 +472,9 @@
 	s.mu.Lock()
 	admitted, trial := s.breaker.Admit(now, outlier.BreakerRequest{MayFail: req.MayFail, Forced: req.Forced})
 	if !admitted {
+		reason := s.refuseDoubtful(req.Entry)
 		s.mu.Unlock()
-		return nil, admission.Reason(ReasonSuspect)
+		return nil, admission.Reason(reason)
 	}
 	work := s.expectedWork(req.Route)
 	offer := admission.Request{
--- /dev/null
+++ b/routing/doubts.go
@@ -0,0 +1,86 @@
+package routing
+
+import "time"
+
+const (
+	// DoubtTime is how long an entry goes by the refusal of a doubtful backend server's gate without further news. Gray
+	// failures last for seconds, and the gate tells the entries that it refused when the backend server has recovered.
+	DoubtTime = 5 * time.Second
+	// BriefDoubtTime is the same after a single failure, which is mostly forgotten with the next success.
+	BriefDoubtTime = 500 * time.Millisecond
+	// TrialSpacing is the least time between two offers of trials by one entry to one doubtful backend server. It is the
+	// shortest time between two trials that a gate takes after repeated failures.
+	TrialSpacing = 250 * time.Millisecond
+)
+
+// Place is a service on one VM.
+type Place struct{ VM, Service string }
+
+// Doubts is what one entry knows of places whose gate refused a request because the backend server is doubtful. It answers
+// a gray failure that lasts for seconds under a steady load: without it each entry goes on to offer its requests there, and
+// each refusal crosses failure domains.
+type Doubts struct {
+	rows map[Place]doubt
+}
+
+type doubt struct {
+	until, nextTrial time.Duration
+	// lasting is true after repeated failures.
+	lasting bool
+}
+
+// NewDoubts returns a Doubts without any.
+func NewDoubts() *Doubts { return &Doubts{rows: map[Place]doubt{}} }
+
+// Note records that the gate at a place refused a request. lasting is true where the backend server failed repeatedly and the
+// gate tells of its recovery.
+func (d *Doubts) Note(p Place, now time.Duration, lasting bool) {
+	row := doubt{until: now + BriefDoubtTime, nextTrial: now + TrialSpacing}
+	if lasting {
+		row = doubt{until: now + DoubtTime, nextTrial: now + TrialSpacing, lasting: true}
+	}
+	d.rows[p] = row
+}
+
+// TrialPassed records that a trial succeeded: the next one need not wait.
+func (d *Doubts) TrialPassed(p Place, now time.Duration) {
+	if row, ok := d.rows[p]; ok {
+		row.nextTrial = now
+		d.rows[p] = row
+	}
+}
+
+// Clear records that the place has recovered.
+func (d *Doubts) Clear(p Place) { delete(d.rows, p) }
+
+// Offer describes a request that might be sent to a place.
+type Offer struct {
+	// MayFail is true for a request that may try a doubtful backend server.
+	MayFail bool
+	// Near is true in the same failure domain.
+	Near bool
+}
+
+// Avoid tells whether a request must not be sent to a place. Trials of a backend server that failed repeatedly are left to
+// the entries of its failure domain, so that none that its gate refuses crosses failure domains.
+func (d *Doubts) Avoid(p Place, now time.Duration, o Offer) bool {
+	row, ok := d.rows[p]
+	switch {
+	case !ok:
+		return false
+	case now >= row.until:
+		delete(d.rows, p)
+		return false
+	case o.MayFail && (o.Near || !row.lasting):
+		return now < row.nextTrial
+	default:
+		return true
+	}
+}
+
+// TrialDue tells whether a request that may fail should try a place now. Without such trials the capacity of a backend server
+// that has recovered stays unused.
+func (d *Doubts) TrialDue(p Place, now time.Duration) bool {
+	row, ok := d.rows[p]
+	return ok && now >= row.nextTrial && now < row.until
+}
