--- a/outlier/breaker.go
+++ b/outlier/breaker.go
@@ -10,13 +10,14 @@
 	// healthyFailRatio is the failure ratio of a sound backend server that still answers some requests with errors.
 	healthyFailRatio = 0.02
 	// grayFailRatio is the failure ratio from which a backend server counts as gray.
-	grayFailRatio = 0.6
+	grayFailRatio = 0.7
 	// suspectScore is reached by one failure: the next failure would be a second lost request.
 	suspectScore = 3
 	// openScore is reached by two failures without successes between them.
 	openScore = 6
-	// maxScore bounds the successes that a backend server needs after a long fault: five from here to below suspectScore.
-	maxScore = 7
+	// maxScore bounds the successes that a backend server needs after a long fault: three from here to below suspectScore. A
+	// gray one that fails seven in ten passes them once in 37 times.
+	maxScore = 6.5
 	// firstTrialWait is the time after which an open backend server is tried first. It doubles with each failed trial, up
 	// to lastTrialWait, so that a long fault takes few retries out of the budget.
 	firstTrialWait = 250 * time.Millisecond
--- a/outlier/breaker_test.go
+++ b/outlier/breaker_test.go
@@ -101,3 +101,53 @@
 	ok, trial := b.Admit(0, BreakerRequest{Forced: true})
 	assert.Assert(t, ok && !trial)
 }
+
+// Replays a service with few requests that may fail: one offer in 300 ms. Guards against a backend server that is sound again
+// and stays without traffic for long, which left four tenths of a service unused under load.
+func TestBreakerCapacityReturnsWithFewTrials(t *testing.T) {
+	b := &Breaker{}
+	now := time.Duration(0)
+	offer := func(failed bool) {
+		now += 300 * time.Millisecond
+		if ok, trial := b.Admit(now, BreakerRequest{MayFail: true}); ok {
+			if trial {
+				b.TrialEnded()
+			}
+			b.Observe(now, failed)
+		}
+	}
+	for range 30 {
+		offer(true)
+	}
+	healed := now
+	for b.Health() != Healthy {
+		offer(false)
+	}
+	// A second for the longest wait between two trials, and two successes more.
+	assert.Assert(t, now-healed <= lastTrialWait+3*300*time.Millisecond, "took %s", now-healed)
+}
+
+// Guards against the opposite: a backend server that fails seven in ten and is taken for sound often.
+func TestBreakerRarelyTrustsAGrayServer(t *testing.T) {
+	rnd := rand.New(rand.NewPCG(7, 0))
+	b := &Breaker{}
+	now, trusted := time.Duration(0), 0
+	const trials = 2000
+	for seen := 0; seen < trials; {
+		now += 50 * time.Millisecond
+		ok, trial := b.Admit(now, BreakerRequest{MayFail: true})
+		if !ok {
+			continue
+		}
+		if trial {
+			b.TrialEnded()
+		}
+		seen++
+		doubted := b.Health() != Healthy
+		b.Observe(now, rnd.Float64() < 0.7)
+		if doubted && b.Health() == Healthy {
+			trusted++
+		}
+	}
+	assert.Assert(t, trusted < trials/20, "trusted %d times in %d trials", trusted, trials)
+}
