admission: refuse late requests early where no late ones start any more

Ruled out: imbalance (other sound servers were as full), requests that no server was offered at arrival (those are refused). Change: the gate keeps the rate at which late requests start (memory 0.5 s); a late one, and a new one that would become late, is refused when its place among the late ones does not come up before its deadline. The new test held half of the refused requests for 1.95 s of 2 s on the former code; a short burst is still served whole.

--- a/admission/gate.go
+++ b/admission/gate.go
@@ -20,6 +20,9 @@
 	// queues has one queue for each level; deeper calls are served first.
 	queues []*rankedQueue
 	cold   coldRate
+	// late has the rate of late starts of each level; reviewed is when late requests were looked at last.
+	late     []lateDrain
+	reviewed time.Duration
 	// expired holds waiters that were found past their time and are reported by the next Expire.
 	expired []Refusal
 }
@@ -41,6 +44,7 @@
 		inFlight: make([]int, cfg.NestedLevels+1),
 		queues:   newRankedQueues(cfg.NestedLevels + 1),
 		cold:     coldRate{perSecond: cfg.ColdRate},
+		late:     make([]lateDrain, cfg.NestedLevels+1),
 	}
 	return g
 }
@@ -76,7 +80,7 @@
 	if q.teamSize(r.Team) >= g.cfg.teamLength() {
 		return refuse(ReasonTeamShare)
 	}
-	if r.Deadline != 0 && now+g.ramp.wait(q.position(r.Priority, r.Team))+r.Work >= r.Deadline {
+	if r.Deadline != 0 && g.startEstimate(now, r, level)+r.Work >= r.Deadline {
 		return refuse(r.lateReason())
 	}
 	var displaced []Refusal
@@ -147,7 +151,7 @@
 			refusals = append(refusals, Refusal{Ticket: w.ticket, Reason: w.reason})
 		}
 	}
-	return refusals
+	return append(refusals, g.review(now)...)
 }
 
 // NextExpiry returns the time at which Expire has work, and false when it has none.
@@ -157,8 +161,8 @@
 	}
 	next, ok := time.Duration(0), false
 	for _, w := range g.waiting {
-		if !ok || w.expires < next {
-			next, ok = w.expires, true
+		if at := min(w.expires, g.nextReview(w)); !ok || at < next {
+			next, ok = at, true
 		}
 	}
 	return next, ok
@@ -199,6 +203,7 @@
 		g.inFlight[g.level(r.depth)]++
 	}
 	g.queues = newRankedQueues(g.cfg.NestedLevels + 1)
+	g.late = make([]lateDrain, g.cfg.NestedLevels+1)
 	var refusals []Refusal
 	for _, q := range former {
 		for _, w := range q.all() {
@@ -266,7 +271,8 @@
 	for level := g.cfg.NestedLevels; level >= 0; level-- {
 		q := g.queues[level]
 		for q.size > 0 && g.free(level) && g.cold.next(now) <= now {
-			w := q.next(now)
+			g.demote(now, level)
+			w := q.next()
 			if now >= w.expires {
 				q.remove(w)
 				delete(g.waiting, w.ticket)
@@ -275,6 +281,9 @@
 			}
 			q.pop()
 			delete(g.waiting, w.ticket)
+			if w.late {
+				g.late[level].started(now)
+			}
 			g.start(now, w.ticket, w.depth)
 			grants = append(grants, Grant{Ticket: w.ticket, Wait: now - w.queuedAt})
 		}
--- a/admission/load_test.go
+++ b/admission/load_test.go
@@ -132,3 +132,95 @@
 	assert.Assert(t, slices.Contains(low, d.Displaced[0].Ticket))
 	assert.Equal(t, g.Offer(0, Request{Team: "d", Priority: 3}).Reason, ReasonQueueFull)
 }
+
+// sustained replays arrivals at a multiple of the capacity of two slots with 100 ms of work for 6 s; each request has an
+// objective of 400 ms and a deadline of 2 s. It returns the requests that ended and the time for which each refused one was
+// held.
+func sustained(perSecond int) (ended int, held []time.Duration) {
+	const work, length = 100 * time.Millisecond, 6 * time.Second
+	g := NewGate(Config{Slots: 2, InitialSlots: 2, QueueLength: 1000, TeamPercent: 100, MaxWait: time.Minute})
+	arrived, running := map[Ticket]time.Duration{}, map[Ticket]time.Duration{}
+	interval := time.Second / time.Duration(perSecond)
+	next := time.Duration(0)
+	for now := time.Duration(0); now < length; now += 5 * time.Millisecond {
+		for ticket, since := range running {
+			if now-since < work {
+				continue
+			}
+			delete(running, ticket)
+			ended++
+			for _, granted := range g.Done(now, ticket, work, Succeeded) {
+				running[granted.Ticket] = now
+			}
+		}
+		for ; next <= now; next += interval {
+			d := g.Offer(now, Request{Team: "t", Deadline: now + 2*time.Second, Objective: now + 300*time.Millisecond, Work: work / 2})
+			switch d.Verdict {
+			case Admitted:
+				running[d.Ticket] = now
+			case Queued:
+				arrived[d.Ticket] = now
+			default:
+				held = append(held, 0)
+			}
+		}
+		for _, refused := range g.Expire(now) {
+			held = append(held, now-arrived[refused.Ticket])
+		}
+	}
+	return ended, held
+}
+
+// Guards against requests that wait until their deadline although the load stays above the capacity and requests in time
+// take every slot: their callers learn it too late to go elsewhere. Guards also against slots that stay free and against
+// refusals in an overload that ends in time.
+func TestHopelessLateRequestsAreRefusedEarly(t *testing.T) {
+	for _, test := range []struct {
+		desc      string
+		perSecond int
+		refusals  bool
+	}{
+		{desc: "below the capacity", perSecond: 19},
+		{desc: "a quarter above", perSecond: 25, refusals: true},
+		{desc: "three times", perSecond: 60, refusals: true},
+	} {
+		t.Run(test.desc, func(t *testing.T) {
+			ended, held := sustained(test.perSecond)
+			assert.Assert(t, ended >= min(test.perSecond, 20)*6-6, "%d ended", ended)
+			assert.Equal(t, len(held) > 0, test.refusals)
+			slices.Sort(held)
+			if test.refusals {
+				median := held[len(held)/2]
+				assert.Assert(t, median <= time.Second, "half were held longer than %s", median)
+			}
+		})
+	}
+}
+
+// Guards against a short burst after which there would have been time for all: none is refused.
+func TestShortBurstIsServedLate(t *testing.T) {
+	const work = 100 * time.Millisecond
+	g := NewGate(Config{Slots: 2, InitialSlots: 2, QueueLength: 1000, TeamPercent: 100, MaxWait: time.Minute})
+	running := map[Ticket]time.Duration{}
+	ended := 0
+	for now := time.Duration(0); now < 3*time.Second; now += 5 * time.Millisecond {
+		if now < 200*time.Millisecond && now%(10*time.Millisecond) == 0 {
+			d := g.Offer(now, Request{Team: "t", Deadline: now + 2*time.Second, Objective: now + 300*time.Millisecond, Work: work / 2})
+			if d.Verdict == Admitted {
+				running[d.Ticket] = now
+			}
+		}
+		for ticket, since := range running {
+			if now-since < work {
+				continue
+			}
+			delete(running, ticket)
+			ended++
+			for _, granted := range g.Done(now, ticket, work, Succeeded) {
+				running[granted.Ticket] = now
+			}
+		}
+		assert.Equal(t, len(g.Expire(now)), 0)
+	}
+	assert.Equal(t, ended, 20)
+}
--- a/admission/ramp.go
+++ b/admission/ramp.go
@@ -1,6 +1,9 @@
 package admission
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
 	// slowFactor times the normal latency is slow. Below it, ordinary variance between requests would halve the slots.
@@ -141,6 +144,14 @@
 	return time.Duration(float64(n) * r.recent / float64(r.effective))
 }
 
+// rate estimates how many requests a second can start while all slots are in use.
+func (r *ramp) rate() float64 {
+	if r.recent <= 0 {
+		return math.Inf(1)
+	}
+	return float64(r.effective) / (r.recent / float64(time.Second))
+}
+
 func (r *ramp) grow() {
 	r.successes++
 	if r.successes < r.perSlot {
--- a/admission/ranked.go
+++ b/admission/ranked.go
@@ -28,6 +28,8 @@
 	return level
 }
 
+func isLate(level int) bool { return level%2 != 0 }
+
 func newRankedQueues(n int) []*rankedQueue {
 	queues := make([]*rankedQueue, n)
 	for i := range queues {
@@ -72,17 +74,46 @@
 	q.size++
 }
 
-// next returns the waiter that starts next, after it has moved those that became late. The queue must not be empty.
-func (q *rankedQueue) next(now time.Duration) *waiter {
-	for {
-		w := q.ranks[0].next()
-		if w.late || w.objective == 0 || now < w.objective {
-			return w
+// next returns the waiter that starts next. The queue must not be empty.
+func (q *rankedQueue) next() *waiter { return q.ranks[0].next() }
+
+// demote moves the waiters that became late behind those of their priority that are in time.
+func (q *rankedQueue) demote(now time.Duration) {
+	for _, r := range slices.Clone(q.ranks) {
+		if isLate(r.level) {
+			continue
+		}
+		for _, w := range r.all() {
+			if w.objective == 0 || now < w.objective {
+				continue
+			}
+			q.remove(w)
+			w.late = true
+			q.push(w)
+		}
+	}
+}
+
+// lateSize is the number of late waiters.
+func (q *rankedQueue) lateSize() int {
+	size := 0
+	for _, r := range q.ranks {
+		if isLate(r.level) {
+			size += r.size
+		}
+	}
+	return size
+}
+
+// lateWaiters returns the late waiters, the most urgent rank first.
+func (q *rankedQueue) lateWaiters() []*waiter {
+	var waiters []*waiter
+	for _, r := range q.ranks {
+		if isLate(r.level) {
+			waiters = append(waiters, r.all()...)
 		}
-		q.remove(w)
-		w.late = true
-		q.push(w)
 	}
+	return waiters
 }
 
 // pop removes the waiter that next returns and charges its team.
