node: ask the owners of a rate's parts in turn; keep load and ramp out of gossip on the platform

Each request asked all three owners, got spare tokens from each for a demand observed over 250 ms, and returned them; another 1.3 MB was metadata that differed in load and ramp only, fetched by each process. Ruled out: forwarded requests (8.4 MB, two thirds inside one failure domain) as the only cause.

--- a/node/limiter.go
+++ b/node/limiter.go
@@ -22,6 +22,9 @@
 	// maxTokenWait bounds the time for which a request waits for a token that may be on its way: some round trips between
 	// failure domains, and no more than an eighth of the shortest usual objective.
 	maxTokenWait = 100 * time.Millisecond
+	// partPatience is the time after which the next part of a rate is asked while the owner of one does not answer: some
+	// round trips between failure domains, and a third of maxTokenWait, so that three parts are asked in time.
+	partPatience = maxTokenWait / 3
 )
 
 // owners tells which process owns a shard and whether this process may act as the owner.
@@ -79,34 +82,64 @@
 	l.tomb.Go(func() error { return every(l.tomb, time.Second, l.sweep) })
 }
 
-// Take takes one request from the team's rate. It waits a short time for a token that an owner may grant.
+// Take takes one request from the team's rate. It waits a short time for a token that an owner may grant. The parts are asked
+// one after the other: each grant costs a message, and tokens of a second part would be returned unused.
 func (l *limiter) Take(ctx context.Context, team string) (ok bool, retryAfter time.Duration) {
 	whole, known := l.teamLimit(team)
 	if !known {
 		return false, maxTokenWait
 	}
 	parts := l.parts.of(team, whole.Burst)
-	ok, retryAfter, arrived := l.spend(team, parts, l.holder.Take)
-	giveUp := l.clock() + maxTokenWait
+	began := l.clock()
+	ask := partAsking{began: began, patience: partPatience}
+	ok, retryAfter, arrived := l.spend(parts, &ask)
 	for !ok {
 		l.poll()
-		wait := min(max(retryAfter, time.Millisecond), giveUp-l.clock())
+		wait := min(max(retryAfter, time.Millisecond), began+maxTokenWait-l.clock())
 		if wait <= 0 || !waitFor(ctx, arrived, wait) {
 			return false, retryAfter
 		}
-		ok, retryAfter, arrived = l.spend(team, parts, l.holder.Retry)
+		ok, retryAfter, arrived = l.spend(parts, &ask)
 	}
 	return true, 0
 }
 
-// spend spends a token of the first part that has one. Otherwise it returns the least time until a retry is worthwhile and
-// a channel that is closed at the team's next grant.
-func (l *limiter) spend(team string, parts []string, take func(time.Duration, string) (bool, time.Duration)) (bool, time.Duration, <-chan struct{}) {
+// partAsking tells which parts of a team were asked for one request.
+type partAsking struct {
+	// asked counts the parts that were asked.
+	asked    int
+	began    time.Duration
+	patience time.Duration
+}
+
+// next tells whether another part should be asked: the last one has no tokens or its owner takes long to answer.
+func (a *partAsking) next(now time.Duration, blocked bool) bool {
+	return a.asked == 0 || blocked || now-a.began >= time.Duration(a.asked)*a.patience
+}
+
+// spend spends a token of the first part that has one, else it asks for one. It returns the least time until a retry is
+// worthwhile and a channel that is closed at the team's next grant.
+func (l *limiter) spend(parts []string, ask *partAsking) (bool, time.Duration, <-chan struct{}) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	now := l.clock()
+	for _, part := range parts {
+		if l.holder.Spend(now, part) {
+			return true, 0, nil
+		}
+	}
 	least := time.Duration(0)
 	for i, part := range parts {
-		ok, retryAfter := take(l.clock(), part)
+		take := l.holder.Retry
+		if i == ask.asked {
+			if i > 0 && !ask.next(now, l.holder.Blocked(now, parts[i-1])) {
+				least = min(least, ask.patience)
+				break
+			}
+			take = l.holder.Take
+			ask.asked++
+		}
+		ok, retryAfter := take(now, part)
 		if ok {
 			return true, 0, nil
 		}
@@ -114,7 +147,7 @@
 			least = retryAfter
 		}
 	}
-	return false, least, l.waiter(team)
+	return false, least, l.waiter(l.parts.team(parts[0]))
 }
 
 // waitFor waits for tokens to arrive or for the time; it returns false when the caller left.
--- a/node/limiter_test.go
+++ b/node/limiter_test.go
@@ -52,3 +52,34 @@
 	assert.Assert(t, granted > rate/2, "%d granted in the first second", granted)
 	assert.Assert(t, float64(granted) <= l.provisional*rate+1, "%d granted in the first second", granted)
 }
+
+// Guards against a request that asks all owners of a team's rate at once: two of three grants are returned unused, and each
+// costs a message. The next owner is asked when one has no tokens or does not answer.
+func TestPartsOfARateAreAskedInTurn(t *testing.T) {
+	now := time.Duration(0)
+	clock := proxy.Clock(func() time.Duration { return now })
+	newPart := func() (*limiter, []string, *partAsking) {
+		l := newLimiter(quota.Config{Process: "vm-a", Incarnation: 1}, clock, nil, nil, nil, nil)
+		l.parts = newRateParts(3, "vm-a")
+		return l, l.parts.of("team", 30), &partAsking{began: now, patience: partPatience}
+	}
+	asked := func(l *limiter, parts []string, ask *partAsking) (teams []string) {
+		ok, _, _ := l.spend(parts, ask)
+		assert.Assert(t, !ok)
+		for _, r := range l.holder.Poll(now) {
+			teams = append(teams, r.Team)
+		}
+		return teams
+	}
+	l, parts, ask := newPart()
+	assert.DeepEqual(t, asked(l, parts, ask), parts[:1])
+	assert.Equal(t, len(asked(l, parts, ask)), 0)
+	now += partPatience
+	assert.DeepEqual(t, asked(l, parts, ask)[:1], parts[1:2]) // the first owner does not answer
+
+	l, parts, ask = newPart()
+	l.spend(parts, ask)
+	r := l.holder.Poll(now)[0]
+	l.receive(quota.GrantReply{Process: r.Process, Incarnation: r.Incarnation, Team: r.Team, ID: r.ID, RetryAfter: time.Second})
+	assert.DeepEqual(t, asked(l, parts, ask), parts[1:2]) // the first owner has no tokens
+}
--- a/node/loadsteps.go
+++ b/node/loadsteps.go
@@ -5,18 +5,19 @@
 	"time"
 )
 
-// loadInterval is the least time between two versions of the metadata that differ in load only.
-const loadInterval = 10 * time.Second
+// defaultLoadInterval is the default of Options.LoadInterval.
+const defaultLoadInterval = 10 * time.Second
 
-// loadSteps keeps the load in metadata from changing often: each change is gossiped to the whole fleet.
+// loadSteps keeps the load and the ramp in metadata from changing often: each change is gossiped to the whole fleet.
 type loadSteps struct {
-	rows []row
-	at   time.Duration
+	interval time.Duration
+	rows     []row
+	at       time.Duration
 }
 
-// smooth returns rows with the load that was told last, until it is old or something else changed.
+// smooth returns rows with the load and ramp that were told last, until they are old or something else changed.
 func (l *loadSteps) smooth(rows []row, now time.Duration) []row {
-	if now-l.at < loadInterval && slices.EqualFunc(l.rows, rows, sameButLoad) {
+	if now-l.at < l.interval && slices.EqualFunc(l.rows, rows, sameService) {
 		return l.rows
 	}
 	l.rows = rows
@@ -29,8 +30,3 @@
 	a.Load, a.Effective = b.Load, b.Effective
 	return a == b
 }
-
-func sameButLoad(a, b row) bool {
-	a.Load = b.Load
-	return a == b
-}
--- a/node/node.go
+++ b/node/node.go
@@ -92,7 +92,8 @@
 	n.right = &right{clock: n.clock, gossip: n.gossip, fleet: n.fleet, log: o.Log}
 	n.directory = newDirectory(n.clock)
 	n.shards = newShards(o.Name, n.clock, n.fleet, n.right.MayAdmit)
-	holder := quota.Config{Process: o.Name, Incarnation: n.incarnation, Lifetime: o.RateLease, Spare: o.RateSpare}
+	holder := quota.Config{Process: o.Name, Incarnation: n.incarnation, Lifetime: o.RateLease, Spare: o.RateSpare,
+		DemandWindow: o.RateDemandWindow}
 	n.limiter = newLimiter(holder, n.clock, n.fleet, n.client, n.shards, &n.tomb)
 	if o.RateParts > 0 {
 		n.limiter.parts = newRateParts(o.RateParts, o.Name)
@@ -177,7 +178,7 @@
 
 // run starts the drivers.
 func (n *Node) run() {
-	publisher := &publisher{node: n}
+	publisher := &publisher{node: n, loads: loadSteps{interval: n.opts.LoadInterval}}
 	// The first packets carry the metadata, so that control learns of a new member at once.
 	publisher.publish()
 	n.gossip.start(&n.tomb, n.opts.Join)
--- a/node/options.go
+++ b/node/options.go
@@ -71,6 +71,10 @@
 	// RaftHeartbeatTicks is the number of ticks of 100 ms between two heartbeats of the leader of a group. Default 1.
 	RaftHeartbeatTicks int
 
+	// LoadInterval is the least time between two versions of the gossiped metadata that differ only in load and ramp, which
+	// entries learn from answers. Default 10 s.
+	LoadInterval time.Duration
+
 	// Dialect maps the headers of callers and backend servers. Default: the project's own.
 	Dialect proxy.Dialect
 	// CallerService returns the service of the backend server on this VM. Default: none.
@@ -90,6 +94,8 @@
 	RateParts int
 	// RateLease is how long a process may spend tokens of a team's rate after it asked for them. Default 250ms.
 	RateLease time.Duration
+	// RateDemandWindow is the time over which a process observes the demand of a team. Default 250ms.
+	RateDemandWindow time.Duration
 	// RateSpare is the time for which a process keeps tokens at the observed demand. Default 100ms.
 	RateSpare time.Duration
 	// ProvisionalRate is the share of a team's rate that a new owner grants while a former one may still be acting. Default
@@ -135,6 +141,9 @@
 	if o.StopTimeout <= 0 {
 		o.StopTimeout = DefaultStopTimeout
 	}
+	if o.LoadInterval <= 0 {
+		o.LoadInterval = defaultLoadInterval
+	}
 	if o.BeatInterval <= 0 {
 		o.BeatInterval = defaultBeatInterval
 	}
--- a/quota/asking.go
+++ b/quota/asking.go
@@ -144,7 +144,8 @@
 		t.tokens += r.Granted
 		t.expires = expires
 	}
-	t.tight = r.Tight
+	// A brief grant expires at the owner sooner than a report would save.
+	t.tight = r.Tight && !answered.brief
 	if answered.isReport() {
 		return
 	}
--- a/quota/config.go
+++ b/quota/config.go
@@ -12,6 +12,7 @@
 	// DefaultNeedLifetime covers a round trip between regions. Longer ones keep the spent tokens of processes that ask
 	// once in a while out of a small burst.
 	DefaultNeedLifetime = 50 * time.Millisecond
+	DefaultDemandWindow = 250 * time.Millisecond
 	DefaultResend       = 25 * time.Millisecond
 )
 
@@ -33,6 +34,9 @@
 	Drift float64
 	// Spare is the time for which a holder keeps tokens at the observed demand. Default 100ms.
 	Spare time.Duration
+	// DemandWindow is the time constant of the observed demand. Shorter windows forget a team between two requests of a
+	// moderate rate; longer ones keep tokens from processes that the traffic moved to. Default 250ms.
+	DemandWindow time.Duration
 	// Resend is the time after which an unanswered request is sent again. Default 25ms.
 	Resend time.Duration
 }
@@ -50,6 +54,9 @@
 	if c.Spare <= 0 {
 		c.Spare = DefaultSpare
 	}
+	if c.DemandWindow <= 0 {
+		c.DemandWindow = DefaultDemandWindow
+	}
 	if c.Resend <= 0 {
 		c.Resend = DefaultResend
 	}
--- a/quota/demand.go
+++ b/quota/demand.go
@@ -5,12 +5,10 @@
 	"time"
 )
 
-// demandWindow is the time constant of the observed demand. Shorter windows forget a team between two requests of a
-// moderate rate; longer ones keep tokens from processes that the traffic moved to.
-const demandWindow = 250 * time.Millisecond
-
 // demand estimates a team's request rate at one process by an exponentially decaying count.
 type demand struct {
+	// window is the time constant.
+	window    time.Duration
 	perSecond float64
 	updated   time.Duration
 }
@@ -20,11 +18,11 @@
 	if elapsed <= 0 {
 		return
 	}
-	d.perSecond *= math.Exp(-elapsed.Seconds() / demandWindow.Seconds())
+	d.perSecond *= math.Exp(-elapsed.Seconds() / d.window.Seconds())
 	d.updated = now
 }
 
 func (d *demand) add(now time.Duration) {
 	d.decay(now)
-	d.perSecond += 1 / demandWindow.Seconds()
+	d.perSecond += 1 / d.window.Seconds()
 }
--- a/quota/holder.go
+++ b/quota/holder.go
@@ -65,7 +65,7 @@
 func (h *Holder) Take(now time.Duration, team string) (ok bool, retryAfter time.Duration) {
 	t := h.teams[team]
 	if t == nil {
-		t = &holding{team: team, demand: demand{updated: now}}
+		t = &holding{team: team, demand: demand{window: h.cfg.DemandWindow, updated: now}}
 		h.teams[team] = t
 		h.order = append(h.order, t)
 	}
@@ -76,6 +76,18 @@
 	return false, h.miss(now, t)
 }
 
+// Spend spends one token that the holder has, and asks for none otherwise.
+func (h *Holder) Spend(now time.Duration, team string) bool {
+	t := h.teams[team]
+	return t != nil && h.spend(now, t)
+}
+
+// Blocked tells whether the owner had no token at the last request for one.
+func (h *Holder) Blocked(now time.Duration, team string) bool {
+	t := h.teams[team]
+	return t != nil && t.blockedUntil > now
+}
+
 // Retry spends one token for a request whose Take or Retry failed. It does not count as new demand. Call it for every
 // waiting request after Receive, and when retryAfter has passed.
 func (h *Holder) Retry(now time.Duration, team string) (ok bool, retryAfter time.Duration) {
