admission: calls rank by their route's priority, directly before the requests of that priority

Ruled out: quota (few over-rate refusals), placement (all servers of the service were full). Change: a call has the priority of its own route and starts directly before the requests of that priority.

--- a/admission/load_test.go
+++ b/admission/load_test.go
@@ -224,3 +224,47 @@
 	}
 	assert.Equal(t, ended, 20)
 }
+
+// Replays a service at one and a half times its capacity: three calls of less urgent requests for each urgent request of its
+// own. Guards against urgent requests that are served less often than the calls, and against calls that wait behind requests
+// of their own priority.
+func TestUrgentRequestsAreServedBeforeCalls(t *testing.T) {
+	const work = 100 * time.Millisecond
+	g := NewGate(Config{Slots: 2, InitialSlots: 2, QueueLength: 1000, TeamPercent: 100, MaxWait: time.Minute})
+	classes := []struct{ priority, offered, ended int }{
+		{priority: RequestPriority(0)}, {priority: CallPriority(1)}, {priority: CallPriority(1)}, {priority: RequestPriority(1)},
+	}
+	type run struct {
+		class int
+		since time.Duration
+	}
+	queued, running := map[Ticket]int{}, map[Ticket]run{}
+	const interval = work / 3
+	next := time.Duration(0)
+	for now, i := time.Duration(0), 0; now < 6*time.Second; now += 5 * time.Millisecond {
+		for ticket, r := range running {
+			if now-r.since < work {
+				continue
+			}
+			delete(running, ticket)
+			classes[r.class].ended++
+			for _, granted := range g.Done(now, ticket, work, Succeeded) {
+				running[granted.Ticket] = run{queued[granted.Ticket], now}
+			}
+		}
+		for ; next <= now; next += interval {
+			class := i % len(classes)
+			i++
+			classes[class].offered++
+			d := g.Offer(now, Request{Priority: classes[class].priority, Deadline: now + time.Second, Objective: now + 400*time.Millisecond, Work: work / 2})
+			queued[d.Ticket] = class
+			if d.Verdict == Admitted {
+				running[d.Ticket] = run{class, now}
+			}
+		}
+		g.Expire(now)
+	}
+	share := func(class int) float64 { return float64(classes[class].ended) / float64(classes[class].offered) }
+	assert.Assert(t, share(0) > 0.95, "urgent requests: %.2f", share(0))
+	assert.Assert(t, share(1) > share(3) && share(2) > share(3), "calls %.2f and %.2f, requests of their priority %.2f", share(1), share(2), share(3))
+}
--- a/admission/ranked.go
+++ b/admission/ranked.go
@@ -19,6 +19,14 @@
 	level int
 }
 
+// RequestPriority and CallPriority place a priority of the configuration in Request.Priority. A call comes directly before
+// the requests of its priority, because it holds up a request that already has a slot, and after all more urgent ones, which
+// answers a service whose own urgent requests compete with many calls of less urgent ones.
+func RequestPriority(priority int) int { return 2 * priority }
+
+// CallPriority is RequestPriority for a call of a backend server.
+func CallPriority(priority int) int { return 2*priority - 1 }
+
 // rankOf returns the level of a priority's requests, those past their objective after the others.
 func rankOf(priority int, late bool) int {
 	level := 2 * priority
--- a/admission/types.go
+++ b/admission/types.go
@@ -13,7 +13,7 @@
 	// Weight is the team's share of turns and of a full queue relative to other teams; use the team's rate. All requests
 	// of a team should have the same weight. 0 means 1.
 	Weight float64
-	// Priority ranks the request where work waits; 0 is the most urgent.
+	// Priority ranks the request where work waits, the lowest first.
 	Priority int
 	// Deadline is the time after which the request must not start. 0 means no deadline but Config.MaxWait.
 	Deadline time.Duration
--- a/proxy/entry.go
+++ b/proxy/entry.go
@@ -14,6 +14,7 @@
 	"github.com/phuslu/log"
 	"github.com/pkg/errors"
 
+	"rosemaryline.dev/admission"
 	"rosemaryline.dev/fleet/config"
 	"rosemaryline.dev/routing"
 )
@@ -62,8 +63,6 @@
 	DefaultKeyedBody = 1 << 20
 	// minRateRetry is the least time after which a caller over its team's rate is asked to return.
 	minRateRetry = time.Second
-	// callPriority goes before all priorities of routes and teams.
-	callPriority = -1
 	// maxIdempotencyKey bounds the length of an Idempotency-Key in bytes.
 	maxIdempotencyKey = 256
 )
@@ -167,8 +166,7 @@
 	}
 	if route.Access == config.AccessPublic {
 		req.Call = true
-		// A call holds up the request that it is made for.
-		req.Priority = callPriority
+		req.Priority = admission.CallPriority(route.Priority)
 		return req, e.readBody(r, req)
 	}
 	if refusal := e.authorise(req, route, caller); refusal != nil {
@@ -194,7 +192,7 @@
 		return notRun(http.StatusForbidden, ReasonForbidden, "accept")
 	}
 	if priority, ok := e.opts.Fleet.TeamPriority(req.Team); ok {
-		req.Priority = priority
+		req.Priority = admission.RequestPriority(priority)
 	}
 	return nil
 }
@@ -265,7 +263,7 @@
 		Service:        e.route.pickService(route),
 		Route:          route.Name,
 		CallerService:  e.opts.CallerService(),
-		Priority:       route.Priority,
+		Priority:       admission.RequestPriority(route.Priority),
 		MaxAttempts:    route.MaxAttempts,
 		ConfigVersion:  e.opts.Fleet.Version(),
 		Repeatable:     route.Repeatable(r.Method),
--- a/proxy/message.go
+++ b/proxy/message.go
@@ -21,7 +21,7 @@
 	Depth int
 	// CallerService is the service of the backend server on whose VM the request began; empty where there is none.
 	CallerService string
-	// Priority ranks the request where work waits; 0 is the most urgent.
+	// Priority ranks the request where work waits, the lowest first; see admission.RequestPriority.
 	Priority int
 	// MaxAttempts bounds the backend servers that the request is sent to; 0 is no bound but that of the policy.
 	MaxAttempts int
