control: leave a silent control VM in time; one poll a beat, no contact pings in calm

Change: the poll is a beat interval and 250 ms long, its margin 250 ms, the poll of a peer 250 ms; staleness follows the interval.

--- a/control/follow.go
+++ b/control/follow.go
@@ -10,8 +10,9 @@
 )
 
 const (
-	// peerWait is the long poll with a peer while control cannot be reached; it is short, so that control is tried again.
-	peerWait = time.Second
+	// peerWait is the long poll with a peer while control cannot be reached. It is short, so that another control VM is tried
+	// soon: after a silent cut a process must have a new version within 2 s, and noticing the cut takes most of them.
+	peerWait = 250 * time.Millisecond
 	// emptyPeerWait is the same for a process without any state: the peer may have none either.
 	emptyPeerWait = 100 * time.Millisecond
 	// followPause is the time before the next attempt after nobody answered.
--- /dev/null
+++ b/control/follow_test.go
@@ -0,0 +1,78 @@
+package control
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"rosemaryline.dev/fleet/config"
+	"rosemaryline.dev/fleet/state"
+)
+
+// cutCaller answers polls of a fleet in which control-1 has gone silent and peers have no news.
+type cutCaller struct{ source *Source }
+
+func (c cutCaller) Call(ctx context.Context, address, _ string, params, result any) error {
+	request := params.(FetchRequest)
+	switch address {
+	case "control-1":
+		<-ctx.Done()
+		return ctx.Err()
+	case "control-2":
+		reply, err := c.source.Fetch(ctx, request)
+		*result.(*FetchReply) = reply
+		return err
+	default:
+		time.Sleep(time.Duration(request.WaitMillis) * time.Millisecond)
+		return nil
+	}
+}
+
+// Guards against a process that goes on with an old version for more than 2 s after the control VM that it polls was cut off
+// silently: it waited for that poll and then for a peer that had no news either.
+func TestFollowerLeavesSilentControlVMInTime(t *testing.T) {
+	for range 20 { // the order of control VMs is random
+		synctest.Test(t, func(t *testing.T) {
+			newer := &machine{s: state.New()}
+			newer.apply(t, "dom-a")
+			f := &Follower{Copy: NewCopy(), Caller: cutCaller{NewSource(newer, nil)}, Process: "vm", Wait: 1250 * time.Millisecond}
+			deltas, ok := newer.s.Since(0)
+			assert.Assert(t, ok)
+			_, err := f.Copy.Apply(deltas)
+			assert.NilError(t, err)
+			newer.apply(t, "dom-b")
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			began := time.Now()
+			took := time.Duration(0)
+			targets := func() (controlVMs, peers []string) { return []string{"control-1", "control-2"}, []string{"peer"} }
+			f.Run(ctx, targets, func(n News) {
+				if n.Grew {
+					took = time.Since(began)
+					cancel()
+				}
+			}, func(error) {})
+			assert.Assert(t, took <= 2*time.Second, "took %s", took)
+		})
+	}
+}
+
+// machine is a fleet state.
+type machine struct{ s *state.State }
+
+func (m *machine) View(f func(*state.State)) { f(m.s) }
+
+func (m *machine) apply(t *testing.T, domain string) {
+	change := config.Change{}
+	change.Domains.Set = map[string]config.Domain{domain: {Region: "region"}}
+	apply := &state.ApplyChange{Change: change, ContentHash: change.Hash()}
+	command := state.Command{ChangeID: domain, Operator: "o", BaseVersion: m.s.Version(), Apply: apply}
+	data, err := command.Encode()
+	assert.NilError(t, err)
+	before := m.s.Version()
+	m.s.Apply(data)
+	assert.Equal(t, m.s.Version(), before+1)
+}
--- a/control/follower.go
+++ b/control/follower.go
@@ -18,7 +18,7 @@
 	// DefaultFetchWait is the long poll of a Follower.
 	DefaultFetchWait = 10 * time.Second
 	// callMargin is the time that a call may take in addition to its wait.
-	callMargin = 500 * time.Millisecond
+	callMargin = 250 * time.Millisecond
 	// maxSnapshotBytes bounds what a follower accepts, so that a faulty peer cannot exhaust its memory.
 	maxSnapshotBytes = 1 << 30
 )
--- a/membership/admit_test.go
+++ b/membership/admit_test.go
@@ -275,7 +275,7 @@
 	}
 	for _, c := range cases {
 		t.Run(c.desc, func(t *testing.T) {
-			e := newEvidence("a")
+			e := newEvidence("a", staleBeat)
 			e.setRoster([]string{"a", "b", "c"})
 			e.begin(start)
 			second := c.p
--- a/membership/config.go
+++ b/membership/config.go
@@ -29,6 +29,10 @@
 	// processes, so with a fixed interval the traffic of a process would grow with the fleet. Default 200ms, which
 	// keeps metadata of about 1 KB below 16 KB/s for a process.
 	MetaIntervalPerMember time.Duration
+	// StaleBeat is the age of the newest beat from which contact with other processes is looked for. A beat is dated by the
+	// question that it answers, so it is up to two intervals old when the next one comes; a value below that costs pings in
+	// calm times. It must stay below ContactWindow. Default 1.5s.
+	StaleBeat time.Duration
 	// ContactInterval is the time between two further pings while no beat is fresh. Default 400ms: the answers carry
 	// the contacts of the whole roster, and at 2,000 processes shorter intervals cost more than 16 KB/s.
 	ContactInterval time.Duration
@@ -41,6 +45,7 @@
 	setDuration(&c.DeadRetention, 10*time.Minute)
 	setDuration(&c.MetaInterval, time.Second)
 	setDuration(&c.MetaIntervalPerMember, 200*time.Millisecond)
+	setDuration(&c.StaleBeat, staleBeat)
 	setDuration(&c.ContactInterval, 400*time.Millisecond)
 	setInt(&c.Helpers, 3)
 	setInt(&c.Confirmations, 2)
--- a/membership/contacts_test.go
+++ b/membership/contacts_test.go
@@ -24,7 +24,7 @@
 		names = append(names, simName(i))
 	}
 	for _, name := range names {
-		e := newEvidence(name)
+		e := newEvidence(name, staleBeat)
 		e.setRoster(names)
 		e.begin(0)
 		e.answer(&Packet{Beat: &Beat{Number: 1, Version: 1}}, 0, 0)
--- a/membership/evidence.go
+++ b/membership/evidence.go
@@ -31,7 +31,7 @@
 	FetchGrace = 2 * time.Second
 	// ConfirmWindow is the time for which control counts a confirmation towards a majority.
 	ConfirmWindow = 3 * time.Second
-	// staleBeat is the age of the newest beat from which contact with other processes is looked for.
+	// staleBeat is the default of Config.StaleBeat.
 	staleBeat = 1500 * time.Millisecond
 	// lagAge is the age of contact with a majority from which contact is looked for at twice the rate.
 	lagAge = 2 * time.Second
@@ -46,8 +46,10 @@
 
 // evidence is what a process knows about the newest configuration version, and since when at the earliest.
 type evidence struct {
-	self  string
-	start time.Duration
+	// staleBeat is Config.StaleBeat.
+	staleBeat time.Duration
+	self      string
+	start     time.Duration
 
 	roster     []string // sorted
 	rosterHash uint64
@@ -70,8 +72,8 @@
 	at      time.Duration
 }
 
-func newEvidence(self string) *evidence {
-	return &evidence{self: self, selfIndex: -1, beatAt: never, majorityAt: never, start: never}
+func newEvidence(self string, staleBeat time.Duration) *evidence {
+	return &evidence{self: self, staleBeat: staleBeat, selfIndex: -1, beatAt: never, majorityAt: never, start: never}
 }
 
 func (e *evidence) begin(now time.Duration) {
@@ -275,7 +277,7 @@
 
 // stale tells whether the newest beat is so old that contact with other processes is needed.
 func (e *evidence) stale(now time.Duration) bool {
-	return now-e.beatAt > staleBeat
+	return now-e.beatAt > e.staleBeat
 }
 
 // lagging tells whether contact with a majority is so old that it could soon end the right to admit.
--- a/membership/node.go
+++ b/membership/node.go
@@ -60,16 +60,17 @@
 // New returns a node that knows only itself. The name, address and domain of self are fixed; Incarnation should grow
 // with each start of the process, for example by taking the wall clock's seconds.
 func New(self Member, cfg Config, rnd *rand.Rand) *Node {
+	cfg = cfg.withDefaults()
 	self.Status = StatusAlive
 	// The versions of a later run start above those of this one, so that its metadata replaces that of the former run at
 	// once. Where the clock was set back, mergeSelf raises them.
 	self.MetaVersion = self.Incarnation
 	n := &Node{
-		cfg:      cfg.withDefaults(),
+		cfg:      cfg,
 		rnd:      rnd,
 		self:     newRecord(self),
 		members:  make(map[string]*record),
-		evidence: newEvidence(self.Name),
+		evidence: newEvidence(self.Name, cfg.StaleBeat),
 		gossip:   gossip{items: make(map[string]*gossipItem)},
 	}
 	// A random start keeps answers to a former run of the process from matching questions of this run.
--- a/node/claims_test.go
+++ b/node/claims_test.go
@@ -60,7 +60,7 @@
 		assert.NilError(t, running.Wait())
 	})
 	claimer := idempotency.Claimer{Process: "vm-a", Incarnation: 1}
-	return newClaims(claimer, clock, group, newGossip(self, 0, clock, client, logger), logger, running)
+	return newClaims(claimer, clock, group, newGossip(self, membership.Config{}, clock, client, logger), logger, running)
 }
 
 func keyedRequest(t *testing.T, key, body string) *proxy.Request {
--- a/node/follower.go
+++ b/node/follower.go
@@ -9,10 +9,6 @@
 	"rosemaryline.dev/membership"
 )
 
-// fetchWait is the long poll for fleet state. It stays well below membership.ContactWindow, because a beat in the
-// answer is dated by the question.
-const fetchWait = time.Second
-
 // follow keeps the process's copy of the fleet state current until the tomb dies.
 func (n *Node) follow() error {
 	f := control.Follower{
@@ -20,7 +16,7 @@
 		Caller:      n.client,
 		Process:     n.opts.Name,
 		Incarnation: n.incarnation,
-		Wait:        fetchWait,
+		Wait:        n.opts.fetchWait(),
 	}
 	ctx := n.tomb.Context(context.Background())
 	f.Run(ctx, n.sources, n.takeNews, func(err error) {
--- a/node/gossip.go
+++ b/node/gossip.go
@@ -89,7 +89,7 @@
 	at time.Duration
 }
 
-func newGossip(self membership.Member, period time.Duration, clock proxy.Clock, client *rpc.Client, logger *log.Logger) *gossip {
+func newGossip(self membership.Member, cfg membership.Config, clock proxy.Clock, client *rpc.Client, logger *log.Logger) *gossip {
 	rnd := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	return &gossip{
 		clock:  clock,
@@ -98,7 +98,7 @@
 		queue:  make(chan membership.Outgoing, gossipQueue),
 
 		nameTaken: func(string) {},
-		node:      membership.New(self, membership.Config{Period: period}, rnd),
+		node:      membership.New(self, cfg, rnd),
 		members:   map[string]peerInfo{},
 	}
 }
--- a/node/node.go
+++ b/node/node.go
@@ -85,7 +85,7 @@
 	n.client = rpc.NewClient(o.PeerClientTLS)
 	n.rpc = rpc.NewServer()
 	self := membership.Member{Name: o.Name, Address: o.PeerAddress, Domain: o.Domain, Incarnation: n.incarnation}
-	n.gossip = newGossip(self, o.GossipPeriod, n.clock, n.client, o.Log)
+	n.gossip = newGossip(self, membership.Config{Period: o.GossipPeriod, StaleBeat: o.staleBeat()}, n.clock, n.client, o.Log)
 	n.gossip.nameTaken = func(address string) {
 		n.tomb.Kill(errors.Errorf("name %q is used by a process that started later, at %s", o.Name, address))
 	}
--- a/node/options.go
+++ b/node/options.go
@@ -134,6 +134,20 @@
 	DefaultStopTimeout    = 30 * time.Second
 )
 
+// beatMargin is the time by which a beat may come late without any consequence: some round trips and a retransmission.
+const beatMargin = 250 * time.Millisecond
+
+// staleBeat is the age of a beat from which contact with other processes is looked for; see membership.Config.StaleBeat.
+func (o *Options) staleBeat() time.Duration { return max(2*o.BeatInterval+beatMargin, minStaleBeat) }
+
+// minStaleBeat is used with short intervals between beats.
+const minStaleBeat = 1500 * time.Millisecond
+
+// fetchWait is the long poll for fleet state. It is longer than the interval between beats, so that a poll ends with a beat
+// and not shortly before it. It stays well below membership.ContactWindow, because a beat in the answer is dated by the
+// question.
+func (o *Options) fetchWait() time.Duration { return o.BeatInterval + beatMargin }
+
 func (o *Options) setDefaults() {
 	if o.MaxHeaderBytes <= 0 {
 		o.MaxHeaderBytes = DefaultMaxHeaderBytes
