node: one log line when a dependency stops to answer and one when it answers again

Cause: failures of polls of control, of requests to owners of rates, of gossip, of messages of the groups and of confirmations were dropped or at debug level, so that a lost dependency showed only in its effects. Change: each result goes to a table by role and peer, which logs the loss with its error and the return with its length and the number of failures.

--- a/control/beat_test.go
+++ b/control/beat_test.go
@@ -47,7 +47,7 @@
 	run := followRun{
 		Follower: follower,
 		targets:  func() (control, peers []string) { return []string{silentAddress, aliveAddress}, nil },
-		failed:   func(error) {},
+		failed:   func(string, error) {},
 		source:   silentAddress,
 	}
 	_, err := run.poll(ctx)
--- a/control/distribution_test.go
+++ b/control/distribution_test.go
@@ -191,7 +191,7 @@
 	defer cancel()
 	failures := 0
 	targets := func() (control, peers []string) { return []string{"127.0.0.1:1"}, []string{peer} }
-	follower.Run(ctx, targets, func(News) { cancel() }, func(error) { failures++ })
+	follower.Run(ctx, targets, func(News) { cancel() }, func(string, error) { failures++ })
 	assert.Equal(t, follower.Copy.Version(), uint64(1))
 	assert.Equal(t, failures, 1)
 }
--- a/control/follow.go
+++ b/control/follow.go
@@ -24,7 +24,7 @@
 
 // Run polls control until ctx ends, and a peer wherever control does not answer. news is called after each answer, and
 // failed with each error.
-func (f *Follower) Run(ctx context.Context, targets Targets, news func(News), failed func(error)) {
+func (f *Follower) Run(ctx context.Context, targets Targets, news func(News), failed func(peer string, err error)) {
 	run := followRun{Follower: f, targets: targets, failed: failed}
 	for ctx.Err() == nil {
 		n, err := run.poll(ctx)
@@ -40,7 +40,7 @@
 type followRun struct {
 	*Follower
 	targets Targets
-	failed  func(error)
+	failed  func(peer string, err error)
 	// source is the control VM that answers now; empty means that another one is to be found.
 	source string
 	known  uint64 // number of the newest beat
@@ -53,7 +53,7 @@
 	if err == nil || ctx.Err() != nil {
 		return n, err
 	}
-	r.failed(err)
+	r.failed(n.Peer, err)
 	viaPeer := *r.Follower
 	viaPeer.Wait = peerWait
 	if f := r.Follower; f.Copy.Version() == 0 {
@@ -61,7 +61,7 @@
 	}
 	n, err = viaPeer.pollOne(ctx, pick(peers, ""), r.known)
 	if err != nil && ctx.Err() == nil {
-		r.failed(err)
+		r.failed(n.Peer, err)
 	}
 	return n, err
 }
--- a/control/follow_test.go
+++ b/control/follow_test.go
@@ -54,7 +54,7 @@
 					took = time.Since(began)
 					cancel()
 				}
-			}, func(error) {})
+			}, func(string, error) {})
 			assert.Assert(t, took <= 2*time.Second, "took %s", took)
 		})
 	}
--- a/control/follower.go
+++ b/control/follower.go
@@ -40,13 +40,15 @@
 	Grew bool
 	// Beat is the newest beat of the answering process.
 	Beat Beat
+	// Peer is the address of the process that answered.
+	Peer string
 	// Asked is when the question was sent.
 	Asked time.Time
 }
 
 // Poll asks one process for news and applies them. Errors carry the step and the peer; the copy stays usable.
 func (f *Follower) Poll(ctx context.Context, address string, knownBeat uint64) (News, error) {
-	news := News{Asked: time.Now()}
+	news := News{Asked: time.Now(), Peer: address}
 	reply, err := f.fetch(ctx, address, knownBeat)
 	if err != nil {
 		return news, err
--- a/node/beats.go
+++ b/node/beats.go
@@ -54,7 +54,7 @@
 	ctx, cancel := context.WithTimeout(b.role.node.tomb.Context(context.Background()), relayInterval)
 	defer cancel()
 	// Processes confirm again with their next question.
-	_ = b.relay.Flush(ctx, b.role.node.client, address)
+	b.role.node.deps.result(roleLeader, address, b.relay.Flush(ctx, b.role.node.client, address))
 }
 
 // leadCheckInterval is the time between two looks whether this process leads, so that the first beat of a new leader does
--- a/node/controlrole.go
+++ b/node/controlrole.go
@@ -83,6 +83,7 @@
 		}
 	}
 	transport := newRaftTransport(name, c.node.opts.PeerAddress, c.node.client, c.node.memberAddress, &c.node.tomb)
+	transport.deps = c.node.deps
 	group, err := replica.Join(replica.Options{
 		HeartbeatTicks: c.node.opts.RaftHeartbeatTicks,
 
--- /dev/null
+++ b/node/dependencies.go
@@ -0,0 +1,72 @@
+package node
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/pkg/errors"
+
+	"rosemaryline.dev/proxy"
+)
+
+// maxLostDependencies bounds the dependencies whose loss is remembered; further ones are not logged.
+const maxLostDependencies = 4096
+
+// dependencies logs one line when another process stops to answer in a role and one when it answers again, so that the
+// failures of messages that are sent again anyway can be explained without a line each.
+type dependencies struct {
+	clock proxy.Clock
+	log   *log.Logger
+
+	mu   sync.Mutex // guards lost
+	lost map[dependency]*loss
+}
+
+// dependency is a process in a role.
+type dependency struct{ role, peer string }
+
+// loss describes a dependency that does not answer.
+type loss struct {
+	since    time.Duration
+	failures int
+}
+
+func newDependencies(clock proxy.Clock, logger *log.Logger) *dependencies {
+	return &dependencies{clock: clock, log: logger, lost: map[dependency]*loss{}}
+}
+
+// result takes the result of one message to a peer in a role. A message that this process gave up itself tells nothing. A nil
+// receiver ignores all.
+func (d *dependencies) result(role, peer string, err error) {
+	if d == nil || errors.Is(err, context.Canceled) {
+		return
+	}
+	key := dependency{role, peer}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	l, known := d.lost[key]
+	switch {
+	case err == nil && known:
+		delete(d.lost, key)
+		d.log.Info().Str("role", role).Str("peer", peer).Dur("lost", d.clock()-l.since).Int("failures", l.failures).
+			Msg("node: dependency answers again.")
+	case err == nil:
+	case known:
+		l.failures++
+	case len(d.lost) < maxLostDependencies:
+		d.lost[key] = &loss{since: d.clock(), failures: 1}
+		d.log.Warn().Str("role", role).Str("peer", peer).Err(err).Msg("node: dependency does not answer.")
+	}
+}
+
+// Roles of other processes.
+const (
+	roleControl     = "control"
+	roleRateOwner   = "owner of a rate"
+	roleMember      = "member"
+	roleGroupMember = "member of a group"
+	roleLeader      = "control leader"
+	roleEntry       = "entry"
+)
--- a/node/follower.go
+++ b/node/follower.go
@@ -19,9 +19,7 @@
 		Wait:        n.opts.fetchWait(),
 	}
 	ctx := n.tomb.Context(context.Background())
-	f.Run(ctx, n.sources, n.takeNews, func(err error) {
-		n.opts.Log.Debug().Err(err).Msg("state: no answer.")
-	})
+	f.Run(ctx, n.sources, n.takeNews, func(peer string, err error) { n.deps.result(roleControl, peer, err) })
 	return nil
 }
 
@@ -44,6 +42,7 @@
 
 // takeNews passes an answer on. The version is announced to peers before the next question confirms it to control.
 func (n *Node) takeNews(news control.News) {
+	n.deps.result(roleControl, news.Peer, nil)
 	if news.Grew {
 		n.takeState()
 		n.source.Changed()
--- a/node/gossip.go
+++ b/node/gossip.go
@@ -68,6 +68,7 @@
 	client *rpc.Client
 	log    *log.Logger
 	queue  chan membership.Outgoing
+	deps   *dependencies
 	// nameTaken is called when another process uses this one's name.
 	nameTaken func(address string)
 
@@ -171,7 +172,8 @@
 		case o := <-g.queue:
 			ctx, cancel := context.WithTimeout(context.Background(), gossipSendTimeout)
 			// Delivery is best effort; the membership module notices the missing answer.
-			_ = g.client.Notify(ctx, o.To, methodGossip, envelope{From: self, Packet: o.Packet})
+			err := g.client.Notify(ctx, o.To, methodGossip, envelope{From: self, Packet: o.Packet})
+			g.deps.result(roleMember, o.To, err)
 			cancel()
 		case <-t.Dying():
 			return nil
--- a/node/limiter.go
+++ b/node/limiter.go
@@ -46,6 +46,7 @@
 	client *rpc.Client
 	owners owners
 	tomb   *tomb.Tomb
+	deps   *dependencies
 	vm     string
 	parts  rateParts
 	cfg    quota.Config
@@ -208,7 +209,9 @@
 	ctx, cancel := context.WithTimeout(l.tomb.Context(context.Background()), grantTimeout)
 	defer cancel()
 	var answer grantReplies
-	if err := l.client.Call(ctx, address, methodGrant, grantBatch{Requests: batch}, &answer); err != nil {
+	err := l.client.Call(ctx, address, methodGrant, grantBatch{Requests: batch}, &answer)
+	l.deps.result(roleRateOwner, address, err)
+	if err != nil {
 		return
 	}
 	for _, reply := range answer.Replies {
--- a/node/node.go
+++ b/node/node.go
@@ -33,6 +33,7 @@
 	directory *directory
 	shards    *shards
 	limiter   *limiter
+	deps      *dependencies
 	ejections *ejections
 	claims    *claims
 	gate      *proxy.Gate
@@ -85,7 +86,9 @@
 	n.client = rpc.NewClient(o.PeerClientTLS)
 	n.rpc = rpc.NewServer()
 	self := membership.Member{Name: o.Name, Address: o.PeerAddress, Domain: o.Domain, Incarnation: n.incarnation}
+	n.deps = newDependencies(n.clock, o.Log)
 	n.gossip = newGossip(self, membership.Config{Period: o.GossipPeriod, StaleBeat: o.staleBeat()}, n.clock, n.client, o.Log)
+	n.gossip.deps = n.deps
 	n.gossip.nameTaken = func(address string) {
 		n.tomb.Kill(errors.Errorf("name %q is used by a process that started later, at %s", o.Name, address))
 	}
@@ -98,6 +101,7 @@
 	if o.RateParts > 0 {
 		n.limiter.parts = newRateParts(o.RateParts, o.Name)
 	}
+	n.limiter.deps = n.deps
 	n.limiter.provisional = o.ProvisionalRate
 	n.limiter.rateExcess, n.limiter.burstExcess = o.RateExcess, o.BurstExcess
 	n.ejections = newEjections(n)
--- a/node/recovery.go
+++ b/node/recovery.go
@@ -32,9 +32,7 @@
 		spawn(&n.tomb, func() {
 			ctx, cancel := context.WithTimeout(n.tomb.Context(context.Background()), recoveredTimeout)
 			defer cancel()
-			if err := n.client.Notify(ctx, member.Address, methodRecovered, told); err != nil {
-				n.opts.Log.Debug().Err(err).Str("entry", entry).Msg("gate: the entry was not told of a recovery.")
-			}
+			n.deps.result(roleEntry, member.Address, n.client.Notify(ctx, member.Address, methodRecovered, told))
 		})
 	}
 }
--- a/node/transport.go
+++ b/node/transport.go
@@ -41,6 +41,7 @@
 	group   groupName
 	self    string // peer address of this process
 	client  *rpc.Client
+	deps    *dependencies
 	resolve func(group groupName, id raft.ID) (address string, ok bool)
 	tomb    *tomb.Tomb
 
@@ -119,5 +120,6 @@
 	ctx, cancel := context.WithTimeout(context.Background(), raftSendTimeout)
 	defer cancel()
 	// Delivery is best effort.
-	_ = t.client.Notify(ctx, address, methodRaft, raftEnvelope{Group: t.group, From: t.self, Message: m})
+	err := t.client.Notify(ctx, address, methodRaft, raftEnvelope{Group: t.group, From: t.self, Message: m})
+	t.deps.result(roleGroupMember, address, err)
 }
--- a/proxy/headers_test.go
+++ b/proxy/headers_test.go
@@ -92,3 +92,24 @@
 		}
 	})
 }
+
+// Guards against headers that net/http adds by itself: the backend server gets what the caller sent, and answers between
+// processes carry nothing that no entry reads.
+func TestNoHeadersAreAdded(t *testing.T) {
+	v := newView(t, 4)
+	b := newBackend(t, nil)
+	entry, gate := pair(t, v, b)
+	resp, _, _ := call(t, entry.caller, "GET", "/a", nil, "User-Agent", "")
+	assert.Equal(t, resp.StatusCode, 200)
+	seen, _ := b.seen()
+	_, added := seen.Header["User-Agent"]
+	assert.Assert(t, !added, "%v", seen.Header["User-Agent"])
+
+	req, err := http.NewRequest("POST", gate.peer.URL+GatePath, nil)
+	assert.NilError(t, err)
+	answer, err := gate.peer.Client().Do(req)
+	assert.NilError(t, err)
+	defer answer.Body.Close()
+	assert.Equal(t, answer.Header.Get(HeaderOutcome), string(OutcomeNotRun))
+	assert.Equal(t, answer.Header.Get("Date"), "")
+}
