proxy: add no headers of our own to forwarded requests, nor a date and a body to refusals between processes

Cause: backend servers saw a User-Agent of net/http that no caller sent; a gate's refusal had a Date and a JSON body of 200 bytes that no entry reads. Kept for what backend servers see; the new test fails on the former code.

--- a/proxy/gatehttp.go
+++ b/proxy/gatehttp.go
@@ -148,24 +148,40 @@
 	return refusal
 }
 
+// writeGateRefusal writes a refusal to an entry, which reads the headers only.
 func writeGateRefusal(w http.ResponseWriter, id string, r *Refusal) {
-	w.Header().Set(headerReason, string(r.Reason))
+	h := w.Header()
+	withoutDate(h)
+	h.Set(headerReason, string(r.Reason))
+	h.Set(HeaderOutcome, string(r.Outcome))
+	if id != "" {
+		h.Set(HeaderRequestID, id)
+	}
 	if r.Reached {
-		w.Header().Set(headerReached, "true")
+		h.Set(headerReached, "true")
 	}
 	if r.RetryAfter > 0 {
-		w.Header().Set(headerRetryAfterMs, strconv.FormatInt(r.RetryAfter.Milliseconds(), 10))
+		h.Set(headerRetryAfterMs, strconv.FormatInt(r.RetryAfter.Milliseconds(), 10))
 	}
 	if r.Load != nil {
-		w.Header().Set(headerLoad, formatLoad(*r.Load))
+		h.Set(headerLoad, formatLoad(*r.Load))
+	}
+	h.Set("Content-Length", "0")
+	w.WriteHeader(r.Status)
+}
+
+// withoutDate keeps net/http from adding a Date header, which no entry reads: answers between processes cross failure domains.
+func withoutDate(h http.Header) {
+	if _, ok := h["Date"]; !ok {
+		h["Date"] = nil
 	}
-	writeRefusal(w, ownDialect{}, id, r)
 }
 
 func writeGateAnswer(w http.ResponseWriter, req *Request, resp *Response) {
 	defer resp.Body.Close()
 	h := w.Header()
 	copyHeader(h, resp.Header)
+	withoutDate(h)
 	h.Set(HeaderRequestID, req.ID)
 	h.Set(headerServer, resp.Server)
 	h.Set(headerLoad, formatLoad(resp.Load))
--- a/proxy/remote.go
+++ b/proxy/remote.go
@@ -92,6 +92,7 @@
 		return nil, &sendError{err: err}
 	}
 	out.Header = req.Header.Clone()
+	withoutUserAgent(out.Header)
 	// A request that may not be repeated is complete at the gate only after the gate asked for its body, so that a path
 	// that is cut in one direction loses no request. One with an idempotency key is protected by its claim.
 	confirm := !req.Repeatable && req.IdempotencyKey == ""
@@ -113,6 +114,13 @@
 	})
 }
 
+// withoutUserAgent keeps net/http from adding a User-Agent of its own to a request that came without one.
+func withoutUserAgent(h http.Header) {
+	if _, ok := h["User-Agent"]; !ok {
+		h.Set("User-Agent", "")
+	}
+}
+
 // withUnknownLength sends a body in chunks, also an empty one.
 func withUnknownLength(out *http.Request) {
 	if out.Body == nil {
--- a/proxy/run.go
+++ b/proxy/run.go
@@ -221,6 +221,7 @@
 	}
 	out.Host = req.Host
 	out.Header = req.Header.Clone()
+	withoutUserAgent(out.Header)
 	g.opts.Dialect.ToBackend(out.Header, BackendRequest{
 		ID: req.ID, Team: req.Team, CallerService: req.CallerService,
 		Instance: held.server.newest().Instance, Remaining: time.Until(req.Deadline),
