--- a/node/limiter_test.go
+++ b/node/limiter_test.go
@@ -23,7 +23,7 @@
 
 func (o restartedOwner) ownsProvisionally(int) (time.Duration, bool) { return o.since, true }
 
-// Replays the load after a loss of all processes: a team goes on at four fifths of its rate while no owner of its rate is
+// Replays the load after a loss of all processes: a team goes on at its rate while no owner of its rate is
 // confirmed. Guards against an owner that grants nothing until tokens of its former run have expired, and against one that
 // grants more than its provisional share.
 func TestProvisionalOwnerGrantsAtOnce(t *testing.T) {
