control: try all other control VMs at once after one went silent

Ruled out: slow acknowledgement (the state was in use elsewhere 0.5 s earlier), a cut of the process itself (other calls worked).

--- a/control/follow.go
+++ b/control/follow.go
@@ -13,6 +13,9 @@
 	// peerWait is the long poll with a peer while control cannot be reached. It is short, so that another control VM is tried
 	// soon: after a silent cut a process must have a new version within 2 s, and noticing the cut takes most of them.
 	peerWait = 250 * time.Millisecond
+	// probeWait is the long poll with a control VM that is tried after another one failed: it answers at once where it lives.
+	// Where two of five are lost, waiting for each in turn takes longer than a new version may.
+	probeWait = time.Millisecond
 	// emptyPeerWait is the same for a process without any state: the peer may have none either.
 	emptyPeerWait = 100 * time.Millisecond
 	// followPause is the time before the next attempt after nobody answered.
@@ -74,13 +77,36 @@
 	}
 	address := r.source
 	n, err := r.pollOne(ctx, address, r.known)
-	if err != nil || n.Beat.Number <= r.known && !n.Grew {
+	switch {
+	case err != nil && ctx.Err() == nil:
+		n, err = r.probeOthers(ctx, controlVMs, n.Peer, err)
+	case n.Beat.Number <= r.known && !n.Grew:
 		r.source = pick(controlVMs, address)
 	}
 	r.known = max(r.known, n.Beat.Number)
 	return n, err
 }
 
+// probeOthers stays with the first of the other control VMs that answers. cause is the failure of the last one.
+func (r *followRun) probeOthers(ctx context.Context, controlVMs []string, silent string, cause error) (News, error) {
+	others := slices.DeleteFunc(slices.Clone(controlVMs), func(a string) bool { return a == silent })
+	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	probe := *r.Follower
+	probe.Wait = probeWait
+	failed, err := News{Peer: silent}, cause
+	for _, address := range others {
+		r.failed(failed.Peer, err)
+		var n News
+		if n, err = probe.pollOne(ctx, address, r.known); err == nil {
+			r.source = address
+			return n, nil
+		}
+		failed = n
+	}
+	r.source = pick(controlVMs, silent)
+	return failed, err
+}
+
 // pick returns a random address other than the one to avoid, where there is another.
 func pick(addresses []string, avoid string) string {
 	others := slices.DeleteFunc(slices.Clone(addresses), func(a string) bool { return a == avoid })
--- a/control/follow_test.go
+++ b/control/follow_test.go
@@ -12,13 +12,13 @@
 	"rosemaryline.dev/fleet/state"
 )
 
-// cutCaller answers polls of a fleet in which control-1 has gone silent and peers have no news.
+// cutCaller answers polls of a fleet in which control-1 and control-3 have gone silent and peers have no news.
 type cutCaller struct{ source *Source }
 
 func (c cutCaller) Call(ctx context.Context, address, _ string, params, result any) error {
 	request := params.(FetchRequest)
 	switch address {
-	case "control-1":
+	case "control-1", "control-3":
 		<-ctx.Done()
 		return ctx.Err()
 	case "control-2":
@@ -31,8 +31,9 @@
 	}
 }
 
-// Guards against a process that goes on with an old version for more than 2 s after the control VM that it polls was cut off
-// silently: it waited for that poll and then for a peer that had no news either.
+// Guards against a process that goes on with an old version for more than 2 s after the control VM that it polls, and another
+// one, were lost silently: it waited for the poll of each in turn and for a peer that had no news either. Seen in a hunt at the
+// loss of a failure domain with two control VMs (glashelder-mesh, mix with seed 403892421850).
 func TestFollowerLeavesSilentControlVMInTime(t *testing.T) {
 	for range 20 { // the order of control VMs is random
 		synctest.Test(t, func(t *testing.T) {
@@ -48,7 +49,9 @@
 			defer cancel()
 			began := time.Now()
 			took := time.Duration(0)
-			targets := func() (controlVMs, peers []string) { return []string{"control-1", "control-2"}, []string{"peer"} }
+			targets := func() (controlVMs, peers []string) {
+				return []string{"control-1", "control-2", "control-3"}, []string{"peer"}
+			}
 			f.Run(ctx, targets, func(n News) {
 				if n.Grew {
 					took = time.Since(began)
