routing: far entries try a faulty backend server every two seconds

Ruled out: ejection (off on the platform), quota and evacuation (none at that time). Change: an entry of another failure domain tries it too, every 2 s; a doubt ends after 3 s, when its gate takes a request that may not be repeated as a trial.

--- a/proxy/router.go
+++ b/proxy/router.go
@@ -316,7 +316,7 @@
 	return avoid
 }
 
-// trial returns the index of a near VM whose doubtful backend server the request should try, or -1.
+// trial returns the index of a VM whose doubtful backend server the request should try, or -1.
 func (t *router) trial(req *Request, hosts []Peer, tried map[string]bool) int {
 	if !req.MayFail {
 		return -1
@@ -326,8 +326,10 @@
 	now := t.opts.Clock()
 	for i := range hosts {
 		h := &hosts[i]
-		near := h.Domain == t.opts.Domain && h.State == routing.StateServing && !tried[h.VM]
-		if near && !t.opts.Fleet.DomainOut(h.Domain) && t.doubts.TakeTrial(routing.Place{VM: h.VM, Service: req.Service}, now) {
+		if h.State != routing.StateServing || tried[h.VM] || t.opts.Fleet.DomainOut(h.Domain) {
+			continue
+		}
+		if t.doubts.TakeTrial(routing.Place{VM: h.VM, Service: req.Service}, now, h.Domain == t.opts.Domain) {
 			return i
 		}
 	}
--- a/routing/candidate.go
+++ b/routing/candidate.go
@@ -76,7 +76,7 @@
 	ReasonFarRegion Reason = "far-region"
 	// ReasonLeastLoaded means that all candidates would queue the request and this one has the shortest wait.
 	ReasonLeastLoaded Reason = "least-loaded"
-	// ReasonTrial means that the request tries a doubtful backend server of the own failure domain.
+	// ReasonTrial means that the request tries a doubtful backend server on purpose.
 	ReasonTrial Reason = "trial"
 	// ReasonRandom means that the policy does not look at load.
 	ReasonRandom Reason = "random"
--- a/routing/doubts.go
+++ b/routing/doubts.go
@@ -4,13 +4,17 @@
 
 const (
 	// DoubtTime is how long an entry goes by the refusal of a doubtful backend server's gate without further news. Gray
-	// failures last for seconds, and the gate tells the entries that it refused when the backend server has recovered.
-	DoubtTime = 5 * time.Second
+	// failures last for seconds, and the gate tells the entries that it refused when the backend server has recovered. After
+	// this time without a result a gate takes a request that may not be repeated as a trial, so it must be offered one.
+	DoubtTime = 3 * time.Second
 	// BriefDoubtTime is the same after a single failure, which is mostly forgotten with the next success.
 	BriefDoubtTime = 500 * time.Millisecond
 	// TrialSpacing is the least time between two offers of trials by one entry to one doubtful backend server. It is the
 	// shortest time between two trials that a gate takes after repeated failures.
 	TrialSpacing = 250 * time.Millisecond
+	// FarTrialSpacing is the same for an entry of another failure domain. The entries near a backend server may have no request
+	// that may fail, and the floor is measured over 2 s, so a sound one must get a request within that time.
+	FarTrialSpacing = 2 * time.Second
 )
 
 // Place is a service on one VM.
@@ -24,9 +28,7 @@
 }
 
 type doubt struct {
-	until, nextTrial time.Duration
-	// lasting is true after repeated failures.
-	lasting bool
+	until, nextTrial, nextFarTrial time.Duration
 }
 
 // NewDoubts returns a Doubts without any.
@@ -35,9 +37,10 @@
 // Note records that the gate at a place refused a request. lasting is true where the backend server failed repeatedly and the
 // gate tells of its recovery.
 func (d *Doubts) Note(p Place, now time.Duration, lasting bool) {
-	row := doubt{until: now + BriefDoubtTime, nextTrial: now + TrialSpacing}
+	row := doubt{until: now + BriefDoubtTime, nextTrial: now + TrialSpacing, nextFarTrial: now + BriefDoubtTime}
 	if lasting {
-		row = doubt{until: now + DoubtTime, nextTrial: now + TrialSpacing, lasting: true}
+		row.until = now + DoubtTime
+		row.nextFarTrial = now + FarTrialSpacing
 	}
 	d.rows[p] = row
 }
@@ -61,8 +64,8 @@
 	Near bool
 }
 
-// Avoid tells whether a request must not be sent to a place. Trials of a backend server that failed repeatedly are left to
-// the entries of its failure domain, so that none that its gate refuses crosses failure domains.
+// Avoid tells whether a request must not be sent to a place. Trials of a backend server that failed repeatedly are mostly left
+// to the entries of its failure domain, so that few that its gate refuses cross failure domains.
 func (d *Doubts) Avoid(p Place, now time.Duration, o Offer) bool {
 	row, ok := d.rows[p]
 	switch {
@@ -71,22 +74,28 @@
 	case now >= row.until:
 		delete(d.rows, p)
 		return false
-	case o.MayFail && (o.Near || !row.lasting):
+	case o.MayFail && o.Near:
 		return now < row.nextTrial
+	case o.MayFail:
+		return now < row.nextFarTrial
 	default:
 		return true
 	}
 }
 
 // TakeTrial tells whether a request that may fail should try a place now. Without such trials the capacity of a backend server
-// that has recovered stays unused. The next one is due after TrialSpacing, also where the path to the place has failed and its
+// that has recovered stays unused. The next one is due after the spacing, also where the path to the place has failed and its
 // gate answers nothing.
-func (d *Doubts) TakeTrial(p Place, now time.Duration) bool {
+func (d *Doubts) TakeTrial(p Place, now time.Duration, near bool) bool {
 	row, ok := d.rows[p]
-	if !ok || now < row.nextTrial || now >= row.until {
+	due := row.nextFarTrial
+	if near {
+		due = row.nextTrial
+	}
+	if !ok || now < due || now >= row.until {
 		return false
 	}
-	row.nextTrial = now + TrialSpacing
+	row.nextTrial, row.nextFarTrial = now+TrialSpacing, now+FarTrialSpacing
 	d.rows[p] = row
 	return true
 }
