control, node, membership: log and count which control VM is polled and how late a version comes into use

The line 'state: polls another control VM.' has both addresses, the cause and the age of the last news; 'state: version in use.' has the peer that sent it, for how long gossip had told of it, and how long the drivers took. Counted as rosemaryline_control_switches_total and rosemaryline_version_lag_seconds. No decision changes.

--- a/control/distribution_test.go
+++ b/control/distribution_test.go
@@ -189,9 +189,9 @@
 	follower := newFollower(t, "a")
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	failures := 0
+	events := &observer{onResult: func(PollResult) { cancel() }}
 	targets := func() (control, peers []string) { return []string{"127.0.0.1:1"}, []string{peer} }
-	follower.Run(ctx, targets, func(PollResult) { cancel() }, func(string, error) { failures++ })
+	follower.Run(ctx, targets, events)
 	assert.Equal(t, follower.Copy.Version(), uint64(1))
-	assert.Equal(t, failures, 1)
+	assert.Equal(t, events.failures, 1)
 }
--- a/control/follow.go
+++ b/control/follow.go
@@ -28,28 +28,70 @@
 // Targets returns the current addresses of the peer listeners of control VMs and of other processes.
 type Targets func() (control, peers []string)
 
-// Run polls a control VM, or a peer if no control VM responds, until ctx ends. It calls onResult after each successful
-// poll, and onError for each failed one with the address of the polled process.
-func (f *Follower) Run(ctx context.Context, targets Targets, onResult func(PollResult), onError func(peer string, err error)) {
-	run := followRun{Follower: f, targets: targets, onError: onError}
+// Observer receives the events of a Follower. Its methods are called by one goroutine.
+type Observer interface {
+	// PollSucceeded is called after each successful poll.
+	PollSucceeded(result PollResult)
+	// PollFailed is called after each failed poll with the address of the polled process.
+	PollFailed(peer string, err error)
+	// Switched is called when the follower selects another control VM to poll.
+	Switched(s Switch)
+}
+
+// SwitchCause is the reason for which a follower polls another control VM.
+type SwitchCause string
+
+// Causes of a Switch.
+const (
+	SwitchStart  SwitchCause = "start"   // no control VM was polled before, or it is no longer one
+	SwitchNoNews SwitchCause = "no-news" // the control VM responded without a newer version or heartbeat
+	SwitchFailed SwitchCause = "failed"  // the poll failed
+)
+
+// Switch is the change from one control VM to another.
+type Switch struct {
+	// From and To are the addresses of the control VMs; empty if there is none.
+	From, To string
+	Cause    SwitchCause
+	// NewsAge is the time since the last poll that returned a newer version or heartbeat, or since the start.
+	NewsAge time.Duration
+}
+
+// Run polls a control VM, or a peer if no control VM responds, until ctx ends. It reports to the observer.
+func (f *Follower) Run(ctx context.Context, targets Targets, observer Observer) {
+	run := followRun{Follower: f, targets: targets, observer: observer, newsAt: time.Now()}
 	for ctx.Err() == nil {
 		result, err := run.poll(ctx)
 		if err != nil {
 			sleep(ctx, retryDelay)
 			continue
 		}
-		onResult(result)
+		observer.PollSucceeded(result)
 	}
 }
 
 // followRun is the state of one Run.
 type followRun struct {
 	*Follower
-	targets Targets
-	onError func(peer string, err error)
+	targets  Targets
+	observer Observer
 	// controlVM is the address of the control VM to poll. If it is not one of the targets, poll chooses another one.
 	controlVM      string
 	knownHeartbeat uint64 // number of the newest heartbeat
+	newsAt         time.Time
+}
+
+// selectVM selects the control VM to poll next.
+func (r *followRun) selectVM(address string, cause SwitchCause) {
+	if address != r.controlVM {
+		r.observer.Switched(Switch{From: r.controlVM, To: address, Cause: cause, NewsAge: time.Since(r.newsAt)})
+	}
+	r.controlVM = address
+}
+
+// hasNews reports whether a poll returned a newer version or heartbeat.
+func (r *followRun) hasNews(result PollResult) bool {
+	return result.Advanced || result.Heartbeat.Number > r.knownHeartbeat
 }
 
 // poll polls a control VM, or a random peer if no control VM responds.
@@ -59,7 +101,7 @@
 	if err == nil || ctx.Err() != nil {
 		return result, err
 	}
-	r.onError(result.Peer, err)
+	r.observer.PollFailed(result.Peer, err)
 	viaPeer := *r.Follower
 	viaPeer.Wait = peerPollWait
 	if f := r.Follower; f.Copy.Version() == 0 {
@@ -67,7 +109,7 @@
 	}
 	result, err = viaPeer.pollOne(ctx, pickOther(peers, ""), r.knownHeartbeat)
 	if err != nil && ctx.Err() == nil {
-		r.onError(result.Peer, err)
+		r.observer.PollFailed(result.Peer, err)
 	}
 	return result, err
 }
@@ -77,15 +119,17 @@
 // recent heartbeat.
 func (r *followRun) pollControl(ctx context.Context, controlVMs []string) (PollResult, error) {
 	if !slices.Contains(controlVMs, r.controlVM) {
-		r.controlVM = pickOther(controlVMs, "")
+		r.selectVM(pickOther(controlVMs, ""), SwitchStart)
 	}
 	address := r.controlVM
 	result, err := r.pollOne(ctx, address, r.knownHeartbeat)
 	switch {
 	case err != nil && ctx.Err() == nil:
 		result, err = r.probeOthers(ctx, controlVMs, result.Peer, err)
-	case result.Heartbeat.Number <= r.knownHeartbeat && !result.Advanced:
-		r.controlVM = pickOther(controlVMs, address)
+	case r.hasNews(result):
+		r.newsAt = time.Now()
+	default:
+		r.selectVM(pickOther(controlVMs, address), SwitchNoNews)
 	}
 	r.knownHeartbeat = max(r.knownHeartbeat, result.Heartbeat.Number)
 	return result, err
@@ -100,15 +144,15 @@
 	probe.Wait = probePollWait
 	failed, err := PollResult{Peer: unresponsive}, cause
 	for _, address := range others {
-		r.onError(failed.Peer, err)
+		r.observer.PollFailed(failed.Peer, err)
 		var result PollResult
 		if result, err = probe.pollOne(ctx, address, r.knownHeartbeat); err == nil {
-			r.controlVM = address
+			r.selectVM(address, SwitchFailed)
 			return result, nil
 		}
 		failed = result
 	}
-	r.controlVM = pickOther(controlVMs, unresponsive)
+	r.selectVM(pickOther(controlVMs, unresponsive), SwitchFailed)
 	return failed, err
 }
 
--- a/control/follow_test.go
+++ b/control/follow_test.go
@@ -12,6 +12,22 @@
 	"rosemaryline.dev/fleet/state"
 )
 
+// observer is an Observer that counts failed polls and calls onResult, if it is set, after each successful one.
+type observer struct {
+	onResult func(PollResult)
+	failures int
+}
+
+func (o *observer) PollSucceeded(result PollResult) {
+	if o.onResult != nil {
+		o.onResult(result)
+	}
+}
+
+func (o *observer) PollFailed(string, error) { o.failures++ }
+
+func (o *observer) Switched(Switch) {}
+
 // partitionedCaller serves polls in a fleet in which control-1 and control-3 no longer respond, control-2 serves
 // stateServer, and the peer has no newer version.
 type partitionedCaller struct{ stateServer *StateServer }
@@ -54,12 +70,12 @@
 			targets := func() (controlVMs, peers []string) {
 				return []string{"control-1", "control-2", "control-3"}, []string{"peer"}
 			}
-			f.Run(ctx, targets, func(result PollResult) {
+			f.Run(ctx, targets, &observer{onResult: func(result PollResult) {
 				if result.Advanced {
 					took = time.Since(began)
 					cancel()
 				}
-			}, func(string, error) {})
+			}})
 			assert.Assert(t, took <= 2*time.Second, "took %s", took)
 		})
 	}
--- a/control/heartbeat_test.go
+++ b/control/heartbeat_test.go
@@ -47,7 +47,7 @@
 	run := followRun{
 		Follower:  follower,
 		targets:   func() (control, peers []string) { return []string{silentAddress, aliveAddress}, nil },
-		onError:   func(string, error) {},
+		observer:  &observer{},
 		controlVM: silentAddress,
 	}
 	_, err := run.poll(ctx)
--- a/membership/admit.go
+++ b/membership/admit.go
@@ -36,6 +36,16 @@
 // version to control, so that every packet it sends after the confirmation carries the version.
 func (n *Node) SetConfigVersion(version uint64, now time.Duration) {
 	n.evidence.learnVersion(version, now, n.evidence.newestEvidenceAt(now))
+	n.evidence.runVersion(version)
+}
+
+// VersionLag returns for how long this process has known of a version newer than the one that it runs; 0 if it knows
+// of none.
+func (n *Node) VersionLag(now time.Duration) time.Duration {
+	if n.evidence.aheadSince == never {
+		return 0
+	}
+	return now - n.evidence.aheadSince
 }
 
 // ObserveHeartbeat records a heartbeat from control's reply to a request that this process sent at the time sentAt. The
--- a/membership/admit_test.go
+++ b/membership/admit_test.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -324,3 +325,17 @@
 		f.stepAll()
 	}
 }
+
+// Guards against a process that knows of a newer version without reporting for how long.
+func TestVersionLag(t *testing.T) {
+	n := New(Member{Name: "a"}, Config{}, rand.New(rand.NewPCG(1, 0)))
+	n.SetConfigVersion(3, time.Second)
+	assert.Equal(t, n.VersionLag(2*time.Second), time.Duration(0))
+	n.evidence.observe(&Packet{Version: 4}, 3*time.Second)
+	n.evidence.observe(&Packet{Version: 6}, 4*time.Second)
+	assert.Equal(t, n.VersionLag(5*time.Second), 2*time.Second)
+	n.SetConfigVersion(5, 5*time.Second)
+	assert.Equal(t, n.VersionLag(6*time.Second), 3*time.Second)
+	n.SetConfigVersion(6, 7*time.Second)
+	assert.Equal(t, n.VersionLag(8*time.Second), time.Duration(0))
+}
--- a/membership/evidence.go
+++ b/membership/evidence.go
@@ -72,8 +72,9 @@
 	heartbeat   LeaderHeartbeat // highest number and highest version received; Age is unused
 	heartbeatAt time.Duration   // lower bound on the issue time of heartbeat
 
-	version   uint64 // highest version that this process has learned of
-	deadlines []versionDeadline
+	version    uint64        // highest version that this process has learned of
+	aheadSince time.Duration // time since which version is above the version that this process runs, or never
+	deadlines  []versionDeadline
 	// established is true once the evidence is recent enough that the versions which this process confirmed before its
 	// start, and has lost, no longer matter. Until then the process may not admit requests and does not count as a
 	// contact. updateEstablished sets it; it stays set until the process ends.
@@ -87,7 +88,7 @@
 }
 
 func newEvidence(self string, staleHeartbeatAge time.Duration) *evidence {
-	return &evidence{self: self, staleHeartbeatAge: staleHeartbeatAge, selfIndex: -1, heartbeatAt: never, majorityAt: never, start: never}
+	return &evidence{self: self, staleHeartbeatAge: staleHeartbeatAge, selfIndex: -1, heartbeatAt: never, majorityAt: never, start: never, aheadSince: never}
 }
 
 func (e *evidence) begin(now time.Duration) {
@@ -182,6 +183,9 @@
 		return
 	}
 	e.version = version
+	if e.aheadSince == never {
+		e.aheadSince = now
+	}
 	at := min(now+FetchGrace, asOf+ContactWindow+FetchGrace)
 	const mergeWithin = 100 * time.Millisecond // limits the length of the list when versions follow each other quickly
 	if last := len(e.deadlines) - 1; last >= 0 && at-e.deadlines[last].deadline < mergeWithin {
@@ -192,6 +196,13 @@
 	e.deadlines = append(e.deadlines, versionDeadline{version, at})
 }
 
+// runVersion records that this process runs a version.
+func (e *evidence) runVersion(version uint64) {
+	if version >= e.version {
+		e.aheadSince = never
+	}
+}
+
 // behind reports whether the deadline of a version newer than configVersion has passed.
 func (e *evidence) behind(now time.Duration, configVersion uint64) bool {
 	for len(e.deadlines) > 0 && e.deadlines[0].version <= configVersion {
--- a/node/follower.go
+++ b/node/follower.go
@@ -18,11 +18,28 @@
 		Incarnation: n.incarnation,
 		Wait:        n.opts.fetchWait(),
 	}
-	ctx := n.tomb.Context(context.Background())
-	f.Run(ctx, n.fetchAddresses, n.handlePollResult, func(peer string, err error) { n.deps.recordResult(roleControl, peer, err) })
+	f.Run(n.tomb.Context(context.Background()), n.fetchAddresses, followObserver{n})
 	return nil
 }
 
+// followObserver logs and counts what the follower does, and passes new versions and heartbeats to the drivers.
+type followObserver struct{ *Node }
+
+// PollSucceeded implements control.Observer.
+func (o followObserver) PollSucceeded(result control.PollResult) { o.handlePollResult(result) }
+
+// PollFailed implements control.Observer.
+func (o followObserver) PollFailed(peer string, err error) {
+	o.deps.recordResult(roleControl, peer, err)
+}
+
+// Switched implements control.Observer.
+func (o followObserver) Switched(s control.Switch) {
+	countSwitch(s.Cause)
+	o.opts.Log.Info().Str("from", s.From).Str("to", s.To).Str("cause", string(s.Cause)).Dur("newsAge", s.NewsAge).
+		Uint64("version", o.fleet.Version()).Msg("state: polls another control VM.")
+}
+
 // fetchAddresses returns the addresses from which the fleet state can be fetched: the peer listeners of control VMs and
 // those of all other processes.
 func (n *Node) fetchAddresses() (controlVMs, peers []string) {
@@ -46,7 +63,7 @@
 func (n *Node) handlePollResult(result control.PollResult) {
 	n.deps.recordResult(roleControl, result.Peer, nil)
 	if result.Advanced {
-		n.propagateState()
+		n.propagateState(result.Peer)
 		n.stateServer.NotifyChange()
 	}
 	if result.Heartbeat.Number == 0 {
@@ -59,8 +76,9 @@
 	n.shards.setInForce(result.Heartbeat.InForce)
 }
 
-// propagateState passes a new version of the fleet state to the drivers.
-func (n *Node) propagateState() {
+// propagateState passes a new version of the fleet state, received from peer, to the drivers.
+func (n *Node) propagateState(peer string) {
+	received := n.clock()
 	n.fleet.Refresh()
 	var roster []membership.RosterEntry
 	n.fleet.Read(func(s *state.State) {
@@ -69,8 +87,10 @@
 		}
 	})
 	n.gossip.setRoster(roster)
-	n.gossip.setVersion(n.fleet.Version())
+	lag := n.gossip.setVersion(n.fleet.Version())
+	versionLagSeconds.Update(lag.Seconds())
 	n.shards.update()
 	n.permission.refresh()
-	n.opts.Log.Info().Uint64("version", n.fleet.Version()).Msg("state: version in use.")
+	n.opts.Log.Info().Uint64("version", n.fleet.Version()).Str("peer", peer).Dur("lag", lag).
+		Dur("applied", n.clock()-received).Msg("state: version in use.")
 }
--- a/node/gossip.go
+++ b/node/gossip.go
@@ -286,11 +286,15 @@
 	g.node.SetRoster(entries)
 }
 
-// setVersion sets the version of the fleet state that this process runs.
-func (g *gossip) setVersion(version uint64) {
+// setVersion sets the version of the fleet state that this process runs. It returns for how long the process knew of
+// a newer version than the one that it ran before; 0 if it did not.
+func (g *gossip) setVersion(version uint64) time.Duration {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.node.SetConfigVersion(version, g.clock())
+	now := g.clock()
+	lag := g.node.VersionLag(now)
+	g.node.SetConfigVersion(version, now)
+	return lag
 }
 
 // observeHeartbeat passes on a heartbeat from the reply to a fetch. sentAt is when the fetch was sent, on the
