control: find the newest version among all control VMs as soon as one has no news

Cause: a control VM that is alive but cut off from the leader answers a long poll after its whole wait with nothing new. The follower took this for a response and polled another control VM, chosen at random and again for the whole wait of 1.25 s. Two cut-off control VMs in a row exceed the 2 s. The search after a failed poll had the same fault: it selected the first control VM that responded, cut off or not.

Now a poll without a newer version or heartbeat starts a search: all control VMs and one other process are asked for their versions at the same time, a newer version is fetched as soon as one reports it, and the control VM with the newest version and heartbeat is polled next. So a version is late by one poll and one search at most, however many control VMs are cut off or silent. This replaces the sequential probes, the random choice and the separate poll of a peer. The question carries no commands, so a search costs a few hundred bytes a control VM.

TestFollowerLeavesSilentControlVM now checks the state after one step in place of two polls, because the first poll and the choice of the next control VM are one step; it also requires that no poll failed.

--- /dev/null
+++ b/control/cutoff_test.go
@@ -0,0 +1,101 @@
+package control
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"rosemaryline.dev/fleet/state"
+)
+
+// applyBound is the time within which a process that can reach the leader's side of the control group must run an
+// acknowledged version.
+const applyBound = 2 * time.Second
+
+// memoryCaller serves polls from state servers in memory. An address without one is silent, as over a cut link.
+type memoryCaller map[string]*StateServer
+
+func (c memoryCaller) Call(ctx context.Context, address, _ string, params, result any) error {
+	server, ok := c[address]
+	if !ok {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	reply, err := server.Fetch(ctx, params.(FetchRequest))
+	*result.(*FetchReply) = reply
+	return err
+}
+
+// splitFleet has two versions, the second of which only one side of a split control group has.
+type splitFleet struct {
+	behind, current *machine
+	servers         memoryCaller
+}
+
+func newSplitFleet(t *testing.T) *splitFleet {
+	f := &splitFleet{behind: &machine{s: state.New()}, current: &machine{s: state.New()}, servers: memoryCaller{}}
+	f.behind.apply(t, "dom-a")
+	f.current.apply(t, "dom-a")
+	f.current.apply(t, "dom-b")
+	return f
+}
+
+// serve serves m at the addresses. The number of the heartbeat is first at the first address, and one higher at each
+// further one.
+func (f *splitFleet) serve(m *machine, first uint64, addresses ...string) {
+	for i, address := range addresses {
+		f.servers[address] = NewStateServer(m, nil)
+		f.servers[address].SetHeartbeat(LeaderHeartbeat{Number: first + uint64(i), Version: m.s.Version()}, time.Now())
+	}
+}
+
+// timeToVersion returns the time until a follower at the first version, runs the second one.
+func (f *splitFleet) timeToVersion(t *testing.T, controlVMs, peers []string) time.Duration {
+	follower := &Follower{Copy: NewCopy(), Caller: f.servers, Process: "vm", Wait: 1250 * time.Millisecond}
+	deltas, ok := f.behind.s.Since(0)
+	assert.Assert(t, ok)
+	_, err := follower.Copy.Apply(deltas)
+	assert.NilError(t, err)
+	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+	defer cancel()
+	began, took := time.Now(), time.Minute
+	follower.Run(ctx, func() ([]string, []string) { return controlVMs, peers }, &observer{onResult: func(PollResult) {
+		if follower.Copy.Version() == 2 {
+			took = min(took, time.Since(began))
+			cancel()
+		}
+	}})
+	return took
+}
+
+// Guards against an acknowledged version that a process does not run within 2 s because it polls, one after the other,
+// control VMs that respond but are cut off from the leader.
+func TestVersionReachesFollowersOfCutOffControlVMs(t *testing.T) {
+	controlVMs := []string{"control-1", "control-2", "control-3", "control-4", "control-5"}
+	for _, test := range []struct {
+		desc string
+		// behind are cut off from the leader and respond. The control VMs in neither list are silent.
+		behind, current []string
+	}{
+		{"two are cut off", controlVMs[:2], controlVMs[2:]},
+		{"one is cut off and one is silent", controlVMs[:1], controlVMs[2:]},
+		{"two are silent", nil, controlVMs[2:]},
+		{"all but one are cut off", controlVMs[:4], controlVMs[4:]},
+	} {
+		t.Run(test.desc, func(t *testing.T) {
+			for range 50 { // the order of control VMs is random
+				synctest.Test(t, func(t *testing.T) {
+					f := newSplitFleet(t)
+					f.serve(f.behind, 1, test.behind...)
+					f.serve(f.behind, 1, "peer")
+					f.serve(f.current, 10, test.current...)
+					took := f.timeToVersion(t, controlVMs, []string{"peer"})
+					assert.Assert(t, took <= applyBound, "took %s", took)
+				})
+			}
+		})
+	}
+}
--- a/control/fetch.go
+++ b/control/fetch.go
@@ -53,6 +53,8 @@
 	// WaitMillis is how long the server may wait for a newer version or heartbeat, in milliseconds. The server limits it
 	// to MaxFetchWait (30 s).
 	WaitMillis int64 `json:"waitMillis,omitempty"`
+	// Peek asks for the version and the heartbeat only. The reply comes at once and has no commands.
+	Peek bool `json:"peek,omitempty"`
 }
 
 // FetchReply carries the commands that follow the requested version.
--- a/control/follow.go
+++ b/control/follow.go
@@ -4,25 +4,22 @@
 	"context"
 	"math/rand/v2"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
 )
 
 const (
-	// peerPollWait is the wait of a long poll to a peer while no control VM responds. It is short so that the next
-	// control VM is tried soon: when control VMs stop responding, a process must still get a new version within 2 s,
-	// and most of that time passes until the process detects the failure.
-	peerPollWait = 250 * time.Millisecond
-	// probePollWait is the wait of a poll to a control VM that is tried after another one failed. It is short so that a
-	// live control VM responds at once and a failed one is detected soon: with two of five control VMs lost, a long
-	// poll to each in turn would exceed the 2 s within which a process must get a new version.
-	probePollWait = time.Millisecond
-	// emptyPeerPollWait replaces peerPollWait in a process that has no state yet. It is shorter because the peer may
-	// have no state either.
-	emptyPeerPollWait = 100 * time.Millisecond
-	// retryDelay is the time until the next attempt after neither control nor a peer responded.
-	retryDelay = 100 * time.Millisecond
+	// peekTimeout limits the question for the version of another process. With the wait of a long poll it must stay well
+	// below the 2 s within which a process must get a new version.
+	peekTimeout = 250 * time.Millisecond
+	// pollWaitAfterPeek is the wait of a poll to a process that said that it has a newer version.
+	pollWaitAfterPeek = time.Millisecond
+	// searchInterval is the time between two searches while no control VM responds, and emptySearchInterval that of a
+	// process without state, which cannot serve.
+	searchInterval      = 250 * time.Millisecond
+	emptySearchInterval = 100 * time.Millisecond
 )
 
 // Targets returns the current addresses of the peer listeners of control VMs and of other processes.
@@ -44,7 +41,7 @@
 // Causes of a Switch.
 const (
 	SwitchStart  SwitchCause = "start"   // no control VM was polled before, or it is no longer one
-	SwitchNoNews SwitchCause = "no-news" // the control VM responded without a newer version or heartbeat
+	SwitchNoNews SwitchCause = "no-news" // the control VM returned no newer version or heartbeat
 	SwitchFailed SwitchCause = "failed"  // the poll failed
 )
 
@@ -57,28 +54,49 @@
 	NewsAge time.Duration
 }
 
-// Run polls a control VM, or a peer if no control VM responds, until ctx ends. It reports to the observer.
+// Run keeps the copy up to date until ctx ends. It polls one control VM for as long as that returns newer versions or
+// heartbeats, and otherwise searches for a process that has them. It reports to the observer.
+//
+// Invariant: a process that can reach a control VM with a newer version runs that version at most one long poll and one
+// search after it was accepted, however many of the other control VMs are silent or cut off from the leader.
 func (f *Follower) Run(ctx context.Context, targets Targets, observer Observer) {
-	run := followRun{Follower: f, targets: targets, observer: observer, newsAt: time.Now()}
+	run := followRun{Follower: f, observer: observer, newsAt: time.Now()}
 	for ctx.Err() == nil {
-		result, err := run.poll(ctx)
-		if err != nil {
-			sleep(ctx, retryDelay)
-			continue
-		}
-		observer.PollSucceeded(result)
+		run.step(ctx, targets)
 	}
 }
 
 // followRun is the state of one Run.
 type followRun struct {
 	*Follower
-	targets  Targets
 	observer Observer
-	// controlVM is the address of the control VM to poll. If it is not one of the targets, poll chooses another one.
+	// controlVM is the address of the control VM to poll. If it is not one of the targets, pollControl chooses another one.
 	controlVM      string
 	knownHeartbeat uint64 // number of the newest heartbeat
 	newsAt         time.Time
+	// failed is the address of the control VM whose last poll failed, or empty.
+	failed string
+	// lost is set while no control VM responds: a long poll to one of them would only wait for its timeout.
+	lost bool
+}
+
+// step polls the selected control VM, and searches for a newer version if that returned none.
+func (r *followRun) step(ctx context.Context, targets Targets) {
+	controlVMs, peers := targets()
+	if !r.lost && r.pollControl(ctx, controlVMs) || ctx.Err() != nil {
+		return
+	}
+	r.search(ctx, controlVMs, peers)
+	if r.lost {
+		sleep(ctx, r.searchInterval())
+	}
+}
+
+func (r *followRun) searchInterval() time.Duration {
+	if r.Copy.Version() == 0 {
+		return emptySearchInterval
+	}
+	return searchInterval
 }
 
 // selectVM selects the control VM to poll next.
@@ -89,87 +107,121 @@
 	r.controlVM = address
 }
 
-// hasNews reports whether a poll returned a newer version or heartbeat.
-func (r *followRun) hasNews(result PollResult) bool {
-	return result.Advanced || result.Heartbeat.Number > r.knownHeartbeat
+// pollControl polls the selected control VM and reports whether it returned a newer version or heartbeat. A control VM
+// that is cut off from the leader or frozen returns none. The permission to admit requests depends on a recent
+// heartbeat too.
+func (r *followRun) pollControl(ctx context.Context, controlVMs []string) (news bool) {
+	if !slices.Contains(controlVMs, r.controlVM) {
+		r.selectVM(pickRandom(controlVMs), SwitchStart)
+	}
+	r.failed = ""
+	news, err := r.pollOne(ctx, r.Follower, r.controlVM)
+	if err != nil {
+		r.failed = r.controlVM
+	}
+	return news
 }
 
-// poll polls a control VM, or a random peer if no control VM responds.
-func (r *followRun) poll(ctx context.Context) (PollResult, error) {
-	controlVMs, peers := r.targets()
-	result, err := r.pollControl(ctx, controlVMs)
-	if err == nil || ctx.Err() != nil {
-		return result, err
+// pollOne polls one process, reports to the observer, and reports whether the process returned a newer version or
+// heartbeat.
+func (r *followRun) pollOne(ctx context.Context, f *Follower, address string) (news bool, err error) {
+	result, err := PollResult{}, errors.New("fetch fleet state: no address is known")
+	if address != "" {
+		result, err = f.Poll(ctx, address, r.knownHeartbeat)
 	}
-	r.observer.PollFailed(result.Peer, err)
-	viaPeer := *r.Follower
-	viaPeer.Wait = peerPollWait
-	if f := r.Follower; f.Copy.Version() == 0 {
-		viaPeer.Wait = emptyPeerPollWait
+	if err != nil {
+		r.reportFailure(ctx, address, err)
+		return false, err
 	}
-	result, err = viaPeer.pollOne(ctx, pickOther(peers, ""), r.knownHeartbeat)
-	if err != nil && ctx.Err() == nil {
-		r.observer.PollFailed(result.Peer, err)
+	news = result.Advanced || result.Heartbeat.Number > r.knownHeartbeat
+	r.knownHeartbeat = max(r.knownHeartbeat, result.Heartbeat.Number)
+	if news {
+		r.newsAt = time.Now()
 	}
-	return result, err
+	r.observer.PollSucceeded(result)
+	return news, nil
 }
 
-// pollControl keeps polling the same control VM while it returns new heartbeats or versions. An isolated or frozen
-// control VM returns none, and the next poll must go to another one: the permission to admit requests depends on a
-// recent heartbeat.
-func (r *followRun) pollControl(ctx context.Context, controlVMs []string) (PollResult, error) {
-	if !slices.Contains(controlVMs, r.controlVM) {
-		r.selectVM(pickOther(controlVMs, ""), SwitchStart)
-	}
-	address := r.controlVM
-	result, err := r.pollOne(ctx, address, r.knownHeartbeat)
-	switch {
-	case err != nil && ctx.Err() == nil:
-		result, err = r.probeOthers(ctx, controlVMs, result.Peer, err)
-	case r.hasNews(result):
-		r.newsAt = time.Now()
-	default:
-		r.selectVM(pickOther(controlVMs, address), SwitchNoNews)
+// reportFailure reports a failed poll to the observer, unless the follower is stopping.
+func (r *followRun) reportFailure(ctx context.Context, address string, err error) {
+	if ctx.Err() == nil {
+		r.observer.PollFailed(address, err)
 	}
-	r.knownHeartbeat = max(r.knownHeartbeat, result.Heartbeat.Number)
-	return result, err
-}
-
-// probeOthers polls the control VMs in random order, except the one with the address unresponsive, and selects the first
-// that responds. cause is the error of the poll to unresponsive.
-func (r *followRun) probeOthers(ctx context.Context, controlVMs []string, unresponsive string, cause error) (PollResult, error) {
-	others := slices.DeleteFunc(slices.Clone(controlVMs), func(a string) bool { return a == unresponsive })
-	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
-	probe := *r.Follower
-	probe.Wait = probePollWait
-	failed, err := PollResult{Peer: unresponsive}, cause
-	for _, address := range others {
-		r.observer.PollFailed(failed.Peer, err)
-		var result PollResult
-		if result, err = probe.pollOne(ctx, address, r.knownHeartbeat); err == nil {
-			r.selectVM(address, SwitchFailed)
-			return result, nil
+}
+
+// peek is the reply of a process to the question for its version.
+type peek struct {
+	address string
+	reply   FetchReply
+	err     error
+}
+
+// newerThan reports whether p has a newer version than q, or the same version and a newer heartbeat.
+func (p *peek) newerThan(q *peek) bool {
+	if p.reply.Version != q.reply.Version {
+		return p.reply.Version > q.reply.Version
+	}
+	return p.reply.Heartbeat.Number > q.reply.Heartbeat.Number
+}
+
+// search asks all control VMs and one other process for their versions at the same time, fetches each newer version as
+// soon as a process reports it, and selects the control VM with the newest one. It waits for all replies before it
+// selects: the first one may come from a control VM that is cut off as well.
+func (r *followRun) search(ctx context.Context, controlVMs, peers []string) {
+	cause := SwitchNoNews
+	if r.failed != "" {
+		cause = SwitchFailed
+	}
+	addresses := slices.DeleteFunc(slices.Clone(controlVMs), func(a string) bool { return a == r.failed })
+	r.failed = ""
+	if peer := pickRandom(peers); peer != "" {
+		addresses = append(addresses, peer)
+	}
+	var newest *peek
+	for p := range r.peekAll(ctx, addresses) {
+		if p.err != nil {
+			r.reportFailure(ctx, p.address, p.err)
+			continue
 		}
-		failed = result
+		if p.reply.Version > r.Copy.Version() || p.reply.Heartbeat.Number > r.knownHeartbeat {
+			afterPeek := *r.Follower
+			afterPeek.Wait = pollWaitAfterPeek
+			_, _ = r.pollOne(ctx, &afterPeek, p.address) // the observer has the error
+		}
+		if slices.Contains(controlVMs, p.address) && (newest == nil || p.newerThan(newest)) {
+			newest = &p
+		}
+	}
+	r.lost = newest == nil
+	if newest != nil {
+		r.selectVM(newest.address, cause)
 	}
-	r.selectVM(pickOther(controlVMs, unresponsive), SwitchFailed)
-	return failed, err
 }
 
-// pickOther returns a random address other than avoid, or avoid if there is no other.
-func pickOther(addresses []string, avoid string) string {
-	others := slices.DeleteFunc(slices.Clone(addresses), func(a string) bool { return a == avoid })
-	if len(others) == 0 {
-		return avoid
+// peekAll asks the processes for their versions at the same time. The channel is closed after the last reply.
+func (r *followRun) peekAll(ctx context.Context, addresses []string) <-chan peek {
+	replies := make(chan peek, len(addresses))
+	knownHeartbeat := r.knownHeartbeat // pollOne may change the field meanwhile
+	var pending sync.WaitGroup
+	for _, address := range addresses {
+		pending.Go(func() {
+			reply, err := r.peek(ctx, address, knownHeartbeat)
+			replies <- peek{address, reply, err}
+		})
 	}
-	return others[rand.IntN(len(others))]
+	go func() {
+		pending.Wait()
+		close(replies)
+	}()
+	return replies
 }
 
-func (f *Follower) pollOne(ctx context.Context, address string, knownHeartbeat uint64) (PollResult, error) {
-	if address == "" {
-		return PollResult{}, errors.New("fetch fleet state: no address is known")
+// pickRandom returns one of the addresses, or "" if there is none.
+func pickRandom(addresses []string) string {
+	if len(addresses) == 0 {
+		return ""
 	}
-	return f.Poll(ctx, address, knownHeartbeat)
+	return addresses[rand.IntN(len(addresses))]
 }
 
 func sleep(ctx context.Context, d time.Duration) {
--- a/control/follower.go
+++ b/control/follower.go
@@ -84,18 +84,30 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait+callTimeoutMargin)
 	defer cancel()
-	request := FetchRequest{
-		Process:         f.Process,
-		Incarnation:     f.Incarnation,
-		HeartbeatNumber: knownHeartbeat,
-		WaitMillis:      wait.Milliseconds(),
-	}
-	f.Copy.View(func(s *state.State) { request.Version, request.Chain = s.Version(), s.Chain() })
+	request := f.newRequest(knownHeartbeat)
+	request.WaitMillis = wait.Milliseconds()
 	var reply FetchReply
 	err := f.Caller.Call(ctx, address, MethodFetch, request, &reply)
 	return reply, errors.Wrap(err, "fetch fleet state")
 }
 
+// peek asks a process for its version and heartbeat, without commands.
+func (f *Follower) peek(ctx context.Context, address string, knownHeartbeat uint64) (FetchReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, peekTimeout)
+	defer cancel()
+	request := f.newRequest(knownHeartbeat)
+	request.Peek = true
+	var reply FetchReply
+	err := f.Caller.Call(ctx, address, MethodFetch, request, &reply)
+	return reply, errors.Wrap(err, "ask for the version of the fleet state")
+}
+
+func (f *Follower) newRequest(knownHeartbeat uint64) FetchRequest {
+	request := FetchRequest{Process: f.Process, Incarnation: f.Incarnation, HeartbeatNumber: knownHeartbeat}
+	f.Copy.View(func(s *state.State) { request.Version, request.Chain = s.Version(), s.Chain() })
+	return request
+}
+
 // replaceDiverged replaces a copy whose history differs from the peer's or that refused an accepted command. If that
 // fails too, the error includes cause.
 func (f *Follower) replaceDiverged(ctx context.Context, address string, cause error) (advanced bool, err error) {
--- a/control/heartbeat_test.go
+++ b/control/heartbeat_test.go
@@ -42,17 +42,10 @@
 	silentAddress, aliveAddress := serveState(t, silent), serveState(t, alive)
 	follower := newFollower(t, "a")
 	follower.Wait = time.Millisecond
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	run := followRun{
-		Follower:  follower,
-		targets:   func() (control, peers []string) { return []string{silentAddress, aliveAddress}, nil },
-		observer:  &observer{},
-		controlVM: silentAddress,
-	}
-	_, err := run.poll(ctx)
-	assert.NilError(t, err)
-	result, err := run.poll(ctx)
-	assert.NilError(t, err)
-	assert.Equal(t, result.Heartbeat.Number, uint64(5))
+	events := &observer{}
+	run := followRun{Follower: follower, observer: events, controlVM: silentAddress}
+	run.step(context.Background(), func() (control, peers []string) { return []string{silentAddress, aliveAddress}, nil })
+	assert.Equal(t, events.failures, 0)
+	assert.Equal(t, run.knownHeartbeat, uint64(5))
+	assert.Equal(t, run.controlVM, aliveAddress)
 }
--- a/control/state_server.go
+++ b/control/state_server.go
@@ -84,7 +84,7 @@
 }
 
 // Fetch returns deltas, a newer heartbeat or the need for a snapshot at once if it has any for the process, and waits
-// for them otherwise. When the wait of the request ends, it returns a reply without deltas.
+// for them otherwise. When the wait of the request ends, it returns a reply without deltas. A peek is answered at once.
 func (s *StateServer) Fetch(ctx context.Context, r FetchRequest) (FetchReply, error) {
 	arrived := time.Now()
 	if s.confirmer != nil && r.Process != "" && s.hasSameHistory(r) {
@@ -98,7 +98,7 @@
 	for {
 		heartbeat, changed := s.watch(arrived)
 		reply := s.buildReply(r, heartbeat)
-		if reply.hasUpdate(r) {
+		if r.Peek || reply.hasUpdate(r) {
 			return reply, nil
 		}
 		select {
@@ -130,6 +130,9 @@
 			// another control VM.
 			reply.Heartbeat = LeaderHeartbeat{}
 		}
+		if r.Peek {
+			return
+		}
 		deltas, ok := st.Since(r.Version)
 		if chain, known := st.ChainAt(r.Version); known && chain != r.Chain {
 			ok, deltas = false, nil
