node: a control VM serves the newer of the replicated state and its copy

Cause: such a control VM passes on the heartbeats that it gets from peers as long as their version is not above that of its replicated state, but never the versions. A heartbeat issued just before the next version then counts as news up to a second later, and its followers start another whole poll: up to 2.25 s after the acknowledgement.

Evidence: TestCutOffControlVMServesVersionsOfPeers failed before: the reply had version 1 in place of 2.

Copies hold accepted commands only, so serving the newer of the two is safe; a control VM that has just joined the group benefits too. Confirmations still count at the leader alone, whose replicated state is never behind a copy.

--- a/node/node.go
+++ b/node/node.go
@@ -172,13 +172,13 @@
 	rpc.Register(n.rpc, methodFetchDigests, n.ejections.serveDigests)
 }
 
-// startStateServer serves the fleet state to other processes: on a control VM from the replicated state, elsewhere from
-// the process's copy.
+// startStateServer serves the fleet state to other processes: on a control VM the newer of the replicated state and the
+// process's copy, elsewhere the copy.
 func (n *Node) startStateServer() {
 	if n.control == nil {
 		n.stateServer = control.NewStateServer(n.copy, nil)
 	} else {
-		n.stateServer = control.NewStateServer(n.control.machine, n.control.heartbeats)
+		n.stateServer = control.NewStateServer(newestState{n.control.machine, n.copy}, n.control.heartbeats)
 		n.control.start()
 	}
 	n.stateServer.Register(n.rpc)
