proxy: cut off response bytes that never end

With bytes after a complete response, the caller had its answer but the connection to the server stayed open for 20 s while they filled its buffers. Heads without end were bounded already: 64 KiB and the deadline.

Cause: the deadline covers the head and the first 64 KiB; after that only the wait for the next byte was limited. An idle connection was checked for stray bytes at its next use only.

Where the caller says how long it waits, the entry now ends the body at that time and closes the connection, so that the answer cannot pass for complete; the gate follows when the entry leaves. Routes without such callers keep their long streams. An idle connection is checked once, a second after its last response.

--- a/proxy/client.go
+++ b/proxy/client.go
@@ -5,6 +5,7 @@
 	"crypto/tls"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -140,23 +141,28 @@
 		return false
 	}
 	conn.host.idle = append(conn.host.idle, conn)
+	conn.checked = false
 	if conn.expiry == nil {
-		conn.expiry = time.AfterFunc(idleConnTimeout, func() { c.expire(conn) })
+		conn.expiry = time.AfterFunc(idleCheckDelay, func() { c.expire(conn) })
 	} else {
-		conn.expiry.Reset(idleConnTimeout)
+		conn.expiry.Reset(idleCheckDelay)
 	}
 	return true
 }
 
+// expire closes an idle connection if bytes have arrived on it since its last response, or after idleConnTimeout.
 func (c *client) expire(conn *clientConn) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for i, other := range conn.host.idle {
-		if other == conn {
-			conn.host.idle = append(conn.host.idle[:i], conn.host.idle[i+1:]...)
-			conn.abort()
-			return
-		}
+	i := slices.Index(conn.host.idle, conn)
+	switch {
+	case i < 0: // in use again
+	case !conn.checked && conn.usable():
+		conn.checked = true
+		conn.expiry.Reset(idleConnTimeout - idleCheckDelay)
+	default:
+		conn.host.idle = slices.Delete(conn.host.idle, i, i+1)
+		conn.abort()
 	}
 }
 
--- a/proxy/clientconn.go
+++ b/proxy/clientconn.go
@@ -17,7 +17,8 @@
 	limited *io.LimitedReader
 	reader  *bufio.Reader
 	writer  *bufio.Writer
-	expiry  *time.Timer // closes the connection after idleConnTimeout; nil before its first use
+	expiry  *time.Timer // checks the idle connection and closes it after idleConnTimeout; nil before its first use
+	checked bool        // the idle connection was checked after idleCheckDelay
 }
 
 func newClientConn(conn, socket net.Conn, host *hostPool) *clientConn {
--- a/proxy/entry.go
+++ b/proxy/entry.go
@@ -163,7 +163,8 @@
 		req.Objective = time.Now().Add(route.Objective)
 	}
 	if caller.Remaining > 0 {
-		req.Deadline = minTime(req.Deadline, time.Now().Add(caller.Remaining))
+		req.BodyDeadline = time.Now().Add(caller.Remaining)
+		req.Deadline = minTime(req.Deadline, req.BodyDeadline)
 	}
 	if !e.opts.Admitter.MayAdmit() {
 		return req, notRunRefusal(http.StatusServiceUnavailable, ReasonIsolated, "accept")
--- a/proxy/message.go
+++ b/proxy/message.go
@@ -45,6 +45,9 @@
 	Objective time.Time
 	// Deadline is the time by which the headers of the response must have arrived.
 	Deadline time.Time
+	// BodyDeadline is the time by which the body of the response must have ended; zero where the caller does not say how
+	// long it waits. Only the entry enforces it: it closes its connection to the gate.
+	BodyDeadline time.Time
 
 	Method string
 	// URI is the request target as the caller sent it.
--- a/proxy/remote.go
+++ b/proxy/remote.go
@@ -85,7 +85,7 @@
 		resp.Body.Close()
 		return nil, refusal
 	}
-	return g.parseResponse(resp, cancel), nil
+	return g.parseResponse(req, resp, cancel), nil
 }
 
 func (g *remoteGate) send(ctx context.Context, cancel func(), req *Request) (*http.Response, error) {
@@ -220,12 +220,12 @@
 	return refusal
 }
 
-func (g *remoteGate) parseResponse(resp *http.Response, cancel context.CancelFunc) *Response {
+func (g *remoteGate) parseResponse(req *Request, resp *http.Response, cancel context.CancelFunc) *Response {
 	load, _ := parseLoad(resp.Header.Get(headerLoad))
 	return &Response{
 		Status:        resp.StatusCode,
 		Header:        responseHeaders(resp.Header),
-		Body:          newResponseBody(resp.Body, cancel, func(bool) {}),
+		Body:          newResponseBody(resp.Body, req.BodyDeadline, cancel, func(bool) {}),
 		ContentLength: resp.ContentLength,
 		Server:        resp.Header.Get(headerServer),
 		Timing: Timing{
--- a/proxy/run.go
+++ b/proxy/run.go
@@ -106,7 +106,9 @@
 		result = admission.Cancelled
 	}
 	nested := tracked.end(result)
+	stopWatch := func() bool { return true }
 	release := func(whole bool) {
+		stopWatch()
 		g.untrack(req)
 		if !whole {
 			result = admission.Failed
@@ -120,8 +122,10 @@
 		cancel()
 		return g.bufferedResponse(resp, body, held, latency, req), nil
 	}
+	// The backend server has responded. Where the caller leaves now, a body without end would hold the slot.
+	stopWatch = context.AfterFunc(callerCtx, cancel)
 	rest := &prefixedBody{Reader: io.MultiReader(bytes.NewReader(body), resp.Body), Closer: resp.Body}
-	return g.response(resp, newResponseBody(rest, cancel, release), resp.ContentLength, held, latency, req), nil
+	return g.response(resp, newResponseBody(rest, req.BodyDeadline, cancel, release), resp.ContentLength, held, latency, req), nil
 }
 
 // maxBufferedResponse is the size in bytes up to which a response is read to its end before any of it is passed on. If
--- a/proxy/transport.go
+++ b/proxy/transport.go
@@ -18,6 +18,9 @@
 	// idleConnTimeout is shorter than common idle timeouts of servers. This avoids sending a request on a connection
 	// that the server is closing.
 	idleConnTimeout = 20 * time.Second
+	// idleCheckDelay is the time after which an idle connection is checked once for bytes that no request asked for. A
+	// server that keeps sending would otherwise fill the buffers of the connection until idleConnTimeout.
+	idleCheckDelay = time.Second
 	// maxResponseHeaderBytes limits the size of the headers of a response.
 	maxResponseHeaderBytes = 64 << 10
 	// bodyIdleTimeout limits the wait for the next byte of a response body.
@@ -79,6 +82,7 @@
 type responseBody struct {
 	inner   io.ReadCloser
 	idle    *time.Timer
+	end     *time.Timer // nil without a deadline
 	cancel  context.CancelFunc
 	once    sync.Once
 	release func(whole bool)
@@ -86,13 +90,19 @@
 	failed  bool
 }
 
-func newResponseBody(inner io.ReadCloser, cancel context.CancelFunc, release func(whole bool)) *responseBody {
-	return &responseBody{
+// newResponseBody returns a body that breaks off when the next byte does not arrive within bodyIdleTimeout, or at the
+// deadline unless that is zero.
+func newResponseBody(inner io.ReadCloser, deadline time.Time, cancel context.CancelFunc, release func(whole bool)) *responseBody {
+	b := &responseBody{
 		inner:   inner,
 		idle:    time.AfterFunc(bodyIdleTimeout, cancel),
 		cancel:  cancel,
 		release: release,
 	}
+	if !deadline.IsZero() {
+		b.end = time.AfterFunc(time.Until(deadline), cancel)
+	}
+	return b
 }
 
 func (b *responseBody) Read(p []byte) (int, error) {
@@ -113,6 +123,9 @@
 	err := b.inner.Close()
 	b.once.Do(func() {
 		b.idle.Stop()
+		if b.end != nil {
+			b.end.Stop()
+		}
 		b.cancel()
 		b.release(!b.failed)
 	})
