--- a/control/cutoff_test.go
+++ b/control/cutoff_test.go
@@ -18,14 +18,18 @@
 // memoryCaller serves polls from state servers in memory. An address without one is silent, as over a cut link.
 type memoryCaller map[string]*StateServer
 
-func (c memoryCaller) Call(ctx context.Context, address, _ string, params, result any) error {
+func (c memoryCaller) Call(ctx context.Context, address, _ string, params, result any) (err error) {
 	server, ok := c[address]
 	if !ok {
 		<-ctx.Done()
 		return ctx.Err()
 	}
-	reply, err := server.Fetch(ctx, params.(FetchRequest))
-	*result.(*FetchReply) = reply
+	switch request := params.(type) {
+	case FetchRequest:
+		*result.(*FetchReply), err = server.Fetch(ctx, request)
+	case SnapshotRequest:
+		*result.(*SnapshotReply), err = server.Snapshot(request)
+	}
 	return err
 }
 
@@ -33,10 +37,12 @@
 type splitFleet struct {
 	behind, current *machine
 	servers         memoryCaller
+	caller          Caller
 }
 
 func newSplitFleet(t *testing.T) *splitFleet {
 	f := &splitFleet{behind: &machine{s: state.New()}, current: &machine{s: state.New()}, servers: memoryCaller{}}
+	f.caller = f.servers
 	f.behind.apply(t, "dom-a")
 	f.current.apply(t, "dom-a")
 	f.current.apply(t, "dom-b")
@@ -54,7 +60,7 @@
 
 // timeToVersion returns the time until a follower at the first version, runs the second one.
 func (f *splitFleet) timeToVersion(t *testing.T, controlVMs, peers []string) time.Duration {
-	follower := &Follower{Copy: NewCopy(), Caller: f.servers, Process: "vm", Wait: 1250 * time.Millisecond}
+	follower := &Follower{Copy: NewCopy(), Caller: f.caller, Process: "vm", Wait: 1250 * time.Millisecond}
 	deltas, ok := f.behind.s.Since(0)
 	assert.Assert(t, ok)
 	_, err := follower.Copy.Apply(deltas)
@@ -99,3 +105,32 @@
 		})
 	}
 }
+
+// silentSnapshots is a Caller to which the control VM at the address silent serves no snapshot.
+type silentSnapshots struct {
+	memoryCaller
+	silent string
+}
+
+func (c silentSnapshots) Call(ctx context.Context, address, method string, params, result any) error {
+	if method == MethodSnapshot && address == c.silent {
+		address = "none"
+	}
+	return c.memoryCaller.Call(ctx, address, method, params, result)
+}
+
+// Guards against a process that waits 10 s for a snapshot from a control VM that fell silent after it had offered one.
+func TestSilentSnapshotDelaysNoVersion(t *testing.T) {
+	for range 20 { // the first control VM is random
+		synctest.Test(t, func(t *testing.T) {
+			f := newSplitFleet(t)
+			// The follower has another history, so that it needs a snapshot.
+			f.behind = &machine{s: state.New()}
+			f.behind.apply(t, "dom-c")
+			f.serve(f.current, 1, "control-1", "control-2")
+			f.caller = silentSnapshots{f.servers, "control-1"}
+			took := f.timeToVersion(t, []string{"control-1", "control-2"}, nil)
+			assert.Assert(t, took <= applyBound, "took %s", took)
+		})
+	}
+}
--- a/control/fetch.go
+++ b/control/fetch.go
@@ -19,8 +19,9 @@
 	MaxFetchWait = 30 * time.Second
 	// maxReplyBytes limits the deltas in one reply; a follower fetches the rest with further requests.
 	maxReplyBytes = 1 << 20
-	// snapshotPartBytes is the size of one part of a snapshot, in bytes before encoding.
-	snapshotPartBytes = 1 << 20
+	// snapshotPartBytes is the size of one part of a snapshot, in bytes before encoding. Compressed, a part passes a link
+	// of 2 Mbit/s well within the time of a long poll.
+	snapshotPartBytes = 256 << 10
 	// snapshotRetention is the time for which an encoded snapshot is kept after the last request for a part of it.
 	snapshotRetention = 30 * time.Second
 )
--- a/control/follower.go
+++ b/control/follower.go
@@ -15,8 +15,7 @@
 }
 
 const (
-	// DefaultFetchWait is the default wait of a Follower's long poll. It also limits the request for one part of a
-	// snapshot.
+	// DefaultFetchWait is the default wait of a Follower's long poll.
 	DefaultFetchWait = 10 * time.Second
 	// callTimeoutMargin is the time that a call may take in addition to the wait of its long poll.
 	callTimeoutMargin = 250 * time.Millisecond
@@ -35,6 +34,17 @@
 	Wait time.Duration
 }
 
+// callTimeout limits a long poll and the request for one part of a snapshot, so that a silent process costs the same
+// time in both.
+func (f *Follower) callTimeout() time.Duration { return f.wait() + callTimeoutMargin }
+
+func (f *Follower) wait() time.Duration {
+	if f.Wait <= 0 {
+		return DefaultFetchWait
+	}
+	return f.Wait
+}
+
 // PollResult is the outcome of one poll.
 type PollResult struct {
 	// Advanced reports whether the version of the copy increased.
@@ -78,14 +88,10 @@
 }
 
 func (f *Follower) fetch(ctx context.Context, address string, knownHeartbeat uint64) (FetchReply, error) {
-	wait := f.Wait
-	if wait <= 0 {
-		wait = DefaultFetchWait
-	}
-	ctx, cancel := context.WithTimeout(ctx, wait+callTimeoutMargin)
+	ctx, cancel := context.WithTimeout(ctx, f.callTimeout())
 	defer cancel()
 	request := f.newRequest(knownHeartbeat)
-	request.WaitMillis = wait.Milliseconds()
+	request.WaitMillis = f.wait().Milliseconds()
 	var reply FetchReply
 	err := f.Caller.Call(ctx, address, MethodFetch, request, &reply)
 	return reply, errors.Wrap(err, "fetch fleet state")
@@ -116,7 +122,7 @@
 }
 
 func (f *Follower) replaceFromSnapshot(ctx context.Context, address string) (advanced bool, err error) {
-	s, err := FetchSnapshot(ctx, f.Caller, address)
+	s, err := f.fetchSnapshot(ctx, address)
 	if err != nil {
 		return false, err
 	}
@@ -124,12 +130,12 @@
 	return f.Copy.Replace(s) && s.Version() > before, nil
 }
 
-// FetchSnapshot fetches a snapshot from a process in parts and returns its state.
-func FetchSnapshot(ctx context.Context, caller Caller, address string) (*state.State, error) {
+// fetchSnapshot fetches a snapshot from a process in parts and returns its state.
+func (f *Follower) fetchSnapshot(ctx context.Context, address string) (*state.State, error) {
 	var data []byte
 	request := SnapshotRequest{}
 	for {
-		reply, err := fetchPart(ctx, caller, address, request)
+		reply, err := f.fetchPart(ctx, address, request)
 		if err != nil {
 			return nil, err
 		}
@@ -143,11 +149,11 @@
 	return s, errors.Wrapf(err, "restore snapshot from peer %s", address)
 }
 
-func fetchPart(ctx context.Context, caller Caller, address string, r SnapshotRequest) (SnapshotReply, error) {
-	ctx, cancel := context.WithTimeout(ctx, DefaultFetchWait)
+func (f *Follower) fetchPart(ctx context.Context, address string, r SnapshotRequest) (SnapshotReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, f.callTimeout())
 	defer cancel()
 	var reply SnapshotReply
-	if err := caller.Call(ctx, address, MethodSnapshot, r, &reply); err != nil {
+	if err := f.Caller.Call(ctx, address, MethodSnapshot, r, &reply); err != nil {
 		return reply, errors.Wrap(err, "fetch snapshot")
 	}
 	end := reply.Offset + len(reply.Data)
