--- a/replica/cluster_test.go
+++ b/replica/cluster_test.go
@@ -121,9 +121,12 @@
 	cut    map[[2]raft.ID]bool
 
 	calls           atomic.Int64
+	added           int // members since the start
 	started         uint64
 	snapshotEntries uint64
 	tick            time.Duration
+	// newStorage returns the file system of a new member; nil for real files.
+	newStorage func() storage.FS
 }
 
 type member struct {
@@ -131,6 +134,7 @@
 	id      raft.ID
 	dir     string
 	fs      *killFS
+	storage storage.FS // replaces fs unless it is nil
 	machine *listMachine
 	group   *Group
 }
@@ -139,8 +143,12 @@
 func newCluster(t testing.TB, size int) *cluster { return newClusterOf(t, size, 20, testTick) }
 
 func newClusterOf(t testing.TB, size int, snapshotEntries uint64, tick time.Duration) *cluster {
+	return newClusterWith(t, size, snapshotEntries, tick, nil)
+}
+
+func newClusterWith(t testing.TB, size int, snapshotEntries uint64, tick time.Duration, newStorage func() storage.FS) *cluster {
 	c := &cluster{t: t, dir: t.TempDir(), groups: map[raft.ID]*Group{}, cut: map[[2]raft.ID]bool{}}
-	c.snapshotEntries, c.tick = snapshotEntries, tick
+	c.snapshotEntries, c.tick, c.newStorage = snapshotEntries, tick, newStorage
 	for range size {
 		c.addMember()
 	}
@@ -165,7 +173,11 @@
 
 // addMember adds a member with a new data folder and does not start it.
 func (c *cluster) addMember() *member {
-	m := &member{cluster: c, dir: filepath.Join(c.dir, string(rune('a'+len(c.members))))}
+	m := &member{cluster: c, dir: filepath.Join(c.dir, string(rune('a'+c.added)))}
+	c.added++
+	if c.newStorage != nil {
+		m.storage = c.newStorage()
+	}
 	s, r := m.open()
 	m.id = r.ID
 	assert.NilError(c.t, s.Close())
@@ -176,7 +188,11 @@
 func (m *member) open() (*storage.Store, storage.Recovered) {
 	m.t.Helper()
 	m.fs = &killFS{}
-	s, r, err := storage.Open(m.fs, m.dir)
+	files := m.storage
+	if files == nil {
+		files = m.fs
+	}
+	s, r, err := storage.Open(files, m.dir)
 	assert.NilError(m.t, err)
 	return s, r
 }
