--- a/proxy/metrics.go
+++ b/proxy/metrics.go
@@ -41,6 +41,12 @@
 	metrics.GetOrCreateCounter(fmt.Sprintf("rosemaryline_answers_total{status=%q}", strconv.Itoa(status))).Inc()
 }
 
+// countSplitChoice counts the service that was chosen for a request on a route with a split. The choice precedes all waits
+// and refusals, so its shares are those of the weights.
+func countSplitChoice(route, service string) {
+	metrics.GetOrCreateCounter(fmt.Sprintf("rosemaryline_split_choices_total{route=%q,service=%q}", route, service)).Inc()
+}
+
 // countHealthChange counts a change in the health of a backend server.
 func countHealthChange(service string, health outlier.Health) {
 	metrics.GetOrCreateCounter(fmt.Sprintf("rosemaryline_judgements_total{service=%q,health=%q}", service, health.String())).Inc()
--- a/proxy/router.go
+++ b/proxy/router.go
@@ -354,8 +354,12 @@
 // pickService returns the service for a new request on a route.
 func (r *router) pickService(route *routing.Route) string {
 	r.mu.Lock()
-	defer r.mu.Unlock()
-	return route.PickService(r.rng)
+	service := route.PickService(r.rng)
+	r.mu.Unlock()
+	if route.IsSplit() {
+		countSplitChoice(route.Name, service)
+	}
+	return service
 }
 
 // choose returns the VM for the next attempt.
--- a/routing/table.go
+++ b/routing/table.go
@@ -54,6 +54,9 @@
 	return r.split[len(r.split)-1].Service
 }
 
+// IsSplit reports whether the route distributes its requests among several services.
+func (r *Route) IsSplit() bool { return len(r.split) > 0 }
+
 // Services returns the names of the services that the route can choose. With a split, they are sorted and without
 // duplicates.
 func (r *Route) Services() []string {
