--- a/control/follow.go
+++ b/control/follow.go
@@ -70,7 +70,8 @@
 type followRun struct {
 	*Follower
 	observer Observer
-	// controlVM is the address of the control VM to poll. If it is not one of the targets, pollControl chooses another one.
+	// controlVM is the address of the control VM to poll. If it is not one of the targets, pollControl chooses another
+	// one.
 	controlVM      string
 	knownHeartbeat uint64 // number of the newest heartbeat
 	newsAt         time.Time
@@ -108,8 +109,8 @@
 }
 
 // pollControl polls the selected control VM and reports whether it returned a newer version or heartbeat. A control VM
-// that is cut off from the leader or frozen returns none. The permission to admit requests depends on a recent
-// heartbeat too.
+// that is cut off from the leader responds without either. Heartbeats count as news because the permission to admit
+// requests depends on a recent one.
 func (r *followRun) pollControl(ctx context.Context, controlVMs []string) (news bool) {
 	if !slices.Contains(controlVMs, r.controlVM) {
 		r.selectVM(pickRandom(controlVMs), SwitchStart)
--- a/node/newest.go
+++ b/node/newest.go
@@ -5,9 +5,9 @@
 	"rosemaryline.dev/fleet/state"
 )
 
-// newestState is the control.Viewer of a control VM: the replicated state or the process's copy, whichever is newer. The
-// copy is newer while the control VM is cut off from the leader, or has joined the group a moment ago, and follows a
-// peer. A heartbeat from that peer must not be passed on without the version that it carries.
+// newestState is the control.Viewer of a control VM: the replicated state or the process's copy, whichever is newer.
+// The copy is newer while the control VM is cut off from the leader, or has joined the group a moment ago, and follows
+// a peer. A heartbeat from that peer must not be passed on without the version that it carries.
 type newestState struct {
 	machine *controlMachine
 	copy    *control.Copy
--- a/proxy/message.go
+++ b/proxy/message.go
@@ -46,7 +46,7 @@
 	// Deadline is the time by which the headers of the response must have arrived.
 	Deadline time.Time
 	// BodyDeadline is the time by which the body of the response must have ended; zero where the caller does not say how
-	// long it waits. Only the entry enforces it: it closes its connection to the gate.
+	// long it waits. It is not sent to the gates of other VMs; the entry closes its connection to them instead.
 	BodyDeadline time.Time
 
 	Method string
