--- a/control/cutoff_test.go
+++ b/control/cutoff_test.go
@@ -134,3 +134,31 @@
 		})
 	}
 }
+
+// slowSnapshots is a Caller over which each part of a snapshot takes a second.
+type slowSnapshots struct{ memoryCaller }
+
+func (c slowSnapshots) Call(ctx context.Context, address, method string, params, result any) error {
+	if method == MethodSnapshot {
+		select {
+		case <-time.After(time.Second):
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	return c.memoryCaller.Call(ctx, address, method, params, result)
+}
+
+// Guards against a process that never gets a snapshot over a slow link from a peer while no control VM responds: the
+// parts had the short limit of the poll that follows a peek.
+func TestSlowSnapshotFromPeerWithoutControl(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newSplitFleet(t)
+		f.behind = &machine{s: state.New()} // another history, so that the process needs a snapshot
+		f.behind.apply(t, "dom-c")
+		f.serve(f.current, 1, "peer")
+		f.caller = slowSnapshots{f.servers}
+		took := f.timeToVersion(t, []string{"control-1"}, []string{"peer"})
+		assert.Assert(t, took < 10*time.Second, "took %s", took)
+	})
+}
--- a/control/follow.go
+++ b/control/follow.go
@@ -116,7 +116,7 @@
 		r.selectVM(pickRandom(controlVMs), SwitchStart)
 	}
 	r.failed = ""
-	news, err := r.pollOne(ctx, r.Follower, r.controlVM)
+	news, err := r.pollOne(ctx, r.controlVM, r.wait())
 	if err != nil {
 		r.failed = r.controlVM
 	}
@@ -125,10 +125,10 @@
 
 // pollOne polls one process, reports to the observer, and reports whether the process returned a newer version or
 // heartbeat.
-func (r *followRun) pollOne(ctx context.Context, f *Follower, address string) (news bool, err error) {
+func (r *followRun) pollOne(ctx context.Context, address string, wait time.Duration) (news bool, err error) {
 	result, err := PollResult{}, errors.New("fetch fleet state: no address is known")
 	if address != "" {
-		result, err = f.Poll(ctx, address, r.knownHeartbeat)
+		result, err = r.poll(ctx, address, r.knownHeartbeat, wait)
 	}
 	if err != nil {
 		r.reportFailure(ctx, address, err)
@@ -185,9 +185,7 @@
 			continue
 		}
 		if p.reply.Version > r.Copy.Version() || p.reply.Heartbeat.Number > r.knownHeartbeat {
-			afterPeek := *r.Follower
-			afterPeek.Wait = pollWaitAfterPeek
-			_, _ = r.pollOne(ctx, &afterPeek, p.address) // the observer has the error
+			_, _ = r.pollOne(ctx, p.address, pollWaitAfterPeek) // the observer has the error
 		}
 		if slices.Contains(controlVMs, p.address) && (newest == nil || p.newerThan(newest)) {
 			newest = &p
--- a/control/follower.go
+++ b/control/follower.go
@@ -34,10 +34,6 @@
 	Wait time.Duration
 }
 
-// callTimeout limits a long poll and the request for one part of a snapshot, so that a silent process costs the same
-// time in both.
-func (f *Follower) callTimeout() time.Duration { return f.wait() + callTimeoutMargin }
-
 func (f *Follower) wait() time.Duration {
 	if f.Wait <= 0 {
 		return DefaultFetchWait
@@ -60,8 +56,13 @@
 // Poll fetches newer commands and the newest heartbeat from one process and applies the commands to the copy. Errors
 // name the step and the peer; the copy stays usable after an error.
 func (f *Follower) Poll(ctx context.Context, address string, knownHeartbeat uint64) (PollResult, error) {
+	return f.poll(ctx, address, knownHeartbeat, f.wait())
+}
+
+// poll is Poll with another wait. The wait does not limit the parts of a snapshot.
+func (f *Follower) poll(ctx context.Context, address string, knownHeartbeat uint64, wait time.Duration) (PollResult, error) {
 	result := PollResult{SentAt: time.Now(), Peer: address}
-	reply, err := f.fetch(ctx, address, knownHeartbeat)
+	reply, err := f.fetch(ctx, address, knownHeartbeat, wait)
 	if err != nil {
 		return result, err
 	}
@@ -87,11 +88,11 @@
 	return advanced, err
 }
 
-func (f *Follower) fetch(ctx context.Context, address string, knownHeartbeat uint64) (FetchReply, error) {
-	ctx, cancel := context.WithTimeout(ctx, f.callTimeout())
+func (f *Follower) fetch(ctx context.Context, address string, knownHeartbeat uint64, wait time.Duration) (FetchReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+callTimeoutMargin)
 	defer cancel()
 	request := f.newRequest(knownHeartbeat)
-	request.WaitMillis = f.wait().Milliseconds()
+	request.WaitMillis = wait.Milliseconds()
 	var reply FetchReply
 	err := f.Caller.Call(ctx, address, MethodFetch, request, &reply)
 	return reply, errors.Wrap(err, "fetch fleet state")
@@ -150,7 +151,8 @@
 }
 
 func (f *Follower) fetchPart(ctx context.Context, address string, r SnapshotRequest) (SnapshotReply, error) {
-	ctx, cancel := context.WithTimeout(ctx, f.callTimeout())
+	// A silent process costs the same time here as in a long poll.
+	ctx, cancel := context.WithTimeout(ctx, f.wait()+callTimeoutMargin)
 	defer cancel()
 	var reply SnapshotReply
 	if err := f.Caller.Call(ctx, address, MethodSnapshot, r, &reply); err != nil {
