--- a/review/harness/callers.go
+++ b/review/harness/callers.go
@@ -9,6 +9,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -23,6 +24,15 @@
 
 var lastRequest atomic.Int64
 
+// sendTimes holds when each request was sent, by its id.
+var sendTimes sync.Map
+
+func sentAt(id string) time.Time {
+	at, _ := sendTimes.Load(id)
+	sent, _ := at.(time.Time)
+	return sent
+}
+
 func newID(prefix string) string { return fmt.Sprintf("%s-%05d", prefix, lastRequest.Add(1)) }
 
 // send sends one request of a client on a machine over a new connection.
@@ -43,6 +53,7 @@
 		req.Header.Set("X-Api-Key", key)
 	}
 	rec.add("client on %s: sends %s %s %s", m.name, a.id, method, path)
+	sendTimes.Store(a.id, time.Now())
 	resp, err := http.DefaultTransport.RoundTrip(req)
 	if err == nil {
 		defer resp.Body.Close()
--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -16,11 +16,11 @@
 type scenario func(rec *record, f *fleet, trouble bool) (broken bool, err error)
 
 var scenarios = map[string]scenario{
-	"queued-work-in-evacuated-zone":  queuedWork,
 	"stale-evacuation-order":         staleOrder,
-	"late-heartbeat-after-a-restart": lateHeartbeat,
 	"limit-after-a-kill":             limitAfterKill,
-	"root-of-a-prefix":               rootOfPrefix,
+	"late-heartbeat-after-a-restart": lateHeartbeat,
+	"partial-heartbeat":              partialHeartbeat,
+	"cold-targets-after-evacuation":  coldAfterEvacuation,
 }
 
 // limit bounds a whole case.
