node: a late copy of an order about a failure domain does not undo a later order

Cause: orders about failure domains have neither an id nor a base version. Each copy that arrived was proposed as a new command that overrode what came before, however late it was: one that waited in the socket of a frozen process, and one that waited on a connection to a leader that was cut off.

Change: the control leader numbers the orders about each failure domain. A process fetches a token with the number of the last one, then checks that the caller still waits, and sends the order with the token. The leader checks the token in the step that appends the command (Group.ProposeChecked). Tokens are valid for one term. While the leader is of an earlier build, the order is a command on a base version, which that build checks. A late copy finds its caller gone, or has a token from before the later order.

Ruled out: configurations, whose base label has the same effect; orders of the operators' client, which name a base version.

--- a/fleet/state/apply.go
+++ b/fleet/state/apply.go
@@ -153,6 +153,20 @@
 	return slices.Compact(fields)
 }
 
+// DomainChangedSince reports whether an operator changed the status of a failure domain after a version. It returns true
+// if the audit trail does not reach back to that version.
+func (s *State) DomainChangedSince(domain string, version uint64) bool {
+	for _, r := range slices.Backward(s.accepted.records) {
+		if r.Result.Version <= version {
+			return false
+		}
+		if (r.Kind == KindDomainOut || r.Kind == KindDomainIn) && slices.Contains(r.Fields, domainStatusField(domain)) {
+			return true
+		}
+	}
+	return s.version > version && (len(s.accepted.records) == 0 || s.accepted.records[0].Result.Version > version+1)
+}
+
 func (s *State) lastOperator() string {
 	for _, r := range slices.Backward(s.accepted.records) {
 		if r.Result.Version == s.operatorVersion {
--- a/fleet/state/apply_domain.go
+++ b/fleet/state/apply_domain.go
@@ -24,9 +24,11 @@
 	} else {
 		delete(s.domainsOut, c.Domain)
 	}
-	return []string{"domains." + c.Domain + ".status"}, nil
+	return []string{domainStatusField(c.Domain)}, nil
 }
 
+func domainStatusField(domain string) string { return "domains." + domain + ".status" }
+
 // ServicesBelowFloor returns the sorted paths of the services whose share of failure domains in service would fall
 // below their floor if the domain were taken out. It assumes that all failure domains of a service have equal capacity,
 // because the state does not include the announced capacity.
--- a/fleet/state/state_test.go
+++ b/fleet/state/state_test.go
@@ -62,3 +62,18 @@
 	assert.Equal(t, resend, first)
 	assert.Equal(t, s.Version(), uint64(2))
 }
+
+// Guards against an order about a failure domain that is proposed on a newer version although another order about it came
+// between, also where the audit trail no longer tells.
+func TestDomainChangedSince(t *testing.T) {
+	s := newTestState(t)
+	out := propose(t, s, Command{ChangeID: "out", BaseVersion: 1, SetDomain: &SetDomain{Domain: "d1", Out: true, Force: true}})
+	propose(t, s, Command{ChangeID: "team", BaseVersion: out.Version, Apply: setTeam("blue", 7)})
+	for version, want := range map[uint64]bool{0: true, 1: true, out.Version: false, s.Version(): false, s.Version() + 1: false} {
+		assert.Equal(t, s.DomainChangedSince("d1", version), want, "d1 since version %d", version)
+	}
+	assert.Assert(t, !s.DomainChangedSince("d2", 1))
+	s.accepted.records = s.accepted.records[2:]
+	assert.Assert(t, s.DomainChangedSince("d2", 1))
+	assert.Assert(t, !s.DomainChangedSince("d2", 2))
+}
--- a/node/controlrole.go
+++ b/node/controlrole.go
@@ -28,6 +28,7 @@
 	controlID  raft.ID
 	recordsID  raft.ID
 	heartbeats *heartbeats
+	orders     orderSequence
 	keeper     rosterKeeper // used by keepRoster only
 	expirer    *idempotency.Expirer
 }
@@ -61,6 +62,7 @@
 	rpc.Register(n.rpc, methodRaft, c.receiveMessage)
 	rpc.Register(n.rpc, methodSnapshotPart, c.receiveSnapshotPart)
 	rpc.Register(n.rpc, methodPropose, c.servePropose)
+	rpc.Register(n.rpc, methodOrder, c.servePropose)
 	control.RegisterConfirmations(n.rpc, c.heartbeats)
 	return nil
 }
--- a/node/documents.go
+++ b/node/documents.go
@@ -66,20 +66,6 @@
 	return stored, errors.Wrap(err, "decompress stored document")
 }
 
-// SetDomain takes a failure domain out of service or brings it back, regardless of other changes made meanwhile. It
-// does nothing if the failure domain already has this status. A refusal is returned as an error of type *state.Refusal.
-func (n *Node) SetDomain(ctx context.Context, operator, domain string, out bool) error {
-	_, err := n.Propose(ctx, state.Command{
-		ChangeID: string(newClaimID()), Operator: operator, Time: time.Now(),
-		SetDomain: &state.SetDomain{Domain: domain, Out: out, Force: true, AnyBase: true},
-	})
-	var refusal *state.Refusal
-	if errors.As(err, &refusal) && refusal.Code == state.CodeUnchanged {
-		return nil
-	}
-	return err
-}
-
 // replaceDocument proposes the difference between a document and the one in force. Only the leader can do so: the
 // barrier brings its copy up to date and fails elsewhere.
 func (c *controlRole) replaceDocument(ctx context.Context, r DocumentChange) ([]byte, error) {
--- a/node/groups.go
+++ b/node/groups.go
@@ -30,6 +30,17 @@
 	Replace *DocumentChange `json:"replace,omitempty"`
 	// Read asks the leader for the document in force. A quorum confirms the read.
 	Read bool `json:"read,omitempty"`
+	// Order asks the leader to number or to carry out an order about a failure domain. It is sent with methodOrder.
+	Order *domainOrder `json:"order,omitempty"`
+}
+
+// method returns the method that a proposal is sent with. Orders have one of their own, because a process of an earlier
+// build would ignore the field.
+func (p *proposal) method() string {
+	if p.Order != nil {
+		return methodOrder
+	}
+	return methodPropose
 }
 
 // proposalResult is the result of a proposal, as the state machine encoded it.
@@ -74,12 +85,13 @@
 	return err
 }
 
-// propose sends a proposal to the group's leader until it gets a result or ctx ends.
+// propose sends a proposal to the group's leader until it gets a result or ctx ends. It returns an error with
+// rpc.CodeNoMethod if no leader took it and some member is of an earlier build that does not have the method.
 func (g *groupClient) propose(ctx context.Context, p proposal) ([]byte, error) {
 	lastErr := error(errNoLeader)
 	for {
 		result, err := g.tryMembers(ctx, p)
-		if err == nil || isInvalid(err) {
+		if err == nil || isInvalid(err) || isUnsupported(err) {
 			return result, err
 		}
 		if !errors.Is(err, errNoLeader) {
@@ -99,6 +111,7 @@
 	tried := map[string]bool{}
 	queue := g.candidates(p.Group, g.leader(p.Group))
 	lastErr := error(errNoLeader)
+	var unsupported error
 	for len(queue) > 0 {
 		address := queue[0]
 		queue = queue[1:]
@@ -112,10 +125,16 @@
 			return result, err
 		}
 		lastErr = err
+		if isUnsupported(err) {
+			unsupported = err
+		}
 		if hint := leaderHint(err); hint != "" {
 			queue = append([]string{hint}, queue...)
 		}
 	}
+	if unsupported != nil {
+		return nil, unsupported
+	}
 	return nil, lastErr
 }
 
@@ -153,13 +172,18 @@
 		return g.node.control.propose(ctx, p)
 	}
 	var result proposalResult
-	err := g.node.client.Call(ctx, address, methodPropose, p, &result)
+	err := g.node.client.Call(ctx, address, p.method(), p, &result)
 	return result.Data, err
 }
 
-func isInvalid(err error) bool {
+func isInvalid(err error) bool { return hasCode(err, rpc.CodeInvalid) }
+
+// isUnsupported reports whether a process refused a call because its build does not have the method.
+func isUnsupported(err error) bool { return hasCode(err, rpc.CodeNoMethod) }
+
+func hasCode(err error, code rpc.Code) bool {
 	var remote *rpc.RemoteError
-	return errors.As(err, &remote) && remote.Code == rpc.CodeInvalid
+	return errors.As(err, &remote) && remote.Code == code
 }
 
 // leaderHint returns the leader's address if the error names it, else "".
@@ -186,7 +210,14 @@
 	if p.Read {
 		return c.readDocument(ctx)
 	}
-	result, err := group.Propose(ctx, p.Data)
+	if p.Order != nil {
+		return c.order(ctx, *p.Order)
+	}
+	proposeData := group.Propose
+	if p.Group == groupControl {
+		proposeData = c.proposeCommand
+	}
+	result, err := proposeData(ctx, p.Data)
 	if err != nil {
 		return nil, c.proposeError(p.Group, err)
 	}
--- a/replica/propose.go
+++ b/replica/propose.go
@@ -37,6 +37,26 @@
 	return g.propose(ctx, p)
 }
 
+// ProposeChecked is Propose with a check that runs just before the command is appended, so that nothing is appended between
+// the two. check gets the term in which this member leads. If it returns an error, the command is not appended, and
+// ProposeChecked returns that error. check must not block.
+func (g *Group) ProposeChecked(ctx context.Context, data []byte, check func(term uint64) error) ([]byte, error) {
+	if len(data) > g.opts.MaxProposalBytes {
+		return nil, errors.Wrapf(ErrTooLarge, "%d bytes", len(data))
+	}
+	p := newProposal(len(data), func(n *raft.Node) (uint64, uint64, error) {
+		status := n.Status()
+		if status.Role != raft.Leader {
+			return 0, 0, &raft.NotLeaderError{Leader: status.Leader}
+		}
+		if err := check(status.Term); err != nil {
+			return 0, 0, err
+		}
+		return n.Propose(data)
+	})
+	return g.propose(ctx, p)
+}
+
 // ChangeMembership adds, promotes or removes a member and returns once the change is committed. It returns the errors of
 // Propose, and raft.ErrChangePending, raft.ErrBadChange or raft.ErrNotCaughtUp if the change had no effect.
 func (g *Group) ChangeMembership(ctx context.Context, change raft.MemberChange) error {
