node: a control VM that restarts with entries in its log starts without a data race

Cause: the control group starts before the state server and applies the entries from before a restart at once, while controlMachine.changed was set without a lock. A version could be applied without waking the followers that wait for it. What callers could see: a version that reaches a process one poll later.

Change: the function is set under the lock of the state machine, and the drivers of the control role start after the state server has its clock.

--- a/node/controlrole.go
+++ b/node/controlrole.go
@@ -126,7 +126,7 @@
 
 // start starts the drivers of the control role. It must be called after the node's state server was created.
 func (c *controlRole) start() {
-	c.machine.changed = c.node.stateServer.NotifyChange
+	c.machine.onChange(c.node.stateServer.NotifyChange)
 	t := &c.node.tomb
 	for name, group := range c.groups {
 		t.Go(func() error { return c.watchGroup(name, group) })
--- a/node/machine.go
+++ b/node/machine.go
@@ -8,9 +8,9 @@
 
 // controlMachine is the state machine of the control group: the fleet state guarded by a lock.
 type controlMachine struct {
-	mu    sync.RWMutex // guards state
+	mu    sync.RWMutex // guards the fields below
 	state *state.State
-	// changed is called after each new version.
+	// changed is called after each new version, without mu.
 	changed func()
 }
 
@@ -23,10 +23,10 @@
 	m.mu.Lock()
 	before := m.state.Version()
 	result := m.state.Apply(data)
-	grew := m.state.Version() != before
+	grew, changed := m.state.Version() != before, m.changed
 	m.mu.Unlock()
 	if grew {
-		m.changed()
+		changed()
 	}
 	return result
 }
@@ -46,11 +46,20 @@
 	}
 	m.mu.Lock()
 	m.state = restored
+	changed := m.changed
 	m.mu.Unlock()
-	m.changed()
+	changed()
 	return nil
 }
 
+// onChange sets the function that is called after each new version. The group applies entries from before a restart as soon
+// as it starts.
+func (m *controlMachine) onChange(changed func()) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.changed = changed
+}
+
 // View calls view with the state. view must neither retain nor change it.
 func (m *controlMachine) View(view func(s *state.State)) {
 	m.mu.RLock()
--- a/node/node.go
+++ b/node/node.go
@@ -196,10 +196,12 @@
 		n.stateServer = control.NewStateServer(n.copy, nil)
 	} else {
 		n.stateServer = control.NewStateServer(newestState{n.control.machine, n.copy}, n.control.heartbeats)
-		n.control.start()
 	}
 	n.stateServer.Clock = n.clock
 	n.stateServer.Register(n.rpc)
+	if n.control != nil {
+		n.control.start()
+	}
 }
 
 // run starts the drivers.
