node: a departure of a backend server is stored in the control group before it is acknowledged

Cause: the gate kept withdrawn instances and the numbers of announcements in memory only. The same holds for a backend server that is draining, and for one withdrawn through the project's own interface.

Change: the control group stores departures (state.Departure), and a process that starts asks the control VMs for those on its VM until the confirmed leader has replied. A departure that could not be stored gets 503; the gate observes it at once all the same. The command changes neither version nor history, so a control VM of an earlier build, which refuses it, stays equal; while such a build leads, departures are acknowledged as before.

Ruled out: the health path (it may lie, and says nothing of a backend server that leaves unannounced); a second heartbeat after a restart (each restart would leave the backend server unused for 1.5 s, and two may be late).

--- a/fleet/state/apply.go
+++ b/fleet/state/apply.go
@@ -22,6 +22,9 @@
 	if refusal := checkEnvelope(c); refusal != nil {
 		return s.refusedResult(refusal)
 	}
+	if c.Depart != nil {
+		return s.recordDeparture(*c.Depart)
+	}
 	digest := c.digest()
 	if first, ok := s.findRecord(c.ChangeID); ok {
 		return s.resendResult(first, digest)
--- a/fleet/state/command.go
+++ b/fleet/state/command.go
@@ -34,6 +34,7 @@
 	AssignShards *AssignShards `json:"assignShards,omitempty"`
 	// RosterInForce is proposed by the control leader only.
 	RosterInForce *RosterInForce `json:"rosterInForce,omitempty"`
+	Depart        *Departure     `json:"depart,omitempty"`
 }
 
 // ApplyChange changes the configuration document.
@@ -118,6 +119,7 @@
 	KindLeave         Kind = "leave"
 	KindAssignShards  Kind = "assign shards"
 	KindRosterInForce Kind = "roster in force"
+	KindDepart        Kind = "depart"
 )
 
 // Kind returns the kind of the command, or "" if none or more than one of the pointers is set.
@@ -138,6 +140,7 @@
 	add(c.Leave != nil, KindLeave)
 	add(c.AssignShards != nil, KindAssignShards)
 	add(c.RosterInForce != nil, KindRosterInForce)
+	add(c.Depart != nil, KindDepart)
 	if len(kinds) != 1 {
 		return ""
 	}
--- a/fleet/state/snapshot.go
+++ b/fleet/state/snapshot.go
@@ -25,6 +25,7 @@
 	Roster          []Process              `json:"roster,omitempty"`
 	RosterChanges   []RosterChange         `json:"rosterChanges,omitempty"`
 	Shards          [Shards]string         `json:"shards"`
+	Departures      []Departure            `json:"departures,omitempty"`
 	Accepted        []Record               `json:"accepted,omitempty"`
 	Refused         []Record               `json:"refused,omitempty"`
 	// Deltas let other processes continue to fetch commands after this process restarted, without fetching a snapshot.
@@ -37,12 +38,12 @@
 	return data, errors.Wrap(err, "encode snapshot")
 }
 
-// SharedSnapshot returns a snapshot for processes without the control role. It omits the source of the document, and the
-// latest deltas, which are much larger than the rest and which such a process needs only for peers that are behind it; these
-// fetch a snapshot too.
+// SharedSnapshot returns a snapshot for processes without the control role. It omits the source of the document, the
+// departures, and the latest deltas, which are much larger than the rest and which such a process needs only for peers that
+// are behind it; these fetch a snapshot too.
 func (s *State) SharedSnapshot() ([]byte, error) {
 	snap := s.snapshot()
-	snap.Source, snap.Deltas = nil, nil
+	snap.Source, snap.Departures, snap.Deltas = nil, nil, nil
 	data, err := json.Marshal(snap)
 	return data, errors.Wrap(err, "encode snapshot")
 }
@@ -62,6 +63,7 @@
 		Roster:          s.Roster(),
 		RosterChanges:   s.rosterChanges,
 		Shards:          s.shards,
+		Departures:      s.departures,
 		Accepted:        s.accepted.records,
 		Refused:         s.refused.records,
 		Deltas:          s.deltas.list,
@@ -107,6 +109,7 @@
 		s.roster[p.Name] = p
 	}
 	s.rosterChanges = snap.RosterChanges
+	s.departures = snap.Departures
 	for _, r := range snap.Accepted {
 		s.accepted.add(r)
 	}
--- a/fleet/state/state.go
+++ b/fleet/state/state.go
@@ -35,6 +35,7 @@
 	roster        map[string]Process
 	rosterChanges []RosterChange
 	shards        [Shards]string
+	departures    []Departure
 	accepted      *recordWindow
 	refused       *recordWindow
 	deltas        deltaLog
--- a/node/controlrole.go
+++ b/node/controlrole.go
@@ -63,6 +63,7 @@
 	rpc.Register(n.rpc, methodSnapshotPart, c.receiveSnapshotPart)
 	rpc.Register(n.rpc, methodPropose, c.servePropose)
 	rpc.Register(n.rpc, methodOrder, c.servePropose)
+	rpc.Register(n.rpc, methodDepartures, c.serveDepartures)
 	control.RegisterConfirmations(n.rpc, c.heartbeats)
 	return nil
 }
--- a/node/listeners.go
+++ b/node/listeners.go
@@ -165,7 +165,7 @@
 func (n *Node) localHandler() http.Handler {
 	router := bunrouter.New(bunrouter.WithNotFoundHandler(bunrouter.HTTPHandlerFunc(n.entry.ServeNested)),
 		bunrouter.WithMethodNotAllowedHandler(bunrouter.HTTPHandlerFunc(n.entry.ServeNested)))
-	proxy.RegisterAnnouncements(router, n.gate)
+	proxy.RegisterAnnouncements(router, n.announcer)
 	return router
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -37,6 +37,7 @@
 	ejections   *ejections
 	claims      *claims
 	gate        *proxy.Gate
+	announcer   *Announcements
 	entry       *proxy.Entry
 	peers       *proxy.PeerClient
 	control     *controlRole // nil without the control role
@@ -125,6 +126,7 @@
 		RetryRatio: o.gateRetryRatio(), RetryReserve: n.gateRetryReserve,
 	})
 	n.ejections.gate = n.gate
+	n.announcer = newAnnouncements(n)
 	n.peers = proxy.NewPeerClient(o.PeerClientTLS)
 	if o.Dial != nil {
 		n.client.Dial = o.Dial
@@ -217,6 +219,7 @@
 	n.tomb.Go(func() error { return every(&n.tomb, time.Second, n.entry.Sweep) })
 	n.tomb.Go(func() error { return every(&n.tomb, time.Second, n.gate.UpdateRetryReserves) })
 	n.tomb.Go(n.follow)
+	n.tomb.Go(n.announcer.restore)
 	n.tomb.Go(n.closeWhenDying)
 	for _, s := range n.servers {
 		n.tomb.Go(s.serve)
@@ -231,7 +234,7 @@
 // Entry returns the handler for callers' requests.
 func (n *Node) Entry() http.Handler { return n.entry }
 
-// Gate returns the gate, which also receives the announcements of backend servers on this VM.
+// Gate returns the gate.
 func (n *Node) Gate() *proxy.Gate { return n.gate }
 
 // SendCallersElsewhere begins a graceful stop: the process no longer counts as ready and reads no further requests of pipelines
--- a/proxy/announce.go
+++ b/proxy/announce.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"context"
 	"encoding/json"
 	"net/http"
 	"net/netip"
@@ -79,12 +80,37 @@
 	return nil
 }
 
-// Announcer accepts announcements.
+// Departure states that an instance of a backend server is leaving.
+type Departure struct {
+	Instance string
+	// StartedMs is the Unix time in milliseconds at which the instance started; 0 where it is not known.
+	StartedMs int64
+	// Through is the sequence number of the last announcement that is outdated, whenever it arrives. It is math.MaxUint64
+	// if the instance must not be announced again.
+	Through uint64
+}
+
+// covers reports whether an announcement is outdated by the departure.
+func (d *Departure) covers(a *Announcement) bool {
+	return a.Instance == d.Instance && a.StartedMs == d.StartedMs && a.Sequence <= d.Through
+}
+
+// Announcer accepts announcements. An acknowledged departure holds across a restart of the process.
 type Announcer interface {
-	Announce(a Announcement, now time.Time) error
-	Withdraw(name string)
+	// Announce returns an *AnnouncementError if the announcement is not valid. With any other error a departure is not
+	// recorded yet.
+	Announce(ctx context.Context, a Announcement) error
+	Withdraw(ctx context.Context, name string) error
 }
 
+// AnnouncementError reports an announcement that is not valid.
+type AnnouncementError struct{ Err error }
+
+func (e *AnnouncementError) Error() string { return e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *AnnouncementError) Unwrap() error { return e.Err }
+
 type announcementReply struct {
 	// TTLMs is the time in milliseconds within which the announcement must be renewed.
 	TTLMs int64 `json:"ttlMs"`
@@ -95,22 +121,34 @@
 	const path = "/v1/backend-servers/:name"
 	router.PUT(path, func(w http.ResponseWriter, r bunrouter.Request) error {
 		a, err := readAnnouncement(w, r)
-		if err == nil {
-			err = announcer.Announce(a, time.Now())
-		}
 		if err != nil {
 			http.Error(w, err.Error(), http.StatusBadRequest)
 			return nil
 		}
+		if err := announcer.Announce(r.Context(), a); err != nil {
+			http.Error(w, err.Error(), announcementStatus(err))
+			return nil
+		}
 		return bunrouter.JSON(w, announcementReply{TTLMs: announcementTTL.Milliseconds()})
 	})
 	router.DELETE(path, func(w http.ResponseWriter, r bunrouter.Request) error {
-		announcer.Withdraw(r.Param("name"))
+		if err := announcer.Withdraw(r.Context(), r.Param("name")); err != nil {
+			http.Error(w, err.Error(), announcementStatus(err))
+			return nil
+		}
 		w.WriteHeader(http.StatusNoContent)
 		return nil
 	})
 }
 
+func announcementStatus(err error) int {
+	var invalid *AnnouncementError
+	if errors.As(err, &invalid) {
+		return http.StatusBadRequest
+	}
+	return http.StatusServiceUnavailable
+}
+
 func readAnnouncement(w http.ResponseWriter, r bunrouter.Request) (Announcement, error) {
 	var a Announcement
 	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxAnnouncementBytes))
--- a/proxy/announce_test.go
+++ b/proxy/announce_test.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"context"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -17,7 +18,7 @@
 func TestAnnouncementsAreChecked(t *testing.T) {
 	m := newVM(t, "vm1", newFleetView(t, 4), nil)
 	router := bunrouter.New()
-	RegisterAnnouncements(router, m.gate)
+	RegisterAnnouncements(router, gateAnnouncer{m.gate})
 	valid := `{"service":"svc","address":"127.0.0.1:80","instance":"1"}`
 	tests := []struct {
 		desc, body, want string
@@ -43,6 +44,21 @@
 	}
 }
 
+// gateAnnouncer is an Announcer that keeps departures in the gate only.
+type gateAnnouncer struct{ gate *Gate }
+
+func (a gateAnnouncer) Announce(_ context.Context, announcement Announcement) error {
+	if err := a.gate.Announce(announcement, time.Now()); err != nil {
+		return &AnnouncementError{err}
+	}
+	return nil
+}
+
+func (a gateAnnouncer) Withdraw(_ context.Context, name string) error {
+	a.gate.Withdraw(name)
+	return nil
+}
+
 // gateWithFakeClock returns a gate with a clock that the test controls.
 func gateWithFakeClock(t *testing.T) (*Gate, *observer, *atomic.Int64) {
 	now, o := &atomic.Int64{}, &observer{}
--- a/proxy/gate.go
+++ b/proxy/gate.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net/http"
 	"sort"
 	"sync"
@@ -93,9 +94,9 @@
 	running map[string]*parentRequest
 	// heldAnnouncements are the announcements of unknown services, by name of the backend server.
 	heldAnnouncements map[string]Announcement
-	// withdrawn are the most recently withdrawn instances, at most maxBackendServers. A late announcement must not
-	// register them again.
-	withdrawn []Announcement
+	// departures are the latest departures, at most maxBackendServers. A late announcement must not register a leaving
+	// instance again.
+	departures []Departure
 	// lastCallFailure is when a call of a backend server on this VM last failed.
 	lastCallFailure time.Duration
 }
@@ -129,7 +130,9 @@
 	settings, known := g.opts.Fleet.Service(a.Service)
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.isWithdrawn(&a) {
+	if g.isOutdated(&a) {
+		g.opts.Log.Info().Str("server", a.Name).Str("instance", a.Instance).Uint64("sequence", a.Sequence).
+			Int64("started", a.StartedMs).Msg("gate: ignored announcement of an instance that is leaving.")
 		return nil
 	}
 	if !known {
@@ -204,41 +207,78 @@
 
 // WithdrawInstance removes the backend server that runs the given instance. Later announcements of that instance are
 // ignored. startedMs is the Unix time in milliseconds at which the instance started; 0 where it is not known.
-func (g *Gate) WithdrawInstance(instance string, startedMs int64) {
+func (g *Gate) WithdrawInstance(instance string, startedMs int64) Departure {
+	d := Departure{Instance: instance, StartedMs: startedMs, Through: math.MaxUint64}
+	if startedMs == 0 {
+		d.StartedMs = g.startOf(instance)
+	}
+	g.Depart(d)
+	return d
+}
+
+// startOf returns when the announced backend server that runs an instance started, or 0.
+func (g *Gate) startOf(instance string) int64 {
 	g.mu.Lock()
-	name := ""
-	withdrawn := Announcement{Instance: instance, StartedMs: startedMs}
+	defer g.mu.Unlock()
 	for _, s := range g.servers {
-		if a := s.newestAnnouncement(); a.Instance == instance && (startedMs == 0 || startedMs == a.StartedMs) {
-			name, withdrawn = s.name, a
+		if a := s.newestAnnouncement(); a.Instance == instance {
+			return a.StartedMs
 		}
 	}
-	for heldName, a := range g.heldAnnouncements {
-		if a.Instance == instance && (startedMs == 0 || startedMs == a.StartedMs) {
-			withdrawn = a
-			delete(g.heldAnnouncements, heldName)
+	for _, a := range g.heldAnnouncements {
+		if a.Instance == instance {
+			return a.StartedMs
 		}
 	}
-	g.withdrawn = append(g.withdrawn, withdrawn)
-	if len(g.withdrawn) > maxBackendServers {
-		g.withdrawn = g.withdrawn[1:]
+	return 0
+}
+
+// Depart removes the backend server that runs a leaving instance if its newest announcement is outdated, and ignores the
+// outdated announcements from now on.
+func (g *Gate) Depart(d Departure) {
+	g.mu.Lock()
+	var names []string
+	for _, s := range g.servers {
+		if a := s.newestAnnouncement(); d.covers(&a) {
+			names = append(names, s.name)
+		}
+	}
+	for name, a := range g.heldAnnouncements {
+		if d.covers(&a) {
+			delete(g.heldAnnouncements, name)
+		}
+	}
+	g.departures = append(g.departures, d)
+	if len(g.departures) > maxBackendServers {
+		g.departures = g.departures[1:]
 	}
 	g.mu.Unlock()
-	if name != "" {
+	for _, name := range names {
 		g.Withdraw(name)
 	}
 }
 
-// isWithdrawn reports whether an announcement comes from a withdrawn instance. The caller holds mu.
-func (g *Gate) isWithdrawn(a *Announcement) bool {
-	for i := range g.withdrawn {
-		if a.sameInstance(&g.withdrawn[i]) {
+// isOutdated reports whether an announcement comes from an instance that is leaving. The caller holds mu.
+func (g *Gate) isOutdated(a *Announcement) bool {
+	for i := range g.departures {
+		if g.departures[i].covers(a) {
 			return true
 		}
 	}
 	return false
 }
 
+// Newest returns the newest announcement of a backend server; ok is false if there is none.
+func (g *Gate) Newest(name string) (a Announcement, ok bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if s, ok := g.servers[name]; ok {
+		return s.newestAnnouncement(), true
+	}
+	a, ok = g.heldAnnouncements[name]
+	return a, ok
+}
+
 // Withdraw removes a backend server. Its running requests finish. Its queued requests are refused with the outcome
 // not-run.
 func (g *Gate) Withdraw(name string) {
--- a/proxy/gray_test.go
+++ b/proxy/gray_test.go
@@ -230,6 +230,32 @@
 	assert.Equal(t, serving(), 1, "the instance id started again")
 }
 
+// Guards against using a backend server again that left before the process was restarted: its late announcements may arrive
+// before or after the departure is known, and while its service is not in the configuration yet.
+func TestDepartureFromBeforeARestart(t *testing.T) {
+	gate, o, _ := gateWithFakeClock(t)
+	gate.opts.HoldUnknownServices = true
+	announce := func(service string, started int64, sequence uint64, draining bool) {
+		a := Announcement{Name: "b", Service: service, Address: "127.0.0.1:1", Instance: "i-1", StartedMs: started, Sequence: sequence, Draining: draining}
+		assert.NilError(t, gate.Announce(a, time.Now()))
+	}
+	announce("svc", 1000, 7, false)
+	gate.Depart(Departure{Instance: "i-1", StartedMs: 1000, Through: 7})
+	assert.Equal(t, len(gate.Summary()), 0)
+	assert.DeepEqual(t, o.removed, []string{"b"})
+	announce("svc", 1000, 6, false)
+	assert.Equal(t, len(gate.Summary()), 0)
+	announce("unknown", 1000, 7, false)
+	announce("unknown", 1000, 8, false)
+	assert.Equal(t, len(gate.heldAnnouncements), 1, "a later announcement is not outdated")
+	gate.WithdrawInstance("i-1", 1000)
+	assert.Equal(t, len(gate.heldAnnouncements), 0)
+	announce("svc", 1000, 9, false)
+	assert.Equal(t, len(gate.Summary()), 0)
+	announce("svc", 2000, 1, false)
+	assert.Equal(t, gate.Summary()[0].Serving, 1, "the instance started again")
+}
+
 // Guards against passing on part of a short response that broke off. Nothing was sent to the caller yet, so the request
 // must be retried elsewhere.
 func TestBrokenShortAnswerIsTriedElsewhere(t *testing.T) {
