raft: a group whose members were all restarted has a leader within some tens of milliseconds

Cause: a restarted member ignored votes for an election timeout (1 s) and waited one to two timeouts before it started an election, because a leader might still have a lease that it had confirmed. Nothing uses the lease: reads are confirmed by a quorum. What callers saw: no configuration or evacuation came into force for one to two seconds after a loss of all processes.

Change: with Config.NoLease a member takes part in elections as soon as it is restarted. It starts one after 20 to 100 ms, and with short timeouts while it has heard of no leader. If there is one, the other members ignore its pre-vote. Package replica sets NoLease. The default and the tests of the lease are unchanged.

The stateful tests of raft now draw the setting, so that the oracle covers both.

--- a/raft/cluster_test.go
+++ b/raft/cluster_test.go
@@ -97,15 +97,21 @@
 	oracle    *oracle
 	// lockstep is set if the clocks of all members run at the same speed, so that no other leader may be elected during a
 	// valid lease.
-	lockstep        bool
+	lockstep bool
+	// noLease is the setting of the members.
+	noLease         bool
 	rejectedAppends int
 	// droppedAppends is the number of append messages that were not delivered.
 	droppedAppends int
 }
 
 func newCluster(t rapid.TB, seed uint64, voters ...ID) *cluster {
+	return newClusterWith(t, seed, false, voters...)
+}
+
+func newClusterWith(t rapid.TB, seed uint64, noLease bool, voters ...ID) *cluster {
 	c := &cluster{
-		t: t, rnd: rand.New(rand.NewPCG(seed, 1)),
+		t: t, noLease: noLease, rnd: rand.New(rand.NewPCG(seed, 1)),
 		members: map[ID]*member{}, blocked: map[link]bool{}, paused: map[ID]bool{}, oracle: newOracle(t),
 	}
 	for _, id := range voters {
@@ -120,7 +126,7 @@
 
 func (c *cluster) start(m *member) {
 	node, err := New(Config{
-		ID: m.id, ElectionTicks: 6, HeartbeatTicks: 1, MaxAppendBytes: 120, MaxInflight: 3, RetainedEntries: 2,
+		ID: m.id, ElectionTicks: 6, HeartbeatTicks: 1, MaxAppendBytes: 120, MaxInflight: 3, RetainedEntries: 2, NoLease: c.noLease,
 		Rand: rand.New(rand.NewPCG(c.rnd.Uint64(), 2)),
 	}, PersistentState{HardState: m.disk.hs, Snapshot: m.disk.snapshot, Entries: m.disk.entries})
 	if err != nil {
--- a/raft/config.go
+++ b/raft/config.go
@@ -37,6 +37,10 @@
 	// would exceed it, except that one entry of any size is accepted if there is no other uncommitted data.
 	// Default 16 MiB.
 	MaxUncommittedBytes int
+	// NoLease gives up the leader's lease, which Status.LeaseValid reports. Without it a restarted member takes part in
+	// elections at once instead of after ElectionTicks, and starts one early if it hears of no leader, so that a group whose
+	// members were all restarted has a leader soon.
+	NoLease bool
 	// Rand is the source of the random election timeouts. Required.
 	Rand *rand.Rand
 }
--- a/raft/election.go
+++ b/raft/election.go
@@ -9,6 +9,10 @@
 func (n *Node) resetElectionTimer() {
 	n.electionElapsed = 0
 	n.electionTimeout = n.cfg.ElectionTicks + n.cfg.Rand.IntN(n.cfg.ElectionTicks)
+	if n.cfg.NoLease && !n.heardLeader {
+		// If there is a leader, the other members ignore the pre-vote.
+		n.electionTimeout = 1 + n.cfg.Rand.IntN(n.cfg.ElectionTicks/2)
+	}
 }
 
 func (n *Node) becomeFollower(term uint64, leader ID) {
@@ -27,6 +31,14 @@
 	return n.pendingSnapshot == nil && (n.membership().IsVoter(n.cfg.ID) || committed.IsVoter(n.cfg.ID))
 }
 
+// CampaignAfterRestart starts an election at once if Config.NoLease is set, this member is a voter with a log, and it has heard
+// of no leader since New. If there is a leader, the other members ignore it.
+func (n *Node) CampaignAfterRestart() {
+	if n.cfg.NoLease && !n.heardLeader && (n.role == Follower || n.role == PreCandidate) && n.mayCampaign() {
+		n.startPreVote()
+	}
+}
+
 // startPreVote asks the voters whether they would vote for this member. It does not increment the term.
 func (n *Node) startPreVote() {
 	n.role, n.leader = PreCandidate, 0
--- a/raft/follow.go
+++ b/raft/follow.go
@@ -10,7 +10,7 @@
 	if n.role == Leader {
 		return errors.Wrapf(ErrMalformed, "second leader %v in term %d", m.From, m.Term)
 	}
-	n.role, n.leader, n.votes, n.lastContact = Follower, m.From, nil, n.ticks
+	n.role, n.leader, n.votes, n.lastContact, n.heardLeader = Follower, m.From, nil, n.ticks, true
 	n.resetElectionTimer()
 	if n.pendingSnapshot != nil {
 		// Nothing may be acknowledged until the snapshot is synced.
--- a/raft/fuzz_test.go
+++ b/raft/fuzz_test.go
@@ -23,9 +23,9 @@
 	counts  map[string]int
 }
 
-func newFuzzer(t *rapid.T, counts map[string]int) *fuzzer {
+func newFuzzer(t *rapid.T, counts map[string]int, noLease bool) *fuzzer {
 	seed := rapid.Uint64().Draw(t, "seed")
-	f := &fuzzer{newCluster(t, seed, 1, 2, 3), map[ID]bool{}, initialVoters + 1, 0, counts}
+	f := &fuzzer{newClusterWith(t, seed, noLease, 1, 2, 3), map[ID]bool{}, initialVoters + 1, 0, counts}
 	f.add(f.nextID)
 	f.nextID++
 	return f
@@ -243,7 +243,7 @@
 func TestFuzzGroup(t *testing.T) {
 	counts := map[string]int{}
 	rapid.Check(t, func(t *rapid.T) {
-		f := newFuzzer(t, counts)
+		f := newFuzzer(t, counts, rapid.Bool().Draw(t, "no lease"))
 		t.Repeat(map[string]func(*rapid.T){
 			"tick": f.tick, "step": f.step, "step more": f.step, "calm": f.runWithoutFaults, "calm more": f.runWithoutFaults,
 			"deliver": f.deliverSome, "take": f.takeReady, "finish": f.finishReady,
@@ -268,7 +268,7 @@
 // TestRegisterHistories guards against reads and writes of a register that are not linearizable.
 func TestRegisterHistories(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		f := newFuzzer(t, map[string]int{})
+		f := newFuzzer(t, map[string]int{}, rapid.Bool().Draw(t, "no lease"))
 		t.Repeat(map[string]func(*rapid.T){
 			"tick": f.tick, "step": f.step, "calm": f.runWithoutFaults, "deliver": f.deliverSome, "finish": f.finishReady,
 			"take": f.takeReady, "write": f.writeFew, "read": f.read, "read more": f.read, "compact": f.compactSome,
@@ -283,7 +283,7 @@
 // speed, which leases rely on.
 func TestLease(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		f := newFuzzer(t, map[string]int{})
+		f := newFuzzer(t, map[string]int{}, false)
 		f.lockstep = true
 		t.Repeat(map[string]func(*rapid.T){
 			"step": f.step, "step more": f.step, "calm": f.runWithoutFaults, "deliver": f.deliverSome, "write": f.write,
--- a/raft/lease.go
+++ b/raft/lease.go
@@ -70,7 +70,7 @@
 // leaseValid reports whether the leader's lease is valid. The lease ends one tick before the voters stop ignoring vote
 // requests (hasRecentLeaderContact), because the members' ticks are not synchronised.
 func (n *Node) leaseValid() bool {
-	return n.role == Leader && !n.leaseRevoked && n.ticks-n.quorumContactTick() < n.cfg.ElectionTicks-1
+	return n.role == Leader && !n.cfg.NoLease && !n.leaseRevoked && n.ticks-n.quorumContactTick() < n.cfg.ElectionTicks-1
 }
 
 // isActive reports whether a member replied to a heartbeat round that started within the last ElectionTicks.
--- a/raft/node.go
+++ b/raft/node.go
@@ -23,9 +23,11 @@
 	// campaign.
 	electionElapsed int
 	electionTimeout int
-	// lastContact is the tick of the last message from a leader. It starts at 0, as if a message had just arrived,
-	// because the member may have acknowledged a leader's heartbeat just before it restarted.
+	// lastContact is the tick of the last message from a leader. Unless Config.NoLease is set, it starts at 0, as if a
+	// message had just arrived, because the member may have acknowledged a leader's heartbeat just before it restarted.
 	lastContact int
+	// heardLeader is set after the first message from a leader since New.
+	heardLeader bool
 	votes       map[ID]bool
 
 	// The fields from here to leaseRevoked are used only by a leader.
@@ -84,6 +86,9 @@
 		cfg: cfg, log: log,
 		term: r.HardState.Term, vote: r.HardState.Vote, savedHardState: r.HardState,
 	}
+	if cfg.NoLease {
+		n.lastContact = -cfg.ElectionTicks
+	}
 	n.becomeFollower(n.term, 0)
 	return n, nil
 }
--- a/raft/raft_test.go
+++ b/raft/raft_test.go
@@ -268,6 +268,51 @@
 	}
 }
 
+// TestRestartedGroupWithoutLeaseElectsSoon guards against a group that has no leader for an election timeout and more after all
+// of its members were restarted, and against a restarted member that deposes a leader.
+func TestRestartedGroupWithoutLeaseElectsSoon(t *testing.T) {
+	for seed := range uint64(50) {
+		c := newClusterWith(t, seed, true, 1, 2, 3, 4, 5)
+		leader := c.elect()
+		c.propose(leader, "kept")
+		c.run(3)
+		c.restart(leader.id%5 + 1)
+		c.run(20)
+		assert.Equal(t, c.leader(), leader, "a restarted member deposed the leader")
+		assert.Assert(t, !leader.node.Status().LeaseValid)
+		for _, id := range c.ids() {
+			c.restart(id)
+		}
+		c.run(6)
+		assert.Assert(t, c.leader() != nil, "no leader within the minimum election timeout, seed %d", seed)
+		c.run(3)
+		assert.Equal(t, c.leader().state.value, "kept")
+	}
+}
+
+// TestCampaignAfterRestart guards against an election after a restart that deposes a leader, that a member with a lease or
+// without a log starts, or that does not find a leader without waiting for ticks.
+func TestCampaignAfterRestart(t *testing.T) {
+	for _, noLease := range []bool{true, false} {
+		c := newClusterWith(t, 1, noLease, 1, 2, 3)
+		leader := c.elect()
+		c.run(3)
+		other := leader.id%3 + 1
+		c.restart(other)
+		c.members[other].node.CampaignAfterRestart()
+		c.add(4)
+		c.members[4].node.CampaignAfterRestart()
+		c.run(3)
+		assert.Equal(t, c.leader(), leader)
+		for _, id := range []ID{1, 2, 3} {
+			c.restart(id)
+		}
+		c.members[other].node.CampaignAfterRestart()
+		c.run(1)
+		assert.Equal(t, c.leader() != nil, noLease)
+	}
+}
+
 // TestFirstSnapshot guards against a member with an empty log that accepts a snapshot in which it is a voter, and
 // against acknowledging entries before the snapshot that they follow is synced.
 func TestFirstSnapshot(t *testing.T) {
--- a/replica/loop.go
+++ b/replica/loop.go
@@ -16,6 +16,11 @@
 	// maxBatchBytes limits the data of the proposals that share one sync. A batch accepts no further proposals once it has
 	// reached this size.
 	maxBatchBytes = 4 << 20
+	// firstElectionsEnd is the time after the start in which a member tries elections between ticks, after pauses from
+	// minFirstElectionPause to maxFirstElectionPause. The group has a leader soon if all members were restarted.
+	firstElectionsEnd     = 500 * time.Millisecond
+	minFirstElectionPause = 20 * time.Millisecond
+	maxFirstElectionPause = 100 * time.Millisecond
 )
 
 // loop is the goroutine that owns the node and the store.
@@ -25,6 +30,8 @@
 	store *storage.Store
 
 	lastTick time.Time
+	// started is when the loop started.
+	started time.Time
 	// batchBytes is the data size of the proposals in the current batch, in bytes.
 	batchBytes int
 	// newReads holds the reads of the current batch. They share one call of raft.Node.Read.
@@ -46,8 +53,11 @@
 func (l *loop) run() error {
 	defer l.waiters.failAll(&UnknownError{Err: ErrStopped})
 	l.lastTick = time.Now()
+	l.started = l.lastTick
 	ticker := time.NewTicker(l.opts.TickInterval)
 	defer ticker.Stop()
+	firstElections := time.NewTimer(l.firstElectionPause())
+	defer firstElections.Stop()
 	for {
 		// The first iteration applies the entries that were committed before a restart.
 		l.startReadRound()
@@ -62,6 +72,11 @@
 			return nil
 		case <-ticker.C:
 			l.tick(time.Now())
+		case <-firstElections.C:
+			l.node.CampaignAfterRestart()
+			if time.Since(l.started) < firstElectionsEnd {
+				firstElections.Reset(l.firstElectionPause())
+			}
 		case m := <-l.messages:
 			l.step(m)
 		case p := <-l.acceptableProposals():
@@ -75,6 +90,11 @@
 	}
 }
 
+// firstElectionPause returns the random pause before a member without a leader tries an election, in its first moments.
+func (l *loop) firstElectionPause() time.Duration {
+	return minFirstElectionPause + time.Duration(l.opts.Rand.Int64N(int64(maxFirstElectionPause-minFirstElectionPause)))
+}
+
 // tick ticks the node if a tick interval has passed. A leader also makes up for missed ticks, so that a pause of its
 // process ends its lease. A follower does not, so that it does not campaign after a pause before it has processed the
 // messages that arrived meanwhile.
--- a/replica/options.go
+++ b/replica/options.go
@@ -97,6 +97,7 @@
 		ElectionTicks:  o.ElectionTicks,
 		HeartbeatTicks: o.HeartbeatTicks,
 		MaxAppendBytes: o.MaxAppendBytes,
+		NoLease:        true, // reads are confirmed by a quorum
 		Rand:           o.Rand,
 	}
 }
