proxy: requests wait for the first fleet state and the first host of their service

Cause: in the moment after its start a process has no fleet state, and then knows no VM that hosts a service. Requests that arrived then were refused with 503 and without Retry-After, although they could have been served a few hundred milliseconds later.

Change: within the first second after the start of the process a request waits for the state and then for the first host. Its deadline and objective count from its arrival. Later, a process without state refuses at once, with a Retry-After of 1 s. A provisional owner of a rate grants tokens for the time (at most 1 s) in which it waited for the state, because the requests that waited need them together.

Ruled out: a Retry-After alone (each refused request opens another connection, and it comes back later than it would be served).

TestRequestsWaitForTheFirstStateOnlyAfterTheStart checks what is new.

--- a/node/shards.go
+++ b/node/shards.go
@@ -18,6 +18,9 @@
 // once (1 to 2 s in docs/incidents/inc-7632.md) and the leader's first heartbeat.
 const restartGrace = 3 * time.Second
 
+// maxStateWait limits the time before the first fleet state for which a provisional owner grants tokens.
+const maxStateWait = time.Second
+
 // shards implements shardOwnership from this process's copy of the fleet state.
 type shards struct {
 	vm    string
@@ -37,7 +40,7 @@
 	exclusiveSince [state.Shards]time.Duration
 	// namedAtVersion is the version of the copy in which the present owner was first seen.
 	namedAtVersion [state.Shards]uint64
-	// firstSeen is when the present owner was first seen.
+	// firstSeen is when the present owner was first seen, or earlier if it was in the first fleet state.
 	firstSeen [state.Shards]time.Duration
 	// inForce is the highest version known to be in force.
 	inForce uint64
@@ -61,6 +64,10 @@
 		}
 		s.exclusiveSince[i] = now + handoverWait
 		s.firstSeen[i] = now
+		if !s.stateKnown {
+			// The fleet state named this owner before. The requests that waited for the state need tokens at once.
+			s.firstSeen[i] = max(s.startedAt, now-maxStateWait)
+		}
 		s.namedAtVersion[i] = s.fleet.Version()
 		if s.stateKnown && s.owners[i] == "" {
 			s.exclusiveSince[i] = now
--- a/proxy/entry.go
+++ b/proxy/entry.go
@@ -67,6 +67,12 @@
 	DefaultMaxKeyedBody    = 1 << 20
 	// minRateRetryAfter is the minimum Retry-After for a team that exceeds its rate.
 	minRateRetryAfter = time.Second
+	// stateWait is the time after the start of the process in which requests wait for the first fleet state. It takes the
+	// election of a control leader if all processes were restarted, and some round trips otherwise. Later requests are
+	// refused at once, and it is their Retry-After.
+	stateWait = time.Second
+	// hostCheckInterval is the time between two checks whether a VM hosts a service.
+	hostCheckInterval = 20 * time.Millisecond
 	// maxIdempotencyKeyBytes limits the length of an Idempotency-Key.
 	maxIdempotencyKeyBytes = 256
 )
@@ -75,6 +81,8 @@
 type Entry struct {
 	opts   EntryOptions
 	router *router
+	// startedAt is when the process started, on its clock.
+	startedAt time.Duration
 	// stopCtx is cancelled when the requests that still wait must be refused because the process stops.
 	stopCtx    context.Context
 	stopCancel context.CancelFunc
@@ -100,7 +108,7 @@
 	if opts.CallerService == nil {
 		opts.CallerService = func() string { return "" }
 	}
-	e := &Entry{opts: opts, router: newRouter(opts)}
+	e := &Entry{opts: opts, router: newRouter(opts), startedAt: opts.Clock()}
 	e.stopCtx, e.stopCancel = context.WithCancel(context.Background())
 	return e
 }
@@ -163,16 +171,19 @@
 
 // accept checks the route, key, team and rate of a caller's request.
 func (e *Entry) accept(r *http.Request, id string, caller Caller) (*Request, *Refusal) {
+	arrived := time.Now()
+	e.awaitState(r.Context())
 	route, refusal := e.match(r, config.AccessOpen, config.AccessPublic)
 	if refusal != nil {
 		return nil, refusal
 	}
-	req := e.newRequest(r, id, route)
+	req := e.newRequest(r, id, route, arrived)
+	e.awaitHost(r.Context(), req.Service)
 	if route.Objective > 0 {
-		req.Objective = time.Now().Add(route.Objective)
+		req.Objective = arrived.Add(route.Objective)
 	}
 	if caller.Remaining > 0 {
-		req.BodyDeadline = time.Now().Add(caller.Remaining)
+		req.BodyDeadline = arrived.Add(caller.Remaining)
 		req.Deadline = minTime(req.Deadline, req.BodyDeadline)
 	}
 	if !e.opts.Admitter.MayAdmit() {
@@ -218,11 +229,46 @@
 	return a
 }
 
+// awaitState waits for the first fleet state, if the process started less than stateWait ago.
+func (e *Entry) awaitState(ctx context.Context) {
+	if e.opts.Fleet.Version() > 0 {
+		return
+	}
+	timer := time.NewTimer(e.startedAt + stateWait - e.opts.Clock())
+	defer timer.Stop()
+	select {
+	case <-e.opts.Fleet.Known():
+	case <-timer.C:
+	case <-ctx.Done():
+	case <-e.stopCtx.Done():
+	}
+}
+
+// awaitHost waits for the first VM that hosts a service, if the process started less than stateWait ago. Gossip names the VMs
+// a moment after the process has its state.
+func (e *Entry) awaitHost(ctx context.Context, service string) {
+	for len(e.opts.Directory.Hosts(service)) == 0 {
+		wait := min(e.startedAt+stateWait-e.opts.Clock(), hostCheckInterval)
+		if wait <= 0 {
+			return
+		}
+		select {
+		case <-time.After(wait):
+		case <-ctx.Done():
+			return
+		case <-e.stopCtx.Done():
+			return
+		}
+	}
+}
+
 // match returns the route of a request. It refuses a path with dot segments or empty segments if the cleaned path
 // matches another route: a backend server that cleans paths itself would serve that other route.
 func (e *Entry) match(r *http.Request, access ...config.Access) (*routing.Route, *Refusal) {
 	if e.opts.Fleet.Version() == 0 {
-		return nil, notRunRefusal(http.StatusServiceUnavailable, ReasonNoState, "accept")
+		refusal := notRunRefusal(http.StatusServiceUnavailable, ReasonNoState, "accept")
+		refusal.RetryAfter = stateWait
+		return nil, refusal
 	}
 	if r.Method == http.MethodConnect || !strings.HasPrefix(r.URL.Path, "/") || r.URL.Opaque != "" {
 		return nil, notRunRefusal(http.StatusBadRequest, ReasonBadRequest, "accept")
@@ -274,11 +320,14 @@
 // request that the call is made for, and never from headers. If parent is nil, the call is new internal work without a
 // team.
 func (e *Entry) acceptNested(r *http.Request, id string, parent *parentRequest) (*Request, *Refusal) {
+	arrived := time.Now()
+	e.awaitState(r.Context())
 	route, refusal := e.match(r, config.AccessInternal)
 	if refusal != nil {
 		return nil, refusal
 	}
-	req := e.newRequest(r, id, route)
+	req := e.newRequest(r, id, route, arrived)
+	e.awaitHost(r.Context(), req.Service)
 	if parent != nil {
 		req.Team = parent.team
 		req.Depth = parent.depth + 1
@@ -287,7 +336,7 @@
 	return req, e.readBody(r, req)
 }
 
-func (e *Entry) newRequest(r *http.Request, id string, route *routing.Route) *Request {
+func (e *Entry) newRequest(r *http.Request, id string, route *routing.Route, arrived time.Time) *Request {
 	return &Request{
 		ID:             id,
 		Entry:          e.opts.VM,
@@ -299,7 +348,7 @@
 		ConfigVersion:  e.opts.Fleet.Version(),
 		Repeatable:     route.Repeatable(r.Method),
 		IdempotencyKey: r.Header.Get(HeaderIdempotencyKey),
-		Deadline:       time.Now().Add(route.Deadline),
+		Deadline:       arrived.Add(route.Deadline),
 		Method:         r.Method,
 		URI:            r.URL.RequestURI(),
 		Host:           r.Host,
--- a/proxy/fleet.go
+++ b/proxy/fleet.go
@@ -21,12 +21,14 @@
 	routesVersion uint64
 	table         atomic.Pointer[routing.Table]
 	version       atomic.Uint64
+	// known is closed when the first state is in use. Only Refresh closes it.
+	known chan struct{}
 }
 
 // NewFleet returns a Fleet that reads a local copy of the fleet state. Refresh must be called after each change of the
 // copy.
 func NewFleet(viewer Viewer) *Fleet {
-	f := &Fleet{viewer: viewer}
+	f := &Fleet{viewer: viewer, known: make(chan struct{})}
 	f.Refresh()
 	return f
 }
@@ -34,6 +36,7 @@
 // Refresh updates the routing table and the version from the copy. It rebuilds the table only if routes changed,
 // because a rebuild takes 77 ms with 56,000 routes. Calls must not overlap.
 func (f *Fleet) Refresh() {
+	before := f.version.Load()
 	f.viewer.View(func(s *state.State) {
 		if f.table.Load() == nil || s.RoutesVersion() != f.routesVersion {
 			f.table.Store(routing.NewTable(s.Config()))
@@ -41,8 +44,14 @@
 		}
 		f.version.Store(s.Version())
 	})
+	if before == 0 && f.version.Load() > 0 {
+		close(f.known)
+	}
 }
 
+// Known returns a channel that is closed when the first fleet state is in use.
+func (f *Fleet) Known() <-chan struct{} { return f.known }
+
 // Version returns the version in use. 0 means that no fleet state was received yet.
 func (f *Fleet) Version() uint64 { return f.version.Load() }
 
