control: a process takes its first state only from a server that a leader has confirmed

What callers saw: after all processes were killed, the fleet served with the configuration before the last acknowledged one until the control group had a leader.

Cause: a restarted control VM applies the last entries of its log only when a leader tells it that they are committed. It served its state before that, and a process without state took the newest of all replies: all of them were old.

Change: a reply confirms its version if it has a leader's heartbeat, which no process keeps across a restart. A process without state takes a reply only if it is confirmed and no newer version is offered; one control VM alone must have a recent heartbeat. It asks again and waits at the control VMs for the confirmation, so that it has the state as soon as the new leader has confirmed it. Control VMs give processes of an earlier build no unconfirmed state. Leaders issue their first heartbeat at once.

TestRunFallsBackToPeers gives its peer a heartbeat now, since a process without one has no state; its checks are unchanged.

Ruled out: saving the commit index more often (followers may not have learned it; a loss of power keeps only what was synced).

--- a/control/distribution_test.go
+++ b/control/distribution_test.go
@@ -186,7 +186,9 @@
 func TestRunFallsBackToPeers(t *testing.T) {
 	fleet := newMemFleet()
 	mustPropose(t, fleet, state.Command{ChangeID: "document", Apply: applyCommand(config.Diff(&config.Document{}, testDocument()))})
-	peer := serveState(t, NewStateServer(fleet, nil))
+	peerServer := NewStateServer(fleet, nil)
+	peerServer.SetHeartbeat(LeaderHeartbeat{Number: 1, Version: 1}, time.Hour) // a process with state has had one
+	peer := serveState(t, peerServer)
 	follower := newFollower(t, "a")
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
--- a/control/fetch.go
+++ b/control/fetch.go
@@ -59,10 +59,14 @@
 	// WaitMillis is how long the server may wait for a newer version or heartbeat, in milliseconds. The server limits it
 	// to MaxFetchWait (30 s).
 	WaitMillis int64 `json:"waitMillis,omitempty"`
-	// Peek asks for the version and the heartbeat only. The reply comes at once and has no commands.
+	// Peek asks for the version and the heartbeat only. The reply has no commands. It comes at once, or, if the process has no
+	// state and WaitMillis is set, when the version is confirmed.
 	Peek bool `json:"peek,omitempty"`
 	// AcceptPacked is set by processes that read FetchReply.Packed.
 	AcceptPacked bool `json:"acceptPacked,omitempty"`
+	// ChecksConfirmation is set by processes that take their first state only from a confirmed reply. Others must not get
+	// an unconfirmed one.
+	ChecksConfirmation bool `json:"checksConfirmation,omitempty"`
 }
 
 // FetchReply carries the commands that follow the requested version.
@@ -77,6 +81,11 @@
 	Heartbeat    LeaderHeartbeat `json:"beat,omitzero"`
 }
 
+// confirmed reports whether a leader has confirmed, since the server started, that its version was the newest: the reply
+// has the heartbeat of a leader. A control VM that was restarted lacks the last changes until it learns from a leader that
+// they were accepted.
+func (reply *FetchReply) confirmed() bool { return reply.Heartbeat.Number > 0 }
+
 // SnapshotRequest asks for one part of a snapshot.
 type SnapshotRequest struct {
 	// ID is 0 in the request for the first part. The reply names the ID to use for the other parts.
--- a/control/follow.go
+++ b/control/follow.go
@@ -20,6 +20,8 @@
 	// process without state, which cannot serve.
 	searchInterval      = 250 * time.Millisecond
 	emptySearchInterval = 100 * time.Millisecond
+	// confirmationWait is how long a question to a control VM whose state is not confirmed yet waits for the confirmation.
+	confirmationWait = time.Second
 )
 
 // Targets returns the current addresses of the peer listeners of control VMs and of other processes.
@@ -82,24 +84,28 @@
 	// searched is set after the first search. A process without state starts with a search, because a single control VM may be
 	// cut off and offer a version from before a key was withdrawn or a VM left.
 	searched bool
+	// unconfirmed is the newest version that the last search of a process without state found, if that was not confirmed.
+	unconfirmed uint64
 }
 
 // step polls the selected control VM, and searches for a newer version if that returned none.
 func (r *followRun) step(ctx context.Context, targets Targets) {
 	controlVMs, peers := targets()
-	first := !r.searched && r.Copy.Version() == 0
-	if !first && !r.lost && r.pollControl(ctx, controlVMs) || ctx.Err() != nil {
+	search := r.lost || r.hasNoState() && (!r.searched || r.unconfirmed > 0)
+	if !search && r.pollControl(ctx, controlVMs) || ctx.Err() != nil {
 		return
 	}
 	r.search(ctx, controlVMs, peers)
 	r.searched = true
-	if r.lost {
+	if r.lost || r.hasNoState() {
 		sleep(ctx, r.searchInterval())
 	}
 }
 
+func (r *followRun) hasNoState() bool { return r.Copy.Version() == 0 }
+
 func (r *followRun) searchInterval() time.Duration {
-	if r.Copy.Version() == 0 {
+	if r.hasNoState() {
 		return emptySearchInterval
 	}
 	return searchInterval
@@ -121,7 +127,11 @@
 		r.selectVM(pickRandom(controlVMs), SwitchStart)
 	}
 	r.failed = ""
-	news, err := r.pollOne(ctx, r.controlVM, r.wait())
+	// One control VM alone gives the first state only if it is in contact with the leader now.
+	accept := func(reply *FetchReply) bool {
+		return !r.hasNoState() || reply.confirmed() && reply.Heartbeat.Age <= r.wait()
+	}
+	news, err := r.pollOne(ctx, r.controlVM, r.wait(), accept)
 	if err != nil {
 		r.failed = r.controlVM
 	}
@@ -129,11 +139,14 @@
 }
 
 // pollOne polls one process, reports to the observer, and reports whether the process returned a newer version or
-// heartbeat.
-func (r *followRun) pollOne(ctx context.Context, address string, wait time.Duration) (news bool, err error) {
+// heartbeat. It ignores a reply that accept rejects.
+func (r *followRun) pollOne(ctx context.Context, address string, wait time.Duration, accept func(*FetchReply) bool) (news bool, err error) {
 	result, err := PollResult{}, errors.New("fetch fleet state: no address is known")
 	if address != "" {
-		result, err = r.poll(ctx, address, r.knownHeartbeat, wait)
+		result, err = r.poll(ctx, address, r.knownHeartbeat, wait, accept)
+	}
+	if errors.Is(err, errRejected) {
+		return false, nil
 	}
 	if err != nil {
 		r.reportFailure(ctx, address, err)
@@ -172,8 +185,7 @@
 
 // search asks all control VMs and one other process for their versions at the same time, fetches each newer version as
 // soon as a process reports it, and selects the control VM with the newest one. It waits for all replies before it
-// selects: the first one may come from a control VM that is cut off as well. Likewise, a process without state first runs the
-// newest version of all replies.
+// selects: the first one may come from a control VM that is cut off as well.
 func (r *followRun) search(ctx context.Context, controlVMs, peers []string) {
 	cause := SwitchNoNews
 	if r.failed != "" {
@@ -184,31 +196,69 @@
 	if peer := pickRandom(peers); peer != "" {
 		addresses = append(addresses, peer)
 	}
+	if r.hasNoState() {
+		r.searchFirst(ctx, addresses, controlVMs, cause)
+		return
+	}
 	var newest *peek
-	var offers []peek
-	empty := r.Copy.Version() == 0
-	for p := range r.peekAll(ctx, addresses) {
+	for p := range r.peekAll(ctx, addresses, 0) {
 		if p.err != nil {
 			r.reportFailure(ctx, p.address, p.err)
 			continue
 		}
-		if empty {
-			offers = append(offers, p)
-		} else if p.reply.Version > r.Copy.Version() || p.reply.Heartbeat.Number > r.knownHeartbeat {
-			_, _ = r.pollOne(ctx, p.address, pollWaitAfterPeek) // the observer has the error
+		if p.reply.Version > r.Copy.Version() || p.reply.Heartbeat.Number > r.knownHeartbeat {
+			_, _ = r.pollOne(ctx, p.address, pollWaitAfterPeek, acceptAny) // the observer has the error
 		}
 		if slices.Contains(controlVMs, p.address) && (newest == nil || p.newerThan(newest)) {
 			newest = &p
 		}
 	}
-	r.takeNewest(ctx, offers)
+	r.selectNewest(newest, cause)
+}
+
+// selectNewest selects the control VM of a reply; nil if there was none.
+func (r *followRun) selectNewest(newest *peek, cause SwitchCause) {
 	r.lost = newest == nil
 	if newest != nil {
 		r.selectVM(newest.address, cause)
 	}
 }
 
+// searchFirst is search for a process without state. It fetches the newest version once all processes have replied. If that
+// version is not confirmed, the next search waits for the confirmation, which the new leader has first.
+func (r *followRun) searchFirst(ctx context.Context, addresses, controlVMs []string, cause SwitchCause) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	wait := time.Duration(0)
+	if r.unconfirmed > 0 {
+		wait = confirmationWait
+	}
+	var newest *peek
+	var offers []peek
+	for p := range r.peekAll(ctx, addresses, wait) {
+		if p.err != nil {
+			r.reportFailure(ctx, p.address, p.err)
+			continue
+		}
+		offers = append(offers, p)
+		if slices.Contains(controlVMs, p.address) && (newest == nil || p.newerThan(newest)) {
+			newest = &p
+		}
+		if r.unconfirmed > 0 && p.reply.Version >= r.unconfirmed && p.reply.confirmed() {
+			break
+		}
+	}
+	r.takeNewest(ctx, offers)
+	r.unconfirmed = 0
+	if r.hasNoState() && len(offers) > 0 && !offers[0].reply.confirmed() {
+		r.unconfirmed = offers[0].reply.Version
+	}
+	r.selectNewest(newest, cause)
+}
+
 // takeNewest fetches the newest of the versions that processes offer, and an older one only if the newer ones cannot be had.
+// It fetches none while the newest is not confirmed: control VMs that were all restarted do not know yet which of the last
+// changes in their logs were accepted.
 func (r *followRun) takeNewest(ctx context.Context, offers []peek) {
 	slices.SortFunc(offers, func(p, q peek) int {
 		switch {
@@ -221,21 +271,22 @@
 		}
 	})
 	for _, p := range offers {
-		if r.Copy.Version() > 0 || p.reply.Version == 0 && p.reply.Heartbeat.Number <= r.knownHeartbeat {
+		if !r.hasNoState() || !p.reply.confirmed() || p.reply.Version < r.unconfirmed || p.reply.Version == 0 && p.reply.Heartbeat.Number <= r.knownHeartbeat {
 			return
 		}
-		_, _ = r.pollOne(ctx, p.address, pollWaitAfterPeek) // the observer has the error
+		_, _ = r.pollOne(ctx, p.address, pollWaitAfterPeek, (*FetchReply).confirmed) // the observer has the error
 	}
 }
 
-// peekAll asks the processes for their versions at the same time. The channel is closed after the last reply.
-func (r *followRun) peekAll(ctx context.Context, addresses []string) <-chan peek {
+// peekAll asks the processes for their versions at the same time. Those whose state is not confirmed wait for that. The
+// channel is closed after the last reply.
+func (r *followRun) peekAll(ctx context.Context, addresses []string, wait time.Duration) <-chan peek {
 	replies := make(chan peek, len(addresses))
 	knownHeartbeat := r.knownHeartbeat // pollOne may change the field meanwhile
 	var pending sync.WaitGroup
 	for _, address := range addresses {
 		pending.Go(func() {
-			reply, err := r.peek(ctx, address, knownHeartbeat)
+			reply, err := r.peek(ctx, address, knownHeartbeat, wait)
 			replies <- peek{address, reply, err}
 		})
 	}
--- a/control/follower.go
+++ b/control/follower.go
@@ -65,11 +65,18 @@
 // Poll fetches newer commands and the newest heartbeat from one process and applies the commands to the copy. Errors
 // name the step and the peer; the copy stays usable after an error.
 func (f *Follower) Poll(ctx context.Context, address string, knownHeartbeat uint64) (PollResult, error) {
-	return f.poll(ctx, address, knownHeartbeat, f.wait())
+	return f.poll(ctx, address, knownHeartbeat, f.wait(), acceptAny)
 }
 
-// poll is Poll with another wait. The wait does not limit the parts of a snapshot.
-func (f *Follower) poll(ctx context.Context, address string, knownHeartbeat uint64, wait time.Duration) (PollResult, error) {
+// errRejected reports that a poll had no effect, because the caller rejected the reply.
+var errRejected = errors.New("the reply was rejected")
+
+// acceptAny accepts all replies.
+func acceptAny(*FetchReply) bool { return true }
+
+// poll is Poll with another wait. The wait does not limit the parts of a snapshot. It returns errRejected if accept rejects
+// the reply.
+func (f *Follower) poll(ctx context.Context, address string, knownHeartbeat uint64, wait time.Duration, accept func(*FetchReply) bool) (PollResult, error) {
 	if f.Clock == nil {
 		f.Clock = monotonicClock()
 	}
@@ -78,6 +85,9 @@
 	if err != nil {
 		return result, err
 	}
+	if !accept(&reply) {
+		return result, errRejected
+	}
 	result.Heartbeat = reply.Heartbeat
 	result.Advanced, err = f.applyReply(ctx, address, &reply)
 	return result, err
@@ -116,19 +126,20 @@
 	return reply, errors.Wrap(err, "fetch fleet state")
 }
 
-// peek asks a process for its version and heartbeat, without commands.
-func (f *Follower) peek(ctx context.Context, address string, knownHeartbeat uint64) (FetchReply, error) {
-	ctx, cancel := context.WithTimeout(ctx, peekTimeout)
+// peek asks a process for its version and heartbeat, without commands. A process without state may wait until its version is
+// confirmed.
+func (f *Follower) peek(ctx context.Context, address string, knownHeartbeat uint64, wait time.Duration) (FetchReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+peekTimeout)
 	defer cancel()
 	request := f.newRequest(knownHeartbeat)
-	request.Peek = true
+	request.Peek, request.WaitMillis = true, wait.Milliseconds()
 	var reply FetchReply
 	err := f.Caller.Call(ctx, address, MethodFetch, request, &reply)
 	return reply, errors.Wrap(err, "ask for the version of the fleet state")
 }
 
 func (f *Follower) newRequest(knownHeartbeat uint64) FetchRequest {
-	request := FetchRequest{Process: f.Process, Incarnation: f.Incarnation, HeartbeatNumber: knownHeartbeat, AcceptPacked: true}
+	request := FetchRequest{Process: f.Process, Incarnation: f.Incarnation, HeartbeatNumber: knownHeartbeat, AcceptPacked: true, ChecksConfirmation: true}
 	f.Copy.View(func(s *state.State) { request.Version, request.Chain = s.Version(), s.Chain() })
 	return request
 }
--- a/control/state_server.go
+++ b/control/state_server.go
@@ -26,6 +26,10 @@
 	// Clock returns the time on a clock that does not stop while the VM is suspended: a heartbeat that was received before
 	// would otherwise be passed on as a new one. Set it before the first use. Default: a monotonic clock.
 	Clock func() time.Duration
+	// ConfirmFirst withholds the state from processes without state until a heartbeat of a leader has confirmed it. Control
+	// VMs need it: after a restart, the replicated state lacks the last accepted changes until there is a leader. Set it
+	// before the first use.
+	ConfirmFirst bool
 
 	viewer    Viewer
 	confirmer Confirmer // nil without the control role
@@ -85,6 +89,13 @@
 	}
 }
 
+// HasHeartbeat reports whether a heartbeat of a leader was received since the start.
+func (s *StateServer) HasHeartbeat() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.heartbeat.Number > 0
+}
+
 // schedulePublication wakes the waiting followers at once, or publishInterval after the last publication. The caller
 // holds mu.
 func (s *StateServer) schedulePublication() {
@@ -130,7 +141,8 @@
 
 // Fetch returns deltas, a newer heartbeat or the need for a snapshot at once if it has any for the process, and waits
 // for them otherwise. A follower that has all that was published waits up to publishInterval, so that versions that
-// follow each other quickly reach it together. When the wait of the request ends, it returns a reply without deltas. A peek is answered at once.
+// follow each other quickly reach it together. When the wait of the request ends, it returns a reply without deltas. A peek is
+// answered at once, or with a wait as soon as the version is confirmed.
 func (s *StateServer) Fetch(ctx context.Context, r FetchRequest) (FetchReply, error) {
 	arrived := s.Clock()
 	if s.confirmer != nil && r.Process != "" && s.hasSameHistory(r) {
@@ -144,7 +156,7 @@
 	for {
 		heartbeat, changed, wait := s.watch(arrived, r)
 		reply := s.buildReply(r, heartbeat)
-		if r.Peek || reply.hasUpdate(r) && !wait {
+		if r.Peek && !s.withholds(r, &reply) || !r.Peek && reply.hasUpdate(r) && !wait {
 			return s.packReply(r, reply)
 		}
 		select {
@@ -176,6 +188,12 @@
 			// another control VM.
 			reply.Heartbeat = LeaderHeartbeat{}
 		}
+		if s.withholds(r, &reply) {
+			if !r.ChecksConfirmation {
+				reply.Version = 0
+			}
+			return
+		}
 		if r.Peek {
 			return
 		}
@@ -192,6 +210,11 @@
 	return reply
 }
 
+// withholds reports whether a process without state gets no state yet, because it is not confirmed.
+func (s *StateServer) withholds(r FetchRequest, reply *FetchReply) bool {
+	return s.ConfirmFirst && r.Version == 0 && !reply.confirmed()
+}
+
 // packReply packs the deltas of a reply if that is worth it.
 func (s *StateServer) packReply(r FetchRequest, reply FetchReply) (FetchReply, error) {
 	if !r.AcceptPacked || deltaBytes(reply.Deltas) < minPackBytes {
--- a/node/controlrole.go
+++ b/node/controlrole.go
@@ -132,7 +132,7 @@
 	for name, group := range c.groups {
 		t.Go(func() error { return c.watchGroup(name, group) })
 	}
-	t.Go(func() error { return every(t, leaderCheckInterval, c.heartbeats.issueIfDue) })
+	t.Go(func() error { return c.heartbeats.run(t) })
 	t.Go(func() error { return every(t, relayInterval, c.heartbeats.relayConfirmations) })
 	t.Go(func() error { return every(t, rosterCheckInterval, c.keepRoster) })
 	if !c.node.opts.NoRecords {
--- a/node/heartbeats.go
+++ b/node/heartbeats.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"gopkg.in/tomb.v2"
+
 	"rosemaryline.dev/control"
 	"rosemaryline.dev/fleet/state"
 )
@@ -63,6 +65,26 @@
 // between heartbeats, so that a new leader issues its first heartbeat soon: after a restart, rate owners wait for it.
 const leaderCheckInterval = 100 * time.Millisecond
 
+// firstLeaderCheckInterval takes its place until the process knows a heartbeat: after a restart of all processes none of them
+// serves before the first one.
+const firstLeaderCheckInterval = 20 * time.Millisecond
+
+// run issues heartbeats until the tomb dies.
+func (h *heartbeats) run(t *tomb.Tomb) error {
+	for {
+		interval := leaderCheckInterval
+		if !h.role.node.stateServer.HasHeartbeat() {
+			interval = firstLeaderCheckInterval
+		}
+		select {
+		case <-time.After(interval):
+			h.issueIfDue()
+		case <-t.Dying():
+			return nil
+		}
+	}
+}
+
 // issueIfDue issues a heartbeat if Options.LeaderHeartbeatInterval has passed since the last one or this process has
 // just become the leader.
 func (h *heartbeats) issueIfDue() {
--- a/node/node.go
+++ b/node/node.go
@@ -200,6 +200,7 @@
 		n.stateServer = control.NewStateServer(newestState{n.control.machine, n.copy}, n.control.heartbeats)
 	}
 	n.stateServer.Clock = n.clock
+	n.stateServer.ConfirmFirst = n.control != nil
 	n.stateServer.Register(n.rpc)
 	if n.control != nil {
 		n.control.start()
