node: the control group returns to its living members after each replacement

What callers saw: after control VMs were replaced, the group was left without a leader for good.

Cause: the keeper of the members added each new VM as a voter and removed a lost one only from a group with an even number of voters. A VM that left in a planned way counted as live until gossip forgot it, so a second replacement made the number odd first, and the dead voters stayed. Seven voters with five alive need four: the loss of two, which is allowed, stops the group.

Change: a new VM waits as a learner; when it has caught up and a voter is lost, the voter is removed first and the learner promoted next, so that the quorum never grows. A voter is lost if its process stops, its VM has another member id, or it does not reply to the leader for an election timeout and a second; gossip decides no more about voters. Surplus voters that earlier builds left are removed. A control VM that stops hands over its leadership and tells the leader.

--- a/node/controlrole.go
+++ b/node/controlrole.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"path/filepath"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -31,6 +32,11 @@
 	orders     orderSequence
 	keeper     rosterKeeper // used by keepRoster only
 	expirer    *idempotency.Expirer
+
+	leavingMu sync.Mutex // guards leavingMembers
+	// leavingMembers holds the members of the control group whose processes said that they are stopping, with the run that
+	// said so.
+	leavingMembers map[raft.ID]uint64
 }
 
 // startControl opens the data folder, starts the control group and, unless Options.NoRecords is set, the record group.
@@ -45,6 +51,8 @@
 		groups:     map[groupName]*replica.Group{},
 		transports: map[groupName]*raftTransport{},
 		parts:      newSnapshotParts(),
+
+		leavingMembers: map[raft.ID]uint64{},
 	}
 	c.heartbeats = newHeartbeats(c)
 	c.expirer = idempotency.NewExpirer(0)
@@ -64,6 +72,7 @@
 	rpc.Register(n.rpc, methodPropose, c.servePropose)
 	rpc.Register(n.rpc, methodOrder, c.servePropose)
 	rpc.Register(n.rpc, methodDepartures, c.serveDepartures)
+	rpc.Register(n.rpc, methodLeaving, c.receiveLeaving)
 	control.RegisterConfirmations(n.rpc, c.heartbeats)
 	return nil
 }
@@ -139,7 +148,7 @@
 		t.Go(func() error { return every(t, expireInterval, c.expireRecords) })
 	}
 	if c.node.opts.AutoMembers {
-		keeper := newMemberKeeper()
+		keeper := newMemberKeeper(c.node.opts.MinQuorum)
 		t.Go(func() error { return every(t, memberCheckInterval, func() { c.keepMembers(keeper) }) })
 	}
 }
--- a/node/node.go
+++ b/node/node.go
@@ -260,6 +260,9 @@
 	n.SendCallersElsewhere()
 	n.gate.Leave()
 	n.gossip.leave()
+	if n.control != nil {
+		n.control.leave()
+	}
 }
 
 // Version returns the version of the process's copy of the fleet state; 0 before the first fetch.
--- a/raft/node.go
+++ b/raft/node.go
@@ -126,9 +126,13 @@
 	}
 	if n.role == Leader {
 		s.Match = map[ID]uint64{n.cfg.ID: n.log.stable}
+		s.Active = map[ID]bool{n.cfg.ID: true}
 		for _, id := range n.peerIDs() {
 			p := n.peers[id]
 			s.Match[id] = p.match
+			if n.isActive(p) {
+				s.Active[id] = true
+			}
 			if p.lostState {
 				s.LostState = append(s.LostState, id)
 			}
--- a/raft/types.go
+++ b/raft/types.go
@@ -161,10 +161,14 @@
 	Membership Membership
 	// Match holds the highest replicated index of each member. It is nil unless this member is the leader.
 	Match map[ID]uint64
+	// Active holds this member and the members that replied to a heartbeat round that started within the last
+	// ElectionTicks. It is nil unless this member is the leader.
+	Active map[ID]bool
 	// LostState holds the voters that report an empty log. They neither vote nor acknowledge entries or reads, and
 	// they must be replaced by members with new IDs. It is empty unless this member is the leader.
 	LostState []ID
 	// LeaseValid is true if this member is the leader and a quorum has confirmed it within an election timeout, counted
-	// in its own ticks. A paused process counts no ticks, so a valid lease is not enough to serve reads.
+	// in its own ticks. A paused process counts no ticks, so a valid lease is not enough to serve reads. It is never true
+	// with Config.NoLease.
 	LeaseValid bool
 }
