platform: the address to listen on for peers can differ from the one by which they reach the process

A process on the platform listened for peers at the address of the settings file, and bound gossip datagrams to the address that it announces, so no port forwarder could stand between two processes.

Change: -peer-listen (ROSEMARYLINE_PEER_LISTEN) applies with -platform too, if it is set. Datagrams are received on the address that the process listens on. TestPeerListenOnThePlatform.

--- a/cmd/rosemarylined/main.go
+++ b/cmd/rosemarylined/main.go
@@ -88,7 +88,7 @@
 	defer closeLogger(logger)
 	reload := make(chan os.Signal, 1)
 	signal.Notify(reload, syscall.SIGHUP)
-	if err := platform.Run(logger, stopSignals(), reload); err != nil {
+	if err := platform.Run(logger, s.platformPeerListen(), stopSignals(), reload); err != nil {
 		logger.Error().Err(err).Msg("daemon: stopped with an error.")
 		return exitFailed
 	}
--- a/cmd/rosemarylined/settings.go
+++ b/cmd/rosemarylined/settings.go
@@ -32,6 +32,7 @@
 
 	name, domain                   string
 	listen, peerListen             string
+	peerListenSet                  bool
 	peerAddress, localListen       string
 	adminListen, join              string
 	tlsCert, tlsKey                string
@@ -67,7 +68,7 @@
 	fs.StringVar(&s.name, "name", "", "VM name, unique in the fleet")
 	fs.StringVar(&s.domain, "failure-domain", "", "failure domain of the VM")
 	fs.StringVar(&s.listen, "listen", "", "host:port for callers; empty: no callers")
-	fs.StringVar(&s.peerListen, "peer-listen", "127.0.0.1:7001", "host:port for other processes of the fleet")
+	fs.StringVar(&s.peerListen, "peer-listen", "127.0.0.1:7001", "host:port for other processes of the fleet (default with -platform: that of the settings file)")
 	fs.StringVar(&s.peerAddress, "peer-address", "", "host:port by which peers reach -peer-listen (default: the address listened on)")
 	fs.StringVar(&s.localListen, "local-listen", "127.0.0.1:7002", "loopback host:port for backend servers of this VM; empty: none")
 	fs.StringVar(&s.adminListen, "admin-listen", "127.0.0.1:7003", "host:port for operators, metrics and health; empty: none")
@@ -105,6 +106,7 @@
 	if err != nil {
 		return nil, err
 	}
+	fs.Visit(func(f *flag.Flag) { s.peerListenSet = s.peerListenSet || f.Name == "peer-listen" })
 	if fs.NArg() > 0 {
 		return nil, errors.Errorf("unexpected argument %q; all settings are flags", fs.Arg(0))
 	}
@@ -114,6 +116,14 @@
 	return s, s.check()
 }
 
+// platformPeerListen returns the value of -peer-listen if it is set; the default does not apply with -platform.
+func (s *settings) platformPeerListen() string {
+	if !s.peerListenSet {
+		return ""
+	}
+	return s.peerListen
+}
+
 // check returns a settingError for the first setting that is missing or invalid.
 func (s *settings) check() error {
 	for _, required := range []struct{ flag, value string }{
--- a/cmd/rosemarylined/settings_test.go
+++ b/cmd/rosemarylined/settings_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"flag"
+	"io"
 	"strings"
 	"testing"
 
@@ -58,3 +59,18 @@
 		assert.Assert(t, strings.Contains(output.String(), part), "no %q in:\n%s", part, output.String())
 	}
 }
+
+// TestPeerListenOnThePlatform guards against a default of -peer-listen that hides the address of the platform's settings file, and
+// against a value that is ignored.
+func TestPeerListenOnThePlatform(t *testing.T) {
+	s, err := parseSettings([]string{"-platform"}, io.Discard)
+	assert.NilError(t, err)
+	assert.Equal(t, s.platformPeerListen(), "")
+	s, err = parseSettings([]string{"-platform", "-peer-listen", "10.0.0.1:7"}, io.Discard)
+	assert.NilError(t, err)
+	assert.Equal(t, s.platformPeerListen(), "10.0.0.1:7")
+	t.Setenv("ROSEMARYLINE_PEER_LISTEN", "10.0.0.1:8")
+	s, err = parseSettings([]string{"-platform"}, io.Discard)
+	assert.NilError(t, err)
+	assert.Equal(t, s.platformPeerListen(), "10.0.0.1:8")
+}
--- a/node/node.go
+++ b/node/node.go
@@ -64,8 +64,9 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for peers")
 	}
+	n.opts.PeerListen = peerListener.Addr().String()
 	if n.opts.PeerAddress == "" {
-		n.opts.PeerAddress = peerListener.Addr().String()
+		n.opts.PeerAddress = n.opts.PeerListen
 	}
 	n.build()
 	if err := n.startControl(); err != nil {
@@ -145,7 +146,7 @@
 
 // listenDatagrams returns the socket for gossip over UDP, or nil if the port is in use: gossip then uses connections only.
 func (n *Node) listenDatagrams(traffic *rpc.Traffic) *rpc.Datagrams {
-	datagrams, err := rpc.ListenDatagrams(n.opts.PeerAddress, traffic)
+	datagrams, err := rpc.ListenDatagrams(n.opts.PeerListen, traffic)
 	if err != nil {
 		n.opts.Log.Warn().Err(err).Msg("membership: sends gossip over connections only.")
 		return nil
