proxy: backend servers count as cold when their failure domain returns

From the moment when the gate sees the domain back, the backend servers of services with ramp.rate count as cold for ramp.time, until the next announcement.

--- a/admission/gate.go
+++ b/admission/gate.go
@@ -231,6 +231,13 @@
 // SetColdUntil marks the backend server as cold until the given time. It has no effect unless Config.ColdRate is set.
 func (g *Gate) SetColdUntil(until time.Duration) { g.coldLimiter.until = until }
 
+// AssumeCold marks the backend server as cold for at least d, until the next call of SetColdUntil. It handles the load pattern in
+// which a failure domain returns to service: its backend servers may have become cold, get the full load at once, and report that
+// they are cold only with their next announcement. It has no effect unless Config.ColdRate is set.
+func (g *Gate) AssumeCold(now, d time.Duration) {
+	g.coldLimiter.until = max(g.coldLimiter.until, now+d)
+}
+
 // Grant starts the queued requests that have a free slot and that the rate limit of a cold backend server allows.
 // Call it at the time that NextGrant returns.
 func (g *Gate) Grant(now time.Duration) []Grant { return g.grant(now) }
--- a/proxy/gate.go
+++ b/proxy/gate.go
@@ -85,6 +85,10 @@
 	leaving atomic.Bool
 	budgets gateBudgets
 
+	// wasOut is the status of the failure domain of this VM that domainOut saw last. domainMu guards changes.
+	wasOut   atomic.Bool
+	domainMu sync.Mutex
+
 	mu      sync.Mutex // guards the fields below
 	servers map[string]*server
 	// serversByService holds the backend servers of each service, sorted by name. The empty key holds those of all
@@ -127,6 +131,7 @@
 
 // Announce adds a backend server or renews its announcement.
 func (g *Gate) Announce(a Announcement, _ time.Time) error {
+	g.domainOut() // before the announcement, which reports how long the backend server remains cold after a return
 	settings, known := g.opts.Fleet.Service(a.Service)
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -305,6 +310,7 @@
 
 // Sweep marks backend servers whose announcement expired as lost, and removes them after lostRetention.
 func (g *Gate) Sweep() {
+	g.domainOut()
 	g.announceHeld()
 	for _, s := range g.serversOf("") {
 		for _, age := range s.markOverdue(g.entryLeaving) {
@@ -403,7 +409,7 @@
 	if g.leaving.Load() && !req.LastResort {
 		return g.completeRefusal(req, notRunRefusal(http.StatusServiceUnavailable, ReasonLeaving, "gate"), nil)
 	}
-	if g.opts.Fleet.DomainOut(g.opts.Domain) {
+	if g.domainOut() {
 		return g.completeRefusal(req, notRunRefusal(http.StatusServiceUnavailable, ReasonDomainOut, "gate"), nil)
 	}
 	if req.Depth == 0 && g.opts.Admitter != nil && !g.opts.Admitter.MayAdmit() {
