proxy: queued requests do not run in a failure domain that was taken out

The gate checked the status of its failure domain only when a request arrived, so queued requests reached slow backend servers for seconds after the domain was taken out. It now checks again when a request gets its slot, and refuses it as not run with the reason failure-domain-out. Running requests finish.

--- a/proxy/domainstatus_test.go
+++ b/proxy/domainstatus_test.go
@@ -2,9 +2,13 @@
 
 import (
 	"context"
+	"io"
+	"net/http"
+	"sync"
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
 	"gotest.tools/v3/assert"
 
 	"rosemaryline.dev/fleet/config"
@@ -96,3 +100,56 @@
 	v.setDomain(t, false)
 	assert.Equal(t, startedOf(t, m.gate, 6), 6)
 }
+
+// Guards against queued requests that run in a failure domain after it was taken out of service. They must be refused as not run,
+// so that their entries send them elsewhere, and the running request must finish.
+func TestQueuedRequestsOfADomainThatIsOutAreNotRun(t *testing.T) {
+	release := make(chan struct{})
+	b := newBackend(t, func(w http.ResponseWriter, _ *http.Request) {
+		<-release
+		io.WriteString(w, "done")
+	})
+	v := newFleetView(t, 1)
+	m := newSingleVM(t, v, b)
+	running := make(chan string, 1)
+	go func() {
+		resp, err := m.gate.Run(context.Background(), newTestRequest(t, "a"))
+		if err != nil {
+			running <- err.Error()
+			return
+		}
+		defer resp.Body.Close()
+		text, _ := io.ReadAll(resp.Body)
+		running <- string(text)
+	}()
+	eventually(t, "one request runs", func() bool { return b.count() == 1 })
+	const queued = 3
+	refusals := make(chan error, queued)
+	var all sync.WaitGroup
+	for range queued {
+		all.Go(func() {
+			resp, err := m.gate.Run(context.Background(), newTestRequest(t, "a"))
+			if err == nil {
+				resp.Body.Close()
+			}
+			refusals <- err
+		})
+	}
+	eventually(t, "the others wait", func() bool { return m.gate.Load("svc").Queued == queued })
+	v.setDomain(t, true)
+	close(release)
+	all.Wait()
+	assert.Equal(t, <-running, "done")
+	for range queued {
+		var refusal *Refusal
+		err := <-refusals
+		assert.Assert(t, errors.As(err, &refusal), "%v", err)
+		assert.Equal(t, refusal.Reason, ReasonDomainOut)
+		assert.Equal(t, refusal.Outcome, OutcomeNotRun)
+		assert.Equal(t, refusal.Status, http.StatusServiceUnavailable)
+	}
+	assert.Equal(t, b.count(), 1)
+	assert.Equal(t, m.gate.Load("svc").InFlight, 0)
+	v.setDomain(t, false)
+	assert.Equal(t, startedOf(t, m.gate, 1), 1)
+}
--- a/proxy/gate.go
+++ b/proxy/gate.go
@@ -387,6 +387,9 @@
 		return nil, g.completeRefusal(req, refusal, s)
 	}
 	held, reason := s.acquire(ctx, req, g.opts.Fleet.TeamRate(req.Team))
+	if reason == admission.ReasonNone {
+		reason = g.checkSlot(held)
+	}
 	done(reason == admission.ReasonNone)
 	if isBreakerReason(Reason(reason)) {
 		return nil, g.completeRefusal(req, notRunRefusal(http.StatusServiceUnavailable, Reason(reason), "breaker"), s)
