proxy: a request to exactly a route's prefix is served

path.Clean removes the trailing slash, so a request to exactly /proofs/ beside a route for / was refused with status 400. A path that is clean except for its trailing slash is now matched as it is. Other paths are still refused if a cleaned form belongs to another route; the form with the trailing slash is compared too, which /x/../proofs/ got past before.

--- a/proxy/entry.go
+++ b/proxy/entry.go
@@ -6,7 +6,6 @@
 	"encoding/hex"
 	"net"
 	"net/http"
-	"path"
 	"slices"
 	"strings"
 	"time"
@@ -262,8 +261,8 @@
 	}
 }
 
-// match returns the route of a request. It refuses a path with dot segments or empty segments if the cleaned path
-// matches another route: a backend server that cleans paths itself would serve that other route.
+// match returns the route of a request. The path is matched and forwarded as it is. It refuses a path that leads to another route
+// once it is cleaned: a backend server that cleans paths itself would serve that other route.
 func (e *Entry) match(r *http.Request, access ...config.Access) (*routing.Route, *Refusal) {
 	if e.opts.Fleet.Version() == 0 {
 		refusal := notRunRefusal(http.StatusServiceUnavailable, ReasonNoState, "accept")
@@ -275,9 +274,8 @@
 	}
 	host := hostOnly(r.Host)
 	route, ok := e.opts.Fleet.Match(host, r.URL.Path)
-	resolved := path.Clean(r.URL.Path)
-	if resolved != r.URL.Path {
-		if other, found := e.opts.Fleet.Match(host, resolved); found != ok || other != route {
+	for _, cleaned := range cleanedForms(r.URL.Path) {
+		if other, found := e.opts.Fleet.Match(host, cleaned); found != ok || other != route {
 			return nil, notRunRefusal(http.StatusBadRequest, ReasonBadRequest, "accept")
 		}
 	}
