fleet/state: rollouts and admitted versions are part of the fleet state

Commands to begin, decide and abort a rollout and to record the admitted versions of a service. They have no base version and cause no conflicts with operators' configuration changes. A service that is removed from the document loses its record; RolloutBase does not return to an earlier value then, so that orders from before the removal stay refused.

--- a/fleet/state/apply.go
+++ b/fleet/state/apply.go
@@ -34,8 +34,9 @@
 	if refusal != nil {
 		record.Result = s.refusedResult(refusal)
 		// Commands that change nothing, such as a repeated Join, are needed neither for the audit trail nor for
-		// resends.
-		if refusal.Code != CodeUnchanged {
+		// resends. A refused order of a rollout to an unknown service may be sent again once the service exists, and has the
+		// same change ID then.
+		if refusal.Code != CodeUnchanged && !(c.BeginRollout != nil && refusal.Code == CodeNotFound) {
 			s.refused.add(record)
 		}
 		return record.Result
@@ -122,6 +123,14 @@
 		return s.runLeave(c.Leave.Name)
 	case c.RosterInForce != nil:
 		return s.runRosterInForce(c.RosterInForce)
+	case c.BeginRollout != nil:
+		return s.runBeginRollout(c)
+	case c.DecideRollout != nil:
+		return s.runDecideRollout(c)
+	case c.AbortRollout != nil:
+		return s.runAbortRollout(c)
+	case c.AdmitVersions != nil:
+		return s.runAdmitVersions(c.AdmitVersions)
 	}
 	return s.runAssignShards(c.AssignShards)
 }
--- a/fleet/state/apply_config.go
+++ b/fleet/state/apply_config.go
@@ -36,6 +36,7 @@
 	for _, domain := range c.Domains.Remove {
 		delete(s.domainsOut, domain)
 	}
+	s.dropRollouts(c.Services.Remove, s.version+1)
 	return nil
 }
 
--- a/fleet/state/command.go
+++ b/fleet/state/command.go
@@ -21,7 +21,7 @@
 	Operator string `json:"operator"`
 	// BaseVersion is the version on which an operator's decision is based. It is 0 in commands of processes.
 	BaseVersion uint64 `json:"baseVersion,omitempty"`
-	// Time is the proposer's wall clock time. Only the audit trail uses it.
+	// Time is the proposer's wall clock time. Only the audit trail and Rollout.Ended use it.
 	Time time.Time `json:"time,omitzero"`
 
 	Apply        *ApplyChange  `json:"apply,omitempty"`
@@ -35,6 +35,12 @@
 	// RosterInForce is proposed by the control leader only.
 	RosterInForce *RosterInForce `json:"rosterInForce,omitempty"`
 	Depart        *Departure     `json:"depart,omitempty"`
+
+	// Processes of earlier builds refuse the following commands.
+	BeginRollout  *BeginRollout  `json:"beginRollout,omitempty"`
+	DecideRollout *DecideRollout `json:"decideRollout,omitempty"`
+	AbortRollout  *AbortRollout  `json:"abortRollout,omitempty"`
+	AdmitVersions *AdmitVersions `json:"admitVersions,omitempty"`
 }
 
 // ApplyChange changes the configuration document.
@@ -120,6 +126,10 @@
 	KindAssignShards  Kind = "assign shards"
 	KindRosterInForce Kind = "roster in force"
 	KindDepart        Kind = "depart"
+	KindBeginRollout  Kind = "rollout begin"
+	KindDecideRollout Kind = "rollout decide"
+	KindAbortRollout  Kind = "rollout abort"
+	KindAdmitVersions Kind = "admit versions"
 )
 
 // Kind returns the kind of the command, or "" if none or more than one of the pointers is set.
@@ -141,15 +151,19 @@
 	add(c.AssignShards != nil, KindAssignShards)
 	add(c.RosterInForce != nil, KindRosterInForce)
 	add(c.Depart != nil, KindDepart)
+	add(c.BeginRollout != nil, KindBeginRollout)
+	add(c.DecideRollout != nil, KindDecideRollout)
+	add(c.AbortRollout != nil, KindAbortRollout)
+	add(c.AdmitVersions != nil, KindAdmitVersions)
 	if len(kinds) != 1 {
 		return ""
 	}
 	return kinds[0]
 }
 
-// byOperator reports whether operators send commands of this kind. These commands are checked against their base
-// version, except Replace and a SetDomain with AnyBase. Commands of processes need no base version, and do not cause
-// conflicts with base versions of operators.
+// byOperator reports whether operators change the configuration, keys or failure domains with commands of this kind. These
+// commands are checked against their base version, except Replace and a SetDomain with AnyBase. Commands of processes and
+// commands about rollouts need no base version, and do not cause conflicts with base versions of operators.
 func (k Kind) byOperator() bool {
 	switch k {
 	case KindApply, KindIssueKey, KindWithdrawKey, KindDomainOut, KindDomainIn, KindReplace:
@@ -191,7 +205,8 @@
 // digest returns a hash that distinguishes a resend from another command with the same change ID. It omits the time,
 // which may differ between resends. It includes the source of a replacement only by SourceHash, so that a copy without
 // the source has the same history. It omits the change of a replacement, which depends on the document that was current
-// at the time of the proposal, while the source stays the same in a resend.
+// at the time of the proposal, while the source stays the same in a resend. It omits the base of a rollout for the same
+// reason.
 func (c *Command) digest() uint64 {
 	timeless := *c.withoutSource()
 	timeless.Time = time.Time{}
@@ -200,6 +215,11 @@
 		replace.Change = config.Change{}
 		timeless.Replace = &replace
 	}
+	if c.BeginRollout != nil {
+		begin := *c.BeginRollout
+		begin.Base = 0
+		timeless.BeginRollout = &begin
+	}
 	data, err := json.Marshal(&timeless)
 	if err != nil {
 		return 0
--- a/fleet/state/snapshot.go
+++ b/fleet/state/snapshot.go
@@ -26,6 +26,9 @@
 	RosterChanges   []RosterChange         `json:"rosterChanges,omitempty"`
 	Shards          [Shards]string         `json:"shards"`
 	Departures      []Departure            `json:"departures,omitempty"`
+	Rollouts        []Rollout              `json:"rollouts,omitempty"`
+	Admitted        map[string][]string    `json:"admitted,omitempty"`
+	RolloutFloor    uint64                 `json:"rolloutFloor,omitempty"`
 	Accepted        []Record               `json:"accepted,omitempty"`
 	Refused         []Record               `json:"refused,omitempty"`
 	// Deltas let other processes continue to fetch commands after this process restarted, without fetching a snapshot.
@@ -64,6 +67,9 @@
 		RosterChanges:   s.rosterChanges,
 		Shards:          s.shards,
 		Departures:      s.departures,
+		Rollouts:        s.Rollouts(),
+		Admitted:        s.admitted,
+		RolloutFloor:    s.rolloutFloor,
 		Accepted:        s.accepted.records,
 		Refused:         s.refused.records,
 		Deltas:          s.deltas.list,
@@ -110,6 +116,13 @@
 	}
 	s.rosterChanges = snap.RosterChanges
 	s.departures = snap.Departures
+	for _, r := range snap.Rollouts {
+		s.rollouts[r.Service] = r
+	}
+	for service, versions := range snap.Admitted {
+		s.admitted[service] = versions
+	}
+	s.rolloutFloor = snap.RolloutFloor
 	for _, r := range snap.Accepted {
 		s.accepted.add(r)
 	}
--- a/fleet/state/state.go
+++ b/fleet/state/state.go
@@ -36,9 +36,13 @@
 	rosterChanges []RosterChange
 	shards        [Shards]string
 	departures    []Departure
-	accepted      *recordWindow
-	refused       *recordWindow
-	deltas        deltaLog
+	rollouts      map[string]Rollout  // by service
+	admitted      map[string][]string // by service
+	// rolloutFloor is the version that last removed a service with a rollout; 0 if none did.
+	rolloutFloor uint64
+	accepted     *recordWindow
+	refused      *recordWindow
+	deltas       deltaLog
 }
 
 // IssuedKey is a key that was issued by a command, as opposed to one listed in the configuration document.
@@ -58,6 +62,8 @@
 		issued:     map[string][]IssuedKey{},
 		domainsOut: map[string]bool{},
 		roster:     map[string]Process{},
+		rollouts:   map[string]Rollout{},
+		admitted:   map[string][]string{},
 		accepted:   newRecordWindow(maxAcceptedRecords),
 		refused:    newRecordWindow(maxRefusedRecords),
 	}
--- a/fleet/state/stateful_test.go
+++ b/fleet/state/stateful_test.go
@@ -17,8 +17,8 @@
 
 func init() { flag.Set("rapid.seed", "1") }
 
-// oracle is a simple model of what operators rely on: results by change ID, rates, key owners and the status of failure
-// domains. It never drops anything.
+// oracle is a simple model of what operators rely on: results by change ID, rates, key owners, the status of failure
+// domains and the rollout of one service. It never drops anything.
 type oracle struct {
 	version, operatorVersion uint64
 	results                  map[string]Result
@@ -26,6 +26,8 @@
 	keys                     map[string]string // key to team
 	withdrawn                map[string]bool
 	out                      map[string]bool
+	rollout                  *Rollout
+	admitted                 []string
 }
 
 func newOracle() *oracle {
@@ -62,6 +64,7 @@
 	case c.SetDomain != nil:
 		o.out[c.SetDomain.Domain] = c.SetDomain.Out
 	}
+	o.applyRollout(c)
 	return ""
 }
 
@@ -82,7 +85,7 @@
 	case c.SetDomain != nil && c.SetDomain.Out && len(o.domainsOut()) > 0:
 		return CodeNeedsForce // the floor is 60 percent of three failure domains
 	}
-	return ""
+	return o.checkRollout(c)
 }
 
 func (o *oracle) changesRate(c config.Change) bool {
@@ -206,6 +209,11 @@
 	}
 	first := rapid.SampledFrom(f.sent).Draw(t, "resend")
 	first.command.Time = time.Unix(int64(rapid.IntRange(1, 1000).Draw(t, "time")), 0)
+	if first.command.BeginRollout != nil {
+		begin := *first.command.BeginRollout
+		begin.Base = f.state.RolloutBase("web")
+		first.command.BeginRollout = &begin
+	}
 	version := f.state.Version()
 	assert.DeepEqual(t, propose(t, f.state, first.command), first.result)
 	assert.Equal(t, f.state.Version(), version)
@@ -266,7 +274,10 @@
 	for _, domain := range []string{"d1", "d2", "d3"} {
 		assert.Equal(t, f.state.DomainOut(domain), f.oracle.out[domain])
 	}
+	f.checkRollout(t)
 	if f.follower.Version() == f.state.Version() {
+		assert.DeepEqual(t, f.follower.Rollouts(), f.state.Rollouts())
+		assert.DeepEqual(t, f.follower.Admitted("web"), f.state.Admitted("web"))
 		assert.Equal(t, f.follower.Chain(), f.state.Chain())
 		assert.Equal(t, f.follower.Config().Hash(), f.state.Config().Hash())
 		assert.Assert(t, reflect.DeepEqual(f.follower.keys.entries, f.state.keys.entries))
@@ -274,7 +285,8 @@
 }
 
 // Guards against two accepted changes on the same base version, an accepted change that a restart or a resend loses or
-// repeats, versions that decrease, a withdrawn key that works again, and copies that differ at equal versions.
+// repeats, versions that decrease, a withdrawn key that works again, a rollout that continues after its end or by a decision
+// on outdated evidence, and copies that differ at equal versions.
 func TestStateAgainstOracle(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		s := newTestState(t)
@@ -284,6 +296,7 @@
 			"change":          f.change,
 			"race":            f.race,
 			"join":            f.join,
+			"rollout":         f.rollout,
 			"resend":          f.resend,
 			"restart":         f.restart,
 			"restartFollower": f.restartFollower,
