node: operators order rollouts through any control VM

Copies of an order that arrive late or concurrently begin one rollout. The leader commits commands about rollouts only while every member of the control group announces in its gossip metadata that it knows them.

--- a/fleet/state/rollout.go
+++ b/fleet/state/rollout.go
@@ -101,11 +101,6 @@
 	Versions []string `json:"versions"`
 }
 
-// OfRollout reports whether processes of builds without rollouts refuse the command.
-func (c *Command) OfRollout() bool {
-	return c.BeginRollout != nil || c.DecideRollout != nil || c.AbortRollout != nil || c.AdmitVersions != nil
-}
-
 // Rollout returns the latest rollout of a service, and whether there was one.
 func (s *State) Rollout(service string) (Rollout, bool) {
 	r, ok := s.rollouts[service]
--- a/node/controlrole.go
+++ b/node/controlrole.go
@@ -71,6 +71,7 @@
 	rpc.Register(n.rpc, methodSnapshotPart, c.receiveSnapshotPart)
 	rpc.Register(n.rpc, methodPropose, c.servePropose)
 	rpc.Register(n.rpc, methodOrder, c.servePropose)
+	rpc.Register(n.rpc, methodRollout, c.servePropose)
 	rpc.Register(n.rpc, methodDepartures, c.serveDepartures)
 	rpc.Register(n.rpc, methodLeaving, c.receiveLeaving)
 	control.RegisterConfirmations(n.rpc, c.heartbeats)
--- a/node/domainorders.go
+++ b/node/domainorders.go
@@ -166,16 +166,30 @@
 }
 
 // proposeCommand commits a command that carries no token. A change of a failure domain's status by an operator's client, or
-// by a process of an earlier build, overtakes the orders whose tokens were issued before.
+// by a process of an earlier build, overtakes the orders whose tokens were issued before. A command about a rollout is
+// committed only while every member of the group knows it.
 func (c *controlRole) proposeCommand(ctx context.Context, data []byte) ([]byte, error) {
 	group := c.groups[groupControl]
 	var command struct {
 		ChangeID  string           `json:"changeId"`
 		SetDomain *state.SetDomain `json:"setDomain"`
+
+		BeginRollout  json.RawMessage `json:"beginRollout"`
+		DecideRollout json.RawMessage `json:"decideRollout"`
+		AbortRollout  json.RawMessage `json:"abortRollout"`
+		AdmitVersions json.RawMessage `json:"admitVersions"`
 	}
-	if err := json.Unmarshal(data, &command); err != nil || command.SetDomain == nil {
+	if err := json.Unmarshal(data, &command); err != nil {
 		return group.Propose(ctx, data) // the state machine refuses what it cannot read
 	}
+	if len(command.BeginRollout)+len(command.DecideRollout)+len(command.AbortRollout)+len(command.AdmitVersions) > 0 {
+		if err := c.checkRolloutsKnown(); err != nil {
+			return nil, err
+		}
+	}
+	if command.SetDomain == nil {
+		return group.Propose(ctx, data)
+	}
 	return group.ProposeChecked(ctx, data, func(term uint64) error {
 		c.orders.takeAny(term, command.SetDomain.Domain, command.ChangeID)
 		return nil
--- a/node/gossip.go
+++ b/node/gossip.go
@@ -42,6 +42,8 @@
 	Records raft.ID `json:"records,omitempty"`
 	// Admin is the address of the admin listener. Only processes with the control role set it.
 	Admin string `json:"admin,omitempty"`
+	// Features names what the process knows beyond earlier builds. Only processes with the control role set it.
+	Features []string `json:"features,omitempty"`
 }
 
 // serviceRow describes the backend servers of one service on one VM.
--- a/node/groups.go
+++ b/node/groups.go
@@ -32,13 +32,18 @@
 	Read bool `json:"read,omitempty"`
 	// Order asks the leader to number or to carry out an order about a failure domain. It is sent with methodOrder.
 	Order *domainOrder `json:"order,omitempty"`
+	// Rollout asks the leader for a rollout, or to begin one. It is sent with methodRollout.
+	Rollout *rolloutRequest `json:"rollout,omitempty"`
 }
 
-// method returns the method that a proposal is sent with. Orders have one of their own, because a process of an earlier
-// build would ignore the field.
+// method returns the method that a proposal is sent with. Orders and requests about rollouts have methods of their own,
+// because a process of an earlier build would ignore the fields.
 func (p *proposal) method() string {
-	if p.Order != nil {
+	switch {
+	case p.Order != nil:
 		return methodOrder
+	case p.Rollout != nil:
+		return methodRollout
 	}
 	return methodPropose
 }
@@ -213,6 +218,9 @@
 	if p.Order != nil {
 		return c.order(ctx, *p.Order)
 	}
+	if p.Rollout != nil {
+		return c.rollout(ctx, *p.Rollout)
+	}
 	proposeData := group.Propose
 	if p.Group == groupControl {
 		proposeData = c.proposeCommand
--- a/node/publisher.go
+++ b/node/publisher.go
@@ -32,6 +32,7 @@
 		meta.Control = n.control.controlID
 		meta.Records = n.control.recordsID
 		meta.Admin = n.AdminAddress()
+		meta.Features = []string{featureRollouts}
 	}
 	urgent := !slices.EqualFunc(p.publishedRows, meta.Rows, sameExceptLoad)
 	p.publishedRows = meta.Rows
