--- a/cmd/rosemaryline/main.go
+++ b/cmd/rosemaryline/main.go
@@ -65,6 +65,7 @@
 	c.Register(a.bindCommand(statusCommand()), operation)
 	c.Register(a.bindGroup(keyCommands()), operation)
 	c.Register(a.bindGroup(domainCommands()), operation)
+	c.Register(a.bindGroup(rolloutCommands()), operation)
 	c.Register(a.bindCommand(membersCommand()), operation)
 	c.Register(a.bindCommand(explainCommand()), operation)
 	c.Register(a.bindCommand(historyCommand()), operation)
--- a/cmd/rosemaryline/status.go
+++ b/cmd/rosemaryline/status.go
@@ -42,6 +42,10 @@
 	if reply.Stale {
 		a.printMessage("Warning: this is the state of one control process; it may be behind.")
 	}
+	for _, r := range reply.Rollouts {
+		a.printMessage("Rollout of %s to %s: %s, %d%%, at %s of %s.", r.Service, r.NewVersion, r.Phase, r.Percent,
+			formatAge(r.ElapsedMs), formatAge(r.DurationMs))
+	}
 	rows := [][]string{row("VERSION", "IN FORCE", "PROCESS", "FOR")}
 	for _, v := range reply.Versions {
 		for _, p := range v.Processes {
--- a/control/api_status.go
+++ b/control/api_status.go
@@ -34,7 +34,10 @@
 func (a *API) getStatus(w http.ResponseWriter, c *call) error {
 	reply := StatusReply{VersionReply: a.version(), Stale: c.stale}
 	reply.Versions, reply.Unconfirmed = processesByVersion(a.Confirmations.Processes(), reply.InForce)
-	a.Fleet.View(func(s *state.State) { reply.DomainsOut = s.DomainsOut() })
+	a.Fleet.View(func(s *state.State) {
+		reply.DomainsOut = s.DomainsOut()
+		reply.Rollouts = slices.DeleteFunc(s.Rollouts(), func(r state.Rollout) bool { return !r.Running() })
+	})
 	if a.Group != nil {
 		reply.Group = a.Group.Group()
 	}
--- a/control/api_test.go
+++ b/control/api_test.go
@@ -32,6 +32,9 @@
 	}
 	dryRun := ApplyRequest{Envelope{BaseVersion: 1, DryRun: true}, *applyCommand(teamChange("blue", 9))}
 	key := config.HashKey("key")
+	rollout := func(version string, ms int64, dryRun bool) RolloutRequest {
+		return RolloutRequest{Envelope{DryRun: dryRun}, version, ms}
+	}
 	tests := []struct {
 		desc, credential, path string
 		request                any
@@ -53,7 +56,19 @@
 		{"load above the remaining capacity", "operator-secret", "/v1/domains/d1/out", DomainRequest{Envelope{BaseVersion: 4}, false}, ProblemCode(state.CodeNeedsForce), 4},
 		{"load above the remaining capacity, forced", "operator-secret", "/v1/domains/d1/out", DomainRequest{Envelope{BaseVersion: 4}, true}, "", 5},
 		{"unknown failure domain", "operator-secret", "/v1/domains/d9/out", DomainRequest{Envelope{BaseVersion: 5}, true}, ProblemNotFound, 5},
-		{"no restorer", "admin-secret", "/v1/snapshot", map[string]any{}, ProblemUnsupported, 5},
+		{"viewer orders a rollout", "viewer-secret", "/v1/rollouts/web/begin", rollout("v2", 1000, false), ProblemForbidden, 5},
+		{"rollout without duration", "operator-secret", "/v1/rollouts/web/begin", rollout("v2", 0, false), ProblemCode(state.CodeInvalid), 5},
+		{"rollout of an unknown service", "operator-secret", "/v1/rollouts/none/begin", rollout("v2", 1000, true), ProblemNotFound, 5},
+		{"dry run of a rollout", "operator-secret", "/v1/rollouts/web/begin", rollout("v2", 1000, true), "", 5},
+		{"rollout", "operator-secret", "/v1/rollouts/web/begin", rollout("v2", 1000, false), "", 6},
+		{"rollout", "operator-secret", "/v1/rollouts/web/begin", rollout("v2", 1000, false), "", 6}, // sent again
+		{"second rollout", "operator-secret", "/v1/rollouts/web/begin", rollout("v3", 1000, false), ProblemCode(state.CodeConflict), 6},
+		{"configuration change on a version before the rollout", "operator-secret", "/v1/config", rate(4, 5), "", 7},
+		{"viewer aborts", "viewer-secret", "/v1/rollouts/web/abort", RolloutAbortRequest{ID: "rollout"}, ProblemForbidden, 7},
+		{"abort of another rollout", "operator-secret", "/v1/rollouts/web/abort", RolloutAbortRequest{}, ProblemCode(state.CodeConflict), 7},
+		{"dry run of an abort", "operator-secret", "/v1/rollouts/web/abort", RolloutAbortRequest{Envelope{DryRun: true}, "rollout"}, "", 7},
+		{"abort", "operator-secret", "/v1/rollouts/web/abort", RolloutAbortRequest{ID: "rollout"}, "", 8},
+		{"no restorer", "admin-secret", "/v1/snapshot", map[string]any{}, ProblemUnsupported, 8},
 	}
 	fleet := newMemFleet()
 	client := startAPI(t, fleet, Options{Capacity: fixedCapacity{
@@ -87,6 +102,12 @@
 	case DomainRequest:
 		r.ChangeID = id
 		return r
+	case RolloutRequest:
+		r.ChangeID = id
+		return r
+	case RolloutAbortRequest:
+		r.ChangeID = id
+		return r
 	}
 	return request
 }
@@ -115,6 +136,14 @@
 	var history HistoryReply
 	assert.NilError(t, client.Get(ctx, "/v1/history", nil, &history))
 	assert.Equal(t, history.Records[0].Operator, "test")
+	mustPropose(t, fleet, state.Command{ChangeID: "rollout", BeginRollout: &state.BeginRollout{Service: "web", NewVersion: "v2", DurationMs: 1000}})
+	var rollouts []RolloutStatus
+	var rollout RolloutStatus
+	assert.NilError(t, client.Get(ctx, "/v1/rollouts", nil, &rollouts))
+	assert.NilError(t, client.Get(ctx, "/v1/rollouts/web", nil, &rollout))
+	assert.DeepEqual(t, rollouts, []RolloutStatus{rollout})
+	assert.Equal(t, rollout.ID, "rollout")
+	assert.ErrorContains(t, client.Get(ctx, "/v1/rollouts/none", nil, &rollout), "had no rollout")
 
 	// Without a quorum, reads fail unless the caller accepts stale state.
 	fleet.down = errors.New("no quorum")
@@ -124,7 +153,8 @@
 	assert.Equal(t, problem.Code, ProblemUnavailable)
 	assert.NilError(t, client.Get(ctx, "/v1/status", url.Values{"stale": {"true"}}, &status))
 	assert.Assert(t, status.Stale)
-	assert.Equal(t, status.Version, uint64(1))
+	assert.Equal(t, status.Version, uint64(2))
+	assert.Equal(t, status.Rollouts[0].NewVersion, "v2")
 }
 
 // Guards against a bootstrap credential that still works once the document lists operators.
--- a/control/types.go
+++ b/control/types.go
@@ -75,7 +75,9 @@
 	// Unconfirmed are the processes of the roster that have not confirmed any version to this control process.
 	Unconfirmed []string `json:"unconfirmed,omitempty"`
 	DomainsOut  []string `json:"domainsOut,omitempty"`
-	Group       any      `json:"group,omitempty"`
+	// Rollouts are the running rollouts.
+	Rollouts []state.Rollout `json:"rollouts,omitempty"`
+	Group    any             `json:"group,omitempty"`
 	// Stale is true if this process replied from its own state, without confirmation by a quorum.
 	Stale bool `json:"stale,omitempty"`
 }
