--- /dev/null
+++ b/rollout/allowance.go
@@ -0,0 +1,130 @@
+package rollout
+
+import "time"
+
+// Allowance is the gate's side of the bound on exposure: how many requests it may send to its servers of the new version
+// while the phase is Canary or Loaded. The load pattern is replies that are lost, late or doubled while the leader takes
+// allowances back: only a reply to a newer report than the last applied one counts, so that the leader knows from
+// Report.GrantedBy which of its replies can still take effect.
+type Allowance struct {
+	allowed  uint64
+	sequence uint64
+	refused  uint64
+}
+
+// Admit reports whether a request may be sent to the servers after arrived others, and counts it as refused if not.
+func (a *Allowance) Admit(arrived uint64) bool {
+	if arrived < a.allowed {
+		return true
+	}
+	a.refused++
+	return false
+}
+
+// Replied takes the reply to the report with this sequence.
+func (a *Allowance) Replied(sequence uint64, reply Reply) {
+	if sequence > a.sequence {
+		a.allowed, a.sequence = reply.Allowed, sequence
+	}
+}
+
+// Fill sets the fields of a report that concern the allowance.
+func (a *Allowance) Fill(r *Report) {
+	r.Granted, r.GrantedBy, r.Refused = a.allowed, a.sequence, a.refused
+}
+
+// grant is what the leader knows of the allowance of a gate.
+type grant struct {
+	// sent holds the replies that can still take effect, by the sequence of their report, in order of sending.
+	sent []sentGrant
+	// dead counts the allowances of earlier incarnations, all of which count as spent.
+	dead uint64
+	// first is the sequence of the first report of this incarnation that this leader got.
+	first uint64
+	// committed is the highest number of arrivals that the gate can reach with what it has or may get.
+	committed uint64
+}
+
+type sentGrant struct{ sequence, allowed uint64 }
+
+func (g *grant) restart() { *g = grant{dead: g.dead + g.committed} }
+
+// reported updates the record with the gate's newest report.
+func (g *grant) reported(r *Report) {
+	if g.first == 0 {
+		g.first = r.Sequence
+	}
+	kept := g.sent[:0]
+	g.committed = max(r.Granted, r.Arrived)
+	for _, s := range g.sent {
+		if s.sequence > r.GrantedBy {
+			kept = append(kept, s)
+			g.committed = max(g.committed, s.allowed)
+		}
+	}
+	g.sent = kept
+}
+
+// reply records a reply and returns it.
+func (g *grant) reply(sequence, allowed uint64) Reply {
+	g.sent = append(g.sent, sentGrant{sequence, allowed})
+	g.committed = max(g.committed, allowed)
+	return Reply{Allowed: allowed}
+}
+
+// confirmed reports whether replies of an earlier leader can no longer take effect at the gate.
+func (g *grant) confirmed(r *Report) bool { return r.GrantedBy >= g.first }
+
+const (
+	// allowedShare of the bound on exposure is given out. The rest covers requests that arrive twice because they are retried.
+	allowedShare = 0.8
+	// refusedAhead is what a gate without arrivals gets when it refused a request: the requests of a report interval of a server
+	// that has the load of half of its slots.
+	refusedAhead = 3
+)
+
+// allow decides the allowance of a gate of the new version. The load pattern is a few requests per second for the new version,
+// spread over so many gates that one request held by each would use up the bound: a gate gets what it needs until its next
+// report, and what it does not use is taken back.
+func (d *Decider) allow(elapsed time.Duration, g *gateRecord, arrived, refused uint64) uint64 {
+	r := &g.last
+	keep := max(r.Granted, r.Arrived)
+	if d.plan.Phase != Canary && d.plan.Phase != Loaded {
+		return keep
+	}
+	if d.plan.Decision == 0 || d.takeover && (elapsed < d.readyAt || !g.grant.confirmed(r)) {
+		return keep
+	}
+	limit, used := d.exposureLimit(), d.committed()
+	if used >= limit {
+		return r.Arrived
+	}
+	room := limit - used + g.grant.committed - r.Arrived
+	ahead := 2 * arrived
+	if refused > 0 {
+		ahead += refusedAhead
+	}
+	if ahead == 0 && d.plan.Phase == Canary && 2*used < limit {
+		ahead = 1
+	}
+	return r.Arrived + min(ahead, room)
+}
+
+// exposureLimit is the number of requests that all gates of the new version together may have been allowed by now.
+func (d *Decider) exposureLimit() uint64 {
+	growth := allowedShare * d.settings.ExposureShare * float64(d.reports.growth())
+	if d.takeover {
+		return d.carried + uint64(growth)
+	}
+	return uint64(growth + allowedShare*float64(d.settings.ExposureSlack))
+}
+
+// committed is the number of requests that the gates of the new version can have sent with what they were allowed.
+func (d *Decider) committed() (n uint64) {
+	for key, g := range d.reports.gates {
+		if key.new {
+			n += g.grant.committed + g.grant.dead
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/rollout/collection.go
@@ -0,0 +1,247 @@
+package rollout
+
+import (
+	"sort"
+	"time"
+)
+
+// Sample is what the servers of one version on one VM answered within one slice of the rollout's time.
+type Sample struct {
+	VM    string
+	New   bool
+	Slice int
+	// Loaded reports whether the servers ran at the load that the loaded phase aims at.
+	Loaded bool
+	Routes map[string]RouteCounts
+	// Overdue is the number of running requests that already take longer than a slow response, on all routes.
+	Overdue int
+}
+
+type gateKey struct {
+	vm  string
+	new bool
+}
+
+// gateRecord holds what one VM reported for the servers of one version.
+type gateRecord struct {
+	last Report
+	at   time.Duration
+	// before counts the arrivals of earlier incarnations.
+	before uint64
+	// unseen is the number of arrivals before the first report, which a leader that took over may not count as growth.
+	unseen  uint64
+	history []arrival
+	slices  []Sample
+	grant   grant
+}
+
+type arrival struct {
+	at    time.Duration
+	count uint64
+}
+
+// overdueHistory bounds the arrivals that are kept to recognise overdue requests.
+const overdueHistory = 128
+
+// collection holds the newest report of each gate and the samples made from them. The load pattern is reports that are lost,
+// late or duplicated, and gates that restart: counts are cumulative, the newest sequence of the newest incarnation wins, and
+// the counts of earlier incarnations remain.
+type collection struct {
+	plan  Plan
+	slice time.Duration
+	gates map[gateKey]*gateRecord
+}
+
+// minSlice is twice the report interval of gates with servers of the old version.
+const (
+	minSlice      = 2 * time.Second
+	slicesPerPlan = 8
+)
+
+func newCollection(plan Plan) *collection {
+	return &collection{plan: plan, slice: max(minSlice, plan.Duration/slicesPerPlan), gates: map[gateKey]*gateRecord{}}
+}
+
+// add takes a report and returns the gate's record, or nil if the report is of another rollout or not newer than the last one.
+// The elapsed time decides the slice to which the new counts belong.
+func (c *collection) add(elapsed time.Duration, r Report, loadedAt float64, takeover bool) *gateRecord {
+	if r.Rollout != c.plan.ID || r.Service != c.plan.Service || r.VM == "" {
+		return nil
+	}
+	key := gateKey{r.VM, r.Version == c.plan.NewVersion}
+	g := c.gates[key]
+	var previous Report
+	switch {
+	case g == nil:
+		g = &gateRecord{}
+		c.gates[key] = g
+		if takeover {
+			g.unseen = r.Arrived
+		}
+	case r.Incarnation < g.last.Incarnation, r.Incarnation == g.last.Incarnation && r.Sequence <= g.last.Sequence:
+		return nil
+	case r.Incarnation > g.last.Incarnation:
+		g.before += g.last.Arrived
+		g.history = g.history[:0]
+		g.grant.restart()
+		if takeover {
+			g.unseen += r.Arrived
+		}
+	default:
+		previous = g.last
+	}
+	current := g.current(r.VM, key.new, int(elapsed/c.slice))
+	for route, counts := range r.Routes {
+		delta, grew := since(counts, previous.Routes[route])
+		if grew {
+			total := current.Routes[route]
+			sum(&total, &delta)
+			current.Routes[route] = total
+		}
+	}
+	if r.Slots > 0 && float64(r.Running) > loadedAt*float64(r.Slots) {
+		current.Loaded = true
+	}
+	g.last, g.at = r, elapsed
+	if len(g.history) == overdueHistory {
+		g.history = append(g.history[:0], g.history[1:]...)
+	}
+	g.history = append(g.history, arrival{elapsed, r.Arrived})
+	return g
+}
+
+// current returns the sample of the slice, which is the newest one.
+func (g *gateRecord) current(vm string, isNew bool, slice int) *Sample {
+	if n := len(g.slices); n > 0 && g.slices[n-1].Slice >= slice {
+		return &g.slices[n-1]
+	}
+	g.slices = append(g.slices, Sample{VM: vm, New: isNew, Slice: slice, Routes: map[string]RouteCounts{}})
+	return &g.slices[len(g.slices)-1]
+}
+
+// overdue returns how many requests surely have run for longer than limit: they arrived before and have no result yet.
+// Without them a version of which half of the requests never end within the rollout would look like one without faults.
+func (g *gateRecord) overdue(now, limit time.Duration) int {
+	if g.last.Slots == 0 || g.last.Running == 0 || limit <= 0 {
+		return 0
+	}
+	var arrived, ended uint64
+	for _, a := range g.history {
+		if a.at <= g.at-limit {
+			arrived = a.count
+		}
+	}
+	for _, counts := range g.last.Routes {
+		ended += uint64(counts.Succeeded) + uint64(counts.Failed) + uint64(counts.Broken)
+	}
+	if arrived <= ended {
+		return 0
+	}
+	return int(min(arrived-ended, uint64(g.last.Running)))
+}
+
+// samples returns all samples in a fixed order. Requests that are overdue belong to the newest sample of their gate.
+func (c *collection) samples(now, limit time.Duration) []Sample {
+	var all []Sample
+	for _, key := range c.keys() {
+		g := c.gates[key]
+		first := len(all)
+		all = append(all, g.slices...)
+		if len(all) > first {
+			all[len(all)-1].Overdue = g.overdue(now, limit)
+		}
+	}
+	return all
+}
+
+func (c *collection) keys() []gateKey {
+	keys := make([]gateKey, 0, len(c.gates))
+	for key := range c.gates {
+		keys = append(keys, key)
+	}
+	sort.Slice(keys, func(i, j int) bool {
+		return keys[i].vm < keys[j].vm || keys[i].vm == keys[j].vm && !keys[i].new && keys[j].new
+	})
+	return keys
+}
+
+// Totals are the counts of the servers of one version.
+type Totals struct {
+	// Gates is the number of VMs that reported, and Slots that of the slots of those that reported lately.
+	Gates   int
+	Slots   int
+	Running int
+	// Arrived includes the requests of earlier incarnations of the gates.
+	Arrived uint64
+	Routes  map[string]RouteCounts
+}
+
+// Bad returns the number of responses that failed or broke.
+func (t Totals) Bad() (n uint64) {
+	for _, counts := range t.Routes {
+		n += uint64(counts.Failed) + uint64(counts.Broken)
+	}
+	return n
+}
+
+// reportsLostAfter is three report intervals of a gate with servers of the old version: what it reported then no longer counts
+// as its present state.
+const reportsLostAfter = 3 * time.Second
+
+func (c *collection) totals(elapsed time.Duration, isNew bool) Totals {
+	t := Totals{Routes: map[string]RouteCounts{}}
+	for key, g := range c.gates {
+		if key.new != isNew {
+			continue
+		}
+		t.Gates++
+		t.Arrived += g.before + g.last.Arrived
+		if elapsed-g.at <= reportsLostAfter {
+			t.Slots += g.last.Slots
+			t.Running += g.last.Running
+		}
+		for i := range g.slices {
+			for route, counts := range g.slices[i].Routes {
+				total := t.Routes[route]
+				sum(&total, &counts)
+				t.Routes[route] = total
+			}
+		}
+	}
+	return t
+}
+
+// growth returns the arrivals at both versions that the leader may count for the bound on exposure.
+func (c *collection) growth() (n uint64) {
+	for _, g := range c.gates {
+		n += g.before + g.last.Arrived - min(g.unseen, g.before+g.last.Arrived)
+	}
+	return n
+}
+
+func sum(total, more *RouteCounts) {
+	total.Succeeded += more.Succeeded
+	total.Failed += more.Failed
+	total.Broken += more.Broken
+	for i, n := range more.Latency {
+		total.Latency[i] += n
+	}
+}
+
+// since returns the counts that were added between two reports of an incarnation.
+func since(now, before RouteCounts) (delta RouteCounts, grew bool) {
+	sub := func(a, b uint32) uint32 {
+		if a <= b {
+			return 0
+		}
+		grew = true
+		return a - b
+	}
+	delta.Succeeded = sub(now.Succeeded, before.Succeeded)
+	delta.Failed = sub(now.Failed, before.Failed)
+	delta.Broken = sub(now.Broken, before.Broken)
+	for i := range now.Latency {
+		delta.Latency[i] = sub(now.Latency[i], before.Latency[i])
+	}
+	return delta, grew
+}
--- /dev/null
+++ b/rollout/decider.go
@@ -0,0 +1,332 @@
+package rollout
+
+import (
+	"fmt"
+	"math"
+	"time"
+)
+
+// Settings are the bounds of rollouts.
+type Settings struct {
+	// ExposureShare of the requests that reach the service, plus ExposureSlack requests, may go to a bad version.
+	ExposureShare float64
+	ExposureSlack int
+	// RollbackAfter is the time from the 50th bad response of a bad version to its last request.
+	RollbackAfter time.Duration
+	// FloorPercent is the share of the slots of the old servers that the new ones must have before cutover.
+	FloorPercent int
+}
+
+const (
+	// settleBefore the deadline the rollout is decided, so that the result is known at the deadline.
+	settleBefore = time.Second
+	// takeoverRound is the time in which all gates report to a new leader: the longest report interval and a retry.
+	takeoverRound = 1500 * time.Millisecond
+	// repeatAfter a decision was returned and not applied, it is returned again.
+	repeatAfter = 500 * time.Millisecond
+	// firstPercent is offered before the rate of requests is known.
+	firstPercent = 5
+	// maxPercent leaves the old version enough requests for a comparison.
+	maxPercent = 50
+	// canaryPart of what may be sent to the new version before cutover is offered in the canary phase.
+	canaryPart = 0.4
+	// loadedSlots is the share of its slots that a server of the loaded phase shall run: bad versions show above a half.
+	loadedSlots = 0.75
+	// loadedFrom is the share of its slots from which a server counts as loaded.
+	loadedFrom = 0.5
+	// urgentBad bad responses start the time of RollbackAfter, and urgentLikelihood, ln(20), suffices once half of it has passed.
+	urgentBad        = 50
+	urgentLikelihood = 3.0
+	// judgeEvery limits the work of the leader; reports of new gates come every 250 ms.
+	judgeEvery = 200 * time.Millisecond
+)
+
+// Decider decides the steps of one rollout. The control leader runs it: it hands over the reports, proposes each Decision and
+// calls Apply when a newer plan is committed. The load pattern of the whole is a service with a hundred requests per second
+// at 43 servers, whose traffic has to move within 16 s: 115 requests may show whether the version is bad before all of them
+// go there.
+type Decider struct {
+	settings Settings
+	plan     Plan
+	// start is the time of the order on the leader's clock, as far as it is known.
+	start    time.Duration
+	reports  *collection
+	takeover bool
+	// readyAt is the elapsed time at which a leader that took over has heard of all gates.
+	readyAt time.Duration
+	// carried is what the earlier leaders allowed.
+	carried   uint64
+	isCarried bool
+
+	proposed   Decision
+	proposedAt time.Duration
+	hasPending bool
+
+	verdict   Verdict
+	judgedAt  time.Duration
+	hasJudged bool
+	urgentAt  time.Duration
+	loadedAt  float64
+	// phaseAt is the elapsed time at which the phase began, and groupAt that at which the servers of the loaded phase were chosen.
+	phaseAt, groupAt time.Duration
+	oldSlots         int
+}
+
+// New returns a decider for a plan as the leader finds it. Pass a plan without decisions only if no leader ran it before.
+func New(settings Settings, plan Plan, now time.Duration) *Decider {
+	d := &Decider{settings: settings, plan: plan, start: now - plan.Elapsed, reports: newCollection(plan), loadedAt: loadedFrom,
+		takeover: plan.Decision > 0, phaseAt: plan.Elapsed, groupAt: plan.Elapsed, judgedAt: -judgeEvery}
+	if d.takeover {
+		d.readyAt = plan.Elapsed + takeoverRound
+	}
+	return d
+}
+
+// Report takes the report of a gate and returns the reply.
+func (d *Decider) Report(now time.Duration, r Report) Reply {
+	d.knownFor(now, r)
+	elapsed := now - d.start
+	key := gateKey{r.VM, r.Version == d.plan.NewVersion}
+	var arrived, refused uint64
+	if g := d.reports.gates[key]; g != nil && g.last.Incarnation == r.Incarnation {
+		arrived, refused = r.Arrived-min(r.Arrived, g.last.Arrived), r.Refused-min(r.Refused, g.last.Refused)
+	} else {
+		arrived, refused = r.Arrived, r.Refused
+	}
+	g := d.reports.add(elapsed, r, d.loadedAt, d.takeover)
+	if g == nil {
+		if g = d.reports.gates[key]; g != nil && key.new && g.last.Incarnation == r.Incarnation && r.Rollout == d.plan.ID {
+			return g.grant.reply(r.Sequence, r.Granted)
+		}
+		return Reply{Allowed: r.Granted}
+	}
+	if !key.new {
+		return Reply{}
+	}
+	g.grant.reported(&r)
+	if d.takeover && !d.isCarried && elapsed >= d.readyAt {
+		d.carried, d.isCarried = d.committed(), true
+	}
+	return g.grant.reply(r.Sequence, d.allow(elapsed, g, arrived, refused))
+}
+
+// knownFor moves the start back if a gate has known of the rollout for longer than the leader. The load pattern is a leader that
+// is lost seconds after its last decision.
+func (d *Decider) knownFor(now time.Duration, r Report) {
+	known := time.Duration(r.KnownMs) * time.Millisecond
+	if r.Rollout != d.plan.ID || known <= now-d.start || known > 2*d.plan.Duration {
+		return
+	}
+	ready := d.readyAt + d.start
+	d.start = now - known
+	if d.takeover {
+		d.readyAt = ready - d.start
+	}
+}
+
+// Apply takes a plan that was committed.
+func (d *Decider) Apply(now time.Duration, plan Plan) {
+	if plan.ID != d.plan.ID || plan.Decision <= d.plan.Decision {
+		return
+	}
+	if plan.Phase != d.plan.Phase {
+		d.phaseAt = now - d.start
+	}
+	if plan.Phase == Loaded {
+		d.groupAt = now - d.start
+	}
+	d.plan, d.hasPending = plan, false
+}
+
+// Plan returns the newest plan that the decider knows.
+func (d *Decider) Plan() Plan { return d.plan }
+
+// Verdict returns the last verdict.
+func (d *Decider) Verdict() Verdict { return d.verdict }
+
+// Counts returns the counts of the servers of the old versions and of the new one.
+func (d *Decider) Counts(now time.Duration) (old, new Totals) {
+	return d.reports.totals(now-d.start, false), d.reports.totals(now-d.start, true)
+}
+
+// Step returns the next decision, if there is one. It is to be called several times a second.
+func (d *Decider) Step(now time.Duration) (Decision, bool) {
+	if d.plan.Phase.Final() {
+		return Decision{}, false
+	}
+	elapsed := now - d.start
+	next, ok := d.next(elapsed)
+	if !ok {
+		return Decision{}, false
+	}
+	if d.hasPending && now-d.proposedAt < repeatAfter && (d.proposed.Phase == next.Phase || !next.Phase.Final()) {
+		return Decision{}, false
+	}
+	next.Previous, next.Elapsed = d.plan.Decision, elapsed
+	d.proposed, d.proposedAt, d.hasPending = next, now, true
+	return next, true
+}
+
+func (d *Decider) next(elapsed time.Duration) (Decision, bool) {
+	old, new := d.reports.totals(elapsed, false), d.reports.totals(elapsed, true)
+	d.judge(elapsed, new)
+	ready := !d.takeover || elapsed >= d.readyAt
+	rollBack := func(format string, args ...any) (Decision, bool) {
+		return Decision{Phase: RolledBack, Reason: fmt.Sprintf(format, args...)}, true
+	}
+	last := elapsed >= d.plan.Duration-settleBefore
+	switch {
+	case d.verdict.Judgement == Bad:
+		return rollBack("%s", d.verdict.Reason)
+	case d.urgentAt > 0 && elapsed-d.urgentAt >= d.settings.RollbackAfter/2 && d.verdict.Likelihood >= urgentLikelihood:
+		return rollBack("%d bad responses, %s", new.Bad(), d.verdict.Reason)
+	case d.plan.Phase == Cutover:
+		return d.finish(elapsed, new, last)
+	case last:
+		return rollBack("the deadline is near and the phase is still %s", d.plan.Phase)
+	case elapsed >= d.plan.Duration*2/3 && ready:
+		// The evidence counts from a check of this moment, not from an earlier one.
+		if reason, can := d.canCutOver(old, new); !can {
+			return rollBack("insufficient evidence: %s", reason)
+		}
+	case !ready:
+		return Decision{}, false
+	}
+	if elapsed >= d.plan.Duration/2 {
+		if _, can := d.canCutOver(old, new); can {
+			d.oldSlots = old.Slots
+			return Decision{Phase: Cutover, Percent: 100, Reason: d.verdict.Reason}, true
+		}
+	}
+	return d.offer(elapsed, old, new)
+}
+
+// judge updates the verdict. A leader that took over waits until all gates have reported.
+func (d *Decider) judge(elapsed time.Duration, new Totals) {
+	if d.urgentAt == 0 && new.Bad() >= urgentBad {
+		d.urgentAt = elapsed
+	}
+	if d.takeover && elapsed < d.readyAt || elapsed-d.judgedAt < judgeEvery {
+		return
+	}
+	d.judgedAt = elapsed
+	d.verdict = Judge(d.reports.samples(elapsed, d.slowLimit()))
+}
+
+// slowLimit is the time after which a running request is overdue: longer than nine of ten responses of the old version took,
+// with a factor for the spread between requests.
+func (d *Decider) slowLimit() time.Duration {
+	var l Latencies
+	for key, g := range d.reports.gates {
+		if !key.new {
+			for i := range g.slices {
+				for _, counts := range g.slices[i].Routes {
+					l.Merge(&counts.Latency)
+				}
+			}
+		}
+	}
+	const factor = 1.5
+	q, _ := l.Quantile(0.9)
+	return time.Duration(factor * float64(q))
+}
+
+func (d *Decider) canCutOver(old, new Totals) (reason string, can bool) {
+	if new.Slots*100 < old.Slots*d.settings.FloorPercent || new.Slots == 0 {
+		return fmt.Sprintf("new servers have %d slots, old ones %d, and the floor is %d%%", new.Slots, old.Slots, d.settings.FloorPercent), false
+	}
+	return d.verdict.Reason, d.verdict.Judgement == Good
+}
+
+// finish decides the end of the cutover phase. The old version is released when it runs nothing and the new one had all
+// requests for some time, since a version may fail only then.
+func (d *Decider) finish(elapsed time.Duration, new Totals, last bool) (Decision, bool) {
+	if (!d.takeover || elapsed >= d.readyAt) && (new.Slots == 0 || new.Slots*200 < d.oldSlots*d.settings.FloorPercent) {
+		return Decision{Phase: RolledBack, Reason: fmt.Sprintf("new servers have %d slots left, old ones had %d", new.Slots, d.oldSlots)}, true
+	}
+	observed := elapsed-d.phaseAt >= d.plan.Duration/6 && (!d.takeover || elapsed >= d.readyAt)
+	if last || observed && d.drained(elapsed) {
+		return Decision{Phase: Completed, Percent: 100, Reason: d.verdict.Reason}, true
+	}
+	return Decision{}, false
+}
+
+// drained reports whether no request runs at old servers: all their gates act on the cutover and report no running requests.
+// A gate that is lost is not waited for.
+func (d *Decider) drained(elapsed time.Duration) bool {
+	for key, g := range d.reports.gates {
+		if !key.new && elapsed-g.at <= reportsLostAfter && (g.last.Applied < d.plan.Decision || g.last.Running > 0) {
+			return false
+		}
+	}
+	return true
+}
+
+// offer decides how many requests the new version gets, and at how many servers. In the loaded phase it changes the servers after
+// each slice: one of them may have a gray failure, and its circuit breaker keeps the load away.
+func (d *Decider) offer(elapsed time.Duration, old, new Totals) (Decision, bool) {
+	duration := d.plan.Duration
+	if d.plan.Decision == 0 {
+		return Decision{Phase: Canary, Percent: firstPercent, Reason: "first requests"}, true
+	}
+	rate := float64(old.Arrived+new.Arrived) / max(1, elapsed.Seconds())
+	if rate == 0 || elapsed < duration/16 || elapsed < settleBefore {
+		return Decision{}, false
+	}
+	if elapsed < duration/4 {
+		if d.plan.Percent != firstPercent || d.plan.Decision > 1 {
+			return Decision{}, false
+		}
+		percent := d.percent(elapsed, duration/4, rate, canaryPart, new)
+		return Decision{Phase: Canary, Percent: percent, Reason: fmt.Sprintf("%.1f requests per second", rate)}, percent != d.plan.Percent
+	}
+	if d.plan.Phase == Loaded && elapsed-d.groupAt < d.reports.slice {
+		return Decision{}, false
+	}
+	percent := d.percent(elapsed, max(duration/2, elapsed+d.reports.slice), rate, 1, new)
+	servers := d.loadedServers(float64(percent)/100*rate, old, new)
+	return Decision{Phase: Loaded, Percent: percent, Servers: servers,
+		Reason: fmt.Sprintf("%.1f requests per second for %d servers; %s", float64(percent)/100*rate, servers, d.verdict.Reason)}, true
+}
+
+// percent spreads what part of the limit at the time until leaves over the time to it.
+func (d *Decider) percent(elapsed, until time.Duration, rate, part float64, new Totals) int {
+	seconds := max((until - elapsed).Seconds(), 0.5)
+	limit := float64(d.exposureLimit()) + allowedShare*d.settings.ExposureShare*rate*seconds
+	left := part*limit - float64(new.Arrived)
+	if d.takeover {
+		left = limit - float64(d.committed())
+	}
+	percent := int(math.Ceil(100 * left / (rate * seconds)))
+	return max(firstPercent, min(maxPercent, percent))
+}
+
+// loadedServers returns among how many servers the rate fills the share loadedSlots of their slots, and sets the load from which a
+// server counts as loaded: less than loadedFrom if the rate does not suffice for one server.
+func (d *Decider) loadedServers(rate float64, old, new Totals) int {
+	if new.Gates == 0 || new.Slots == 0 || old.Arrived == 0 {
+		return 1
+	}
+	perServer := float64(new.Slots) / float64(new.Gates)
+	running := rate * d.meanLatency(old).Seconds()
+	servers := max(1, min(new.Gates, int(running/(loadedSlots*perServer))))
+	d.loadedAt = min(loadedFrom, loadedFrom*running/(float64(servers)*perServer))
+	return servers
+}
+
+func (d *Decider) meanLatency(t Totals) time.Duration {
+	var l Latencies
+	for _, counts := range t.Routes {
+		l.Merge(&counts.Latency)
+	}
+	var total float64
+	for i, n := range l {
+		low := LatencyBound(i - 1)
+		high := LatencyBound(i)
+		if i == LatencyBuckets-1 {
+			high = low
+		}
+		total += float64(n) * float64(low+high) / 2
+	}
+	return time.Duration(total / float64(max(1, l.Count())))
+}
--- /dev/null
+++ b/rollout/measure_test.go
@@ -0,0 +1,76 @@
+package rollout
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"runtime"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"text/tabwriter"
+	"time"
+)
+
+var (
+	measureSeeds = flag.Int("rollout.seeds", 10, "seeds of each kind of version and fleet size for TestMeasure")
+	measureVMs   = flag.Int("rollout.vms", 0, "fleet size for TestMeasure, 0 for 90")
+	measureTrace = flag.String("rollout.trace", "", "print the decisions of TestMeasure for kinds that contain this")
+)
+
+// TestMeasure prints what the model shows for each kind of version: the share with the right end, the requests that a bad
+// version got before it was rolled back, relative to the bound, and the time to the roll-back.
+func TestMeasure(t *testing.T) {
+	vms := *measureVMs
+	if vms == 0 {
+		vms = 90
+	}
+	w := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', 0)
+	fmt.Fprintln(w, "version\tseeds\tright\tend: median\tworst\trequests: median\tworst\tof bound: worst\tover bound\troll-back: worst\tlate")
+	for _, kind := range modelKinds {
+		results := make([]modelResult, *measureSeeds)
+		var group sync.WaitGroup
+		limit := make(chan struct{}, min(3, runtime.GOMAXPROCS(0)))
+		for i := range results {
+			group.Add(1)
+			limit <- struct{}{}
+			go func() {
+				defer func() { <-limit; group.Done() }()
+				results[i] = runModel(modelConfig{seed: uint64(i + 1), vms: vms, kind: kind, duration: 16 * time.Second,
+					sameKind: i%2 == 1, exchange: i%5 == 4, restarts: i%3 == 2})
+			}()
+		}
+		group.Wait()
+		right, over, late := 0, 0, 0
+		var requests []int
+		var ends []time.Duration
+		worst, slowest := 0.0, time.Duration(0)
+		for i, r := range results {
+			want := Completed
+			if kind.bad() {
+				want = RolledBack
+				if float64(r.exposed) > r.bound() {
+					over++
+				}
+				slowest = max(slowest, r.toRollBack)
+				worst = max(worst, float64(r.exposed)/r.bound())
+			}
+			if r.phase == want {
+				right++
+			}
+			if *measureTrace != "" && strings.Contains(kind.name, *measureTrace) {
+				fmt.Printf("%s seed %d: %s exposed %d of %.0f\n  %s\n", kind.name, i+1, r.phase, r.exposed, r.bound(), strings.Join(r.steps, "\n  "))
+			}
+			late += r.late
+			requests = append(requests, r.exposed)
+			ends = append(ends, r.elapsed)
+		}
+		slices.Sort(requests)
+		slices.Sort(ends)
+		n := len(results)
+		fmt.Fprintf(w, "%s\t%d\t%.1f%%\t%.1f s\t%.1f s\t%d\t%d\t%.2f\t%d\t%.1f s\t%d\n", kind.name, n, 100*float64(right)/float64(n),
+			ends[n/2].Seconds(), ends[n-1].Seconds(), requests[n/2], requests[n-1], worst, over, slowest.Seconds(), late)
+	}
+	w.Flush()
+}
--- /dev/null
+++ b/rollout/rapid_test.go
@@ -0,0 +1,15 @@
+package rollout
+
+import (
+	"flag"
+
+	_ "pgregory.net/rapid"
+)
+
+func init() {
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+}
--- a/rollout/rollout.go
+++ b/rollout/rollout.go
@@ -89,8 +89,17 @@
 	// Running is the number of requests that run at the servers now.
 	Running int `json:"running,omitempty"`
 	// Slots is the number of slots of servers that are in service and not cold.
-	Slots  int                    `json:"slots,omitempty"`
-	Routes map[string]RouteCounts `json:"routes,omitempty"`
+	Slots int `json:"slots,omitempty"`
+	// KnownMs is the time in milliseconds since the gate's process learned of the rollout. A new leader takes the longest of
+	// them as the least time since the order; without it the time between the last decision and its takeover would be lost.
+	KnownMs int64 `json:"knownMs,omitempty"`
+	// Refused counts the requests that the gate refused because of its allowance. The leader gives allowances to gates where
+	// it grows.
+	Refused uint64 `json:"refused,omitempty"`
+	// Granted is the allowance that the gate acts on, and GrantedBy the Sequence of the report whose reply gave it (Allowance).
+	Granted   uint64                 `json:"granted,omitempty"`
+	GrantedBy uint64                 `json:"grantedBy,omitempty"`
+	Routes    map[string]RouteCounts `json:"routes,omitempty"`
 }
 
 // Reply answers a Report.
--- /dev/null
+++ b/rollout/verdict.go
@@ -0,0 +1,469 @@
+package rollout
+
+import (
+	"fmt"
+	"math"
+	"sort"
+)
+
+// Judgement is the outcome of a comparison of two versions.
+type Judgement int
+
+// Judgements. Undecided means that more samples are needed.
+const (
+	Undecided Judgement = iota
+	Good
+	Bad
+)
+
+// Verdict is a judgement with its evidence.
+type Verdict struct {
+	Judgement Judgement
+	// Likelihood is the logarithm of how much better the samples fit the most suspicious kind of bad version than a good one.
+	Likelihood float64
+	Reason     string
+}
+
+const (
+	// badLikelihood is ln(1000): a good version reaches it in about one of a thousand rollouts.
+	badLikelihood = 6.9
+	// minDifference is the least difference of the shares of bad responses that callers notice, and that a verdict may be based on.
+	minDifference = 0.08
+	// suspect is the share of additional bad responses that Good must exclude; bad versions have at least 0.3.
+	suspect = 0.25
+	// The evidence against suspect that Good needs: over the whole time, over the last slices, from servers at load, and for
+	// each route.
+	goodWhole  = -4.0
+	goodRecent = -2.0
+	goodLoaded = -2.0
+	goodRoute  = -1.0
+	// minOldSamples are needed to know the spread between old servers.
+	minOldSamples = 20
+	// A unit of more responses is scaled down: the distribution is known only at the points of shares.
+	maxUnit = 40
+	// independentVMs is the least number of servers from which the evidence of a bad version must come, if there are that many,
+	// since single servers of a good one also fail.
+	independentVMs = 4
+	// recentSlices is the number of slices that show a version that turns bad late.
+	recentSlices = 2
+	// rareRoute is the share of the requests below which a route needs no evidence of its own.
+	rareRoute = 0.05
+	// A slice in which the old servers have disturbedBy more bad responses than usual shows a fault that is common to both versions.
+	disturbedBy = 0.15
+)
+
+// shares are the shares of bad responses that a server can have in a slice, and effects those that a bad version adds.
+var (
+	shares  = [...]float64{0.004, 0.02, 0.05, 0.1, 0.2, 0.35, 0.5, 0.65, 0.8, 0.9, 0.97}
+	effects = [...]float64{0.1, 0.2, 0.35, 0.5, 0.7}
+)
+
+type measure int
+
+const (
+	anyFailure measure = iota
+	onlyFailed
+	onlyBroken
+	slow
+	measures
+)
+
+func (m measure) String() string {
+	return [...]string{"failed or broken", "failed", "broken", "slow"}[m]
+}
+
+// slowBuckets above the median bucket of the old version's responses on the route, a response is slow: it takes two to three
+// times as long as the median. Of a version that takes three times as long, more than half of the responses do.
+const slowBuckets = 3
+
+// unit counts the responses of a server in a slice, and the bad ones among them.
+type unit struct{ n, bad int }
+
+func (u unit) scaled() unit {
+	if u.n <= maxUnit {
+		return u
+	}
+	return unit{maxUnit, (u.bad*maxUnit + u.n/2) / u.n}
+}
+
+func (u unit) likelihood(share float64) float64 {
+	return math.Pow(share, float64(u.bad)) * math.Pow(1-share, float64(u.n-u.bad))
+}
+
+// spread is the distribution of the share of bad responses between servers and slices.
+type spread [len(shares)]float64
+
+// fitSpread estimates the spread by expectation maximisation. Each server counts once for each slice, however many requests
+// it got, since circuit breakers take requests away from servers that fail.
+func fitSpread(units map[unit]float64) spread {
+	// One pseudo-sample keeps shares possible that no server had yet.
+	const pseudo, rounds = 1.0, 30
+	var w spread
+	for j := range w {
+		w[j] = 1 / float64(len(w))
+	}
+	type weighted struct {
+		likelihood spread
+		weight     float64
+	}
+	fitted := make([]weighted, 0, len(units))
+	for u, weight := range units {
+		f := weighted{weight: weight}
+		for j, share := range shares {
+			f.likelihood[j] = u.likelihood(share)
+		}
+		fitted = append(fitted, f)
+	}
+	for range rounds {
+		var next spread
+		total := pseudo
+		for j := range next {
+			next[j] = pseudo / float64(len(w))
+		}
+		for i := range fitted {
+			f := &fitted[i]
+			var part spread
+			var all float64
+			for j := range part {
+				part[j] = w[j] * f.likelihood[j]
+				all += part[j]
+			}
+			if all == 0 {
+				continue
+			}
+			for j := range part {
+				next[j] += f.weight * part[j] / all
+			}
+			total += f.weight
+		}
+		for j := range next {
+			w[j] = next[j] / total
+		}
+	}
+	return w
+}
+
+// ratio returns the logarithm of how much likelier the unit is at a version that adds bad responses than at a good one.
+func (w *spread) ratio(u unit, effect float64) float64 {
+	var good, bad float64
+	for j, share := range shares {
+		good += w[j] * u.likelihood(share)
+		bad += w[j] * u.likelihood(1-(1-share)*(1-effect))
+	}
+	return math.Log(max(bad, math.SmallestNonzeroFloat64) / max(good, math.SmallestNonzeroFloat64))
+}
+
+// comparison has the units of both versions for a measure and a route (empty: all).
+type comparison struct {
+	measure  measure
+	route    string
+	old      spread
+	oldShare float64
+	oldCount int
+	ratios   map[unit]ratios
+}
+
+// ratios holds spread.ratio for each of the effects, and for suspect.
+type ratios struct {
+	effects [len(effects)]float64
+	suspect float64
+}
+
+func (c *comparison) ratiosOf(u unit) ratios {
+	r, ok := c.ratios[u]
+	if !ok {
+		for j, effect := range effects {
+			r.effects[j] = c.old.ratio(u, effect)
+		}
+		r.suspect = c.old.ratio(u, suspect)
+		c.ratios[u] = r
+	}
+	return r
+}
+
+// slowBucket returns the first bucket of slow responses for each route, from the old version.
+func slowBucketByRoute(samples []Sample) map[string]int {
+	latencies := map[string]*Latencies{}
+	for i := range samples {
+		if samples[i].New {
+			continue
+		}
+		for route, counts := range samples[i].Routes {
+			if latencies[route] == nil {
+				latencies[route] = &Latencies{}
+			}
+			latencies[route].Merge(&counts.Latency)
+		}
+	}
+	first := map[string]int{}
+	for route, l := range latencies {
+		if l.Count() > 0 {
+			median, _ := l.quantileBucket(0.5)
+			first[route] = median + slowBuckets
+		}
+	}
+	return first
+}
+
+func (s *Sample) unit(m measure, route string, slowFrom map[string]int) (u unit) {
+	add := func(name string, counts *RouteCounts) {
+		if m == slow {
+			from, known := slowFrom[name]
+			for i, n := range counts.Latency {
+				if known {
+					u.n += int(n)
+					if i >= from {
+						u.bad += int(n)
+					}
+				}
+			}
+			return
+		}
+		u.n += int(counts.Succeeded) + int(counts.Failed) + int(counts.Broken)
+		if m != onlyBroken {
+			u.bad += int(counts.Failed)
+		}
+		if m != onlyFailed {
+			u.bad += int(counts.Broken)
+		}
+	}
+	if route != "" {
+		if counts, ok := s.Routes[route]; ok {
+			add(route, &counts)
+		}
+		return u
+	}
+	for name, counts := range s.Routes {
+		add(name, &counts)
+	}
+	if m == slow {
+		u.n += s.Overdue
+		u.bad += s.Overdue
+	}
+	return u
+}
+
+// disturbed returns the slices in which many old servers had more bad responses than usual. The load pattern is a burst or the
+// loss of a shared dependency, which must not count against the new version.
+func disturbed(samples []Sample, m measure, slowFrom map[string]int) map[int]bool {
+	sums, counts := map[int]float64{}, map[int]int{}
+	for i := range samples {
+		if u := samples[i].unit(m, "", slowFrom); !samples[i].New && u.n > 0 {
+			sums[samples[i].Slice] += float64(u.bad) / float64(u.n)
+			counts[samples[i].Slice]++
+		}
+	}
+	var means []float64
+	for slice, n := range counts {
+		means = append(means, sums[slice]/float64(n))
+	}
+	out := map[int]bool{}
+	if len(means) < 3 {
+		return out
+	}
+	sort.Float64s(means)
+	usual := means[(len(means)-1)/2]
+	for slice, n := range counts {
+		if n >= independentVMs && sums[slice]/float64(n) > usual+disturbedBy {
+			out[slice] = true
+		}
+	}
+	return out
+}
+
+// window selects samples of the new version.
+type window int
+
+const (
+	whole window = iota
+	recent
+	loaded
+	windows
+)
+
+func (w window) String() string { return [...]string{"whole time", "last seconds", "at load"}[w] }
+
+// Judge compares the new version with the old one. The load pattern is single servers of every version that fail nine of ten
+// requests for seconds (gray failures), of which 30% of the servers may be affected at a time, against a version whose servers
+// all fail 30 to 70% of their requests, or take three times as long, at once, late, at load, or on one route. The spread
+// between the old servers is the model of a good version; evidence is the likelihood ratio of that spread and of the same
+// spread with additional bad responses, and no server may contribute more than a part of what a verdict needs.
+func Judge(samples []Sample) Verdict {
+	slowFrom := slowBucketByRoute(samples)
+	newest := 0
+	oldByRoute, newByRoute := map[string]int{}, map[string]int{}
+	oldTotal, newVMs := 0, map[string]bool{}
+	for i := range samples {
+		newest = max(newest, samples[i].Slice)
+		for route := range samples[i].Routes {
+			n := samples[i].unit(anyFailure, route, nil).n
+			if samples[i].New {
+				newByRoute[route] += n
+				newVMs[samples[i].VM] = newVMs[samples[i].VM] || n > 0
+			} else {
+				oldByRoute[route] += n
+				oldTotal += n
+			}
+		}
+	}
+	if oldTotal < minOldSamples {
+		return Verdict{Reason: fmt.Sprintf("%d responses of the old version, %d needed", oldTotal, minOldSamples)}
+	}
+	routes := []string{""}
+	for route, n := range newByRoute {
+		if n > 0 && oldByRoute[route] >= minOldSamples {
+			routes = append(routes, route)
+		}
+	}
+	sort.Strings(routes)
+	threshold := badLikelihood + math.Log(float64(len(routes)))
+	limit := threshold / float64(max(1, min(independentVMs, len(newVMs))))
+	verdict := Verdict{Judgement: Good, Likelihood: math.Inf(-1)}
+	var good string
+	for m := range measures {
+		skip := disturbed(samples, m, slowFrom)
+		for _, route := range routes {
+			c := compare(samples, m, route, slowFrom, skip)
+			for w := range windows {
+				e := c.evidence(samples, w, newest, limit, slowFrom, skip)
+				if e.difference >= minDifference && e.likelihood > verdict.Likelihood {
+					verdict.Likelihood = e.likelihood
+					verdict.Reason = fmt.Sprintf("%s %s %s: %.0f%% of %d at %d new servers, %.0f%% of %d at old ones", m, routeName(route), w,
+						100*e.share, e.count, e.vms, 100*c.oldShare, c.oldCount)
+				}
+				if need, matters := goodNeeds(m, route, w); matters && e.excluded > need &&
+					(route == "" || float64(oldByRoute[route]) >= rareRoute*float64(oldTotal)) && verdict.Judgement == Good {
+					verdict.Judgement = Undecided
+					good = fmt.Sprintf("not yet excluded: %s %s %s (%d responses)", m, routeName(route), w, e.count)
+				}
+			}
+		}
+	}
+	switch {
+	case verdict.Likelihood >= threshold:
+		verdict.Judgement = Bad
+	case verdict.Judgement == Undecided:
+		verdict.Reason = good
+	default:
+		verdict.Reason = fmt.Sprintf("no more bad responses than the old version in %d", totalOf(newByRoute))
+	}
+	return verdict
+}
+
+func totalOf(byRoute map[string]int) (n int) {
+	for _, c := range byRoute {
+		n += c
+	}
+	return n
+}
+
+func routeName(route string) string {
+	if route == "" {
+		return "on all routes"
+	}
+	return "on " + route
+}
+
+// goodNeeds returns the evidence against a bad version that Good requires of a comparison.
+func goodNeeds(m measure, route string, w window) (need float64, matters bool) {
+	switch {
+	case m == onlyFailed || m == onlyBroken:
+		return 0, false
+	case route != "":
+		return goodRoute, w == whole
+	case w == whole:
+		return goodWhole, true
+	case w == recent:
+		return goodRecent, true
+	}
+	return goodLoaded, true
+}
+
+func compare(samples []Sample, m measure, route string, slowFrom map[string]int, skip map[int]bool) *comparison {
+	c := &comparison{measure: m, route: route, ratios: map[unit]ratios{}}
+	units := map[unit]float64{}
+	bad := 0
+	for i := range samples {
+		s := &samples[i]
+		if u := s.unit(m, route, slowFrom); !s.New && u.n > 0 && !skip[s.Slice] {
+			units[u.scaled()]++
+			c.oldCount += u.n
+			bad += u.bad
+		}
+	}
+	c.old = fitSpread(units)
+	c.oldShare = float64(bad) / float64(max(1, c.oldCount))
+	return c
+}
+
+type evidence struct {
+	// likelihood is the logarithm of the mean likelihood ratio over the effects, excluded that of the effect suspect.
+	likelihood, excluded float64
+	// difference is that of the mean shares of the servers; share is that of the responses.
+	difference, share float64
+	count, vms        int
+}
+
+func (c *comparison) evidence(samples []Sample, w window, newest int, limit float64, slowFrom map[string]int, skip map[int]bool) (e evidence) {
+	type server struct {
+		ratio    [len(effects)]float64
+		excluded float64
+		unit
+	}
+	var servers []server
+	index := map[string]int{}
+	for i := range samples {
+		s := &samples[i]
+		if !s.New || skip[s.Slice] || w == recent && s.Slice <= newest-recentSlices || w == loaded && !s.Loaded {
+			continue
+		}
+		u := s.unit(c.measure, c.route, slowFrom)
+		if u.n == 0 {
+			continue
+		}
+		at, ok := index[s.VM]
+		if !ok {
+			at = len(servers)
+			index[s.VM] = at
+			servers = append(servers, server{})
+		}
+		v := &servers[at]
+		v.n, v.bad = v.n+u.n, v.bad+u.bad
+		r := c.ratiosOf(u.scaled())
+		for j := range r.effects {
+			v.ratio[j] += r.effects[j]
+		}
+		v.excluded += r.suspect
+	}
+	if len(servers) == 0 {
+		return evidence{}
+	}
+	var sums [len(effects)]float64
+	bad, mean := 0, 0.0
+	for _, v := range servers {
+		for j := range sums {
+			sums[j] += min(limit, v.ratio[j])
+		}
+		e.excluded += min(limit, v.excluded)
+		e.count += v.n
+		bad += v.bad
+		mean += float64(v.bad) / float64(v.n)
+	}
+	top := sums[0]
+	for _, s := range sums {
+		top = max(top, s)
+	}
+	var total float64
+	for _, s := range sums {
+		total += math.Exp(s - top)
+	}
+	var oldMean float64
+	for j, share := range shares {
+		oldMean += c.old[j] * share
+	}
+	e.likelihood = top + math.Log(total/float64(len(sums)))
+	e.vms = len(servers)
+	e.share = float64(bad) / float64(e.count)
+	e.difference = mean/float64(e.vms) - oldMean
+	return e
+}
