--- a/rollout/allowance.go
+++ b/rollout/allowance.go
@@ -112,15 +112,37 @@
 
 // exposureLimit is the number of requests that all gates of the new version together may have been allowed by now.
 func (d *Decider) exposureLimit() uint64 {
-	growth := allowedShare * d.settings.ExposureShare * float64(d.reports.growth())
-	if d.takeover {
-		return d.carried + uint64(growth)
+	return uint64(allowedShare * (d.settings.ExposureShare*float64(d.reports.arrived()) + float64(d.settings.ExposureSlack)))
+}
+
+// carry sets what a leader that took over counts as spent beyond what the gates report. The load pattern is gates that
+// restarted, and so lost their counts, or that are cut off while the leader is exchanged. At the percentage of the record, from
+// the order on, entries have offered no more than implied; of this, twice the share of such gates is taken as spent by them, a
+// tenth of the gates but at least one being cut off.
+func (d *Decider) carry() {
+	implied := min(d.exposureLimit(), uint64(float64(d.plan.Percent)/100*float64(d.reports.arrived())))
+	gates, lost := 0, 0
+	var longest int64
+	for _, g := range d.reports.gates {
+		longest = max(longest, g.last.KnownMs)
+	}
+	for key, g := range d.reports.gates {
+		if key.new {
+			gates++
+			if g.last.KnownMs < longest-takeoverRound.Milliseconds() {
+				lost++
+			}
+		}
 	}
-	return uint64(growth + allowedShare*float64(d.settings.ExposureSlack))
+	lost += max(1, gates/10)
+	known := d.committed()
+	share := min(1, 2*float64(lost)/float64(max(1, gates)))
+	d.carried, d.isCarried = min(uint64(share*float64(implied)), implied-min(implied, known)), true
 }
 
-// committed is the number of requests that the gates of the new version can have sent with what they were allowed.
+// committed is the number of requests that the new version may get with what its gates were allowed.
 func (d *Decider) committed() (n uint64) {
+	n = d.carried
 	for key, g := range d.reports.gates {
 		if key.new {
 			n += g.grant.committed + g.grant.dead
--- a/rollout/collection.go
+++ b/rollout/collection.go
@@ -10,11 +10,17 @@
 	VM    string
 	New   bool
 	Slice int
-	// Loaded reports whether the servers ran at the load that the loaded phase aims at.
+	// Loaded reports whether the servers ran at the load that the loaded phase aims at. A slice has a sample for each load.
 	Loaded bool
 	Routes map[string]RouteCounts
 	// Overdue is the number of running requests that already take longer than a slow response, on all routes.
 	Overdue int
+	// Young is the number of successful responses to requests that arrived so lately that slow ones of the same time still run.
+	// Counting them would make a version look faster than it is.
+	Young int
+	// Running is the number of requests without a result. A failure may come at once while successful responses take a second,
+	// so just after the traffic moved the results alone would show mostly failures.
+	Running int
 }
 
 type gateKey struct {
@@ -28,11 +34,11 @@
 	at   time.Duration
 	// before counts the arrivals of earlier incarnations.
 	before uint64
-	// unseen is the number of arrivals before the first report, which a leader that took over may not count as growth.
-	unseen  uint64
-	history []arrival
-	slices  []Sample
-	grant   grant
+	// coldRunning is the number of requests that ran when the servers were last cold. They may take longer.
+	coldRunning int
+	history     []arrival
+	slices      []Sample
+	grant       grant
 }
 
 type arrival struct {
@@ -64,7 +70,7 @@
 
 // add takes a report and returns the gate's record, or nil if the report is of another rollout or not newer than the last one.
 // The elapsed time decides the slice to which the new counts belong.
-func (c *collection) add(elapsed time.Duration, r Report, loadedAt float64, takeover bool) *gateRecord {
+func (c *collection) add(elapsed time.Duration, r Report, loadedAt float64) *gateRecord {
 	if r.Rollout != c.plan.ID || r.Service != c.plan.Service || r.VM == "" {
 		return nil
 	}
@@ -75,22 +81,18 @@
 	case g == nil:
 		g = &gateRecord{}
 		c.gates[key] = g
-		if takeover {
-			g.unseen = r.Arrived
-		}
 	case r.Incarnation < g.last.Incarnation, r.Incarnation == g.last.Incarnation && r.Sequence <= g.last.Sequence:
 		return nil
 	case r.Incarnation > g.last.Incarnation:
 		g.before += g.last.Arrived
 		g.history = g.history[:0]
 		g.grant.restart()
-		if takeover {
-			g.unseen += r.Arrived
-		}
+		g.coldRunning = 0
 	default:
 		previous = g.last
 	}
-	current := g.current(r.VM, key.new, int(elapsed/c.slice))
+	atLoad := func(r *Report) bool { return r.Slots > 0 && float64(r.Running) > loadedAt*float64(r.Slots) }
+	current := g.current(r.VM, key.new, int(elapsed/c.slice), atLoad(&r) || atLoad(&previous))
 	for route, counts := range r.Routes {
 		delta, grew := since(counts, previous.Routes[route])
 		if grew {
@@ -99,8 +101,8 @@
 			current.Routes[route] = total
 		}
 	}
-	if r.Slots > 0 && float64(r.Running) > loadedAt*float64(r.Slots) {
-		current.Loaded = true
+	if r.Slots == 0 || previous.Sequence > 0 && previous.Slots == 0 {
+		g.coldRunning = r.Running
 	}
 	g.last, g.at = r, elapsed
 	if len(g.history) == overdueHistory {
@@ -110,21 +112,24 @@
 	return g
 }
 
-// current returns the sample of the slice, which is the newest one.
-func (g *gateRecord) current(vm string, isNew bool, slice int) *Sample {
-	if n := len(g.slices); n > 0 && g.slices[n-1].Slice >= slice {
-		return &g.slices[n-1]
+// current returns the sample of the slice and load. Samples are in the order of their slices.
+func (g *gateRecord) current(vm string, isNew bool, slice int, loaded bool) *Sample {
+	if n := len(g.slices); n > 0 {
+		slice = max(slice, g.slices[n-1].Slice)
+	}
+	for i := len(g.slices) - 1; i >= 0 && g.slices[i].Slice == slice; i-- {
+		if g.slices[i].Loaded == loaded {
+			return &g.slices[i]
+		}
 	}
-	g.slices = append(g.slices, Sample{VM: vm, New: isNew, Slice: slice, Routes: map[string]RouteCounts{}})
+	g.slices = append(g.slices, Sample{VM: vm, New: isNew, Slice: slice, Loaded: loaded, Routes: map[string]RouteCounts{}})
 	return &g.slices[len(g.slices)-1]
 }
 
-// overdue returns how many requests surely have run for longer than limit: they arrived before and have no result yet.
-// Without them a version of which half of the requests never end within the rollout would look like one without faults.
-func (g *gateRecord) overdue(now, limit time.Duration) int {
-	if g.last.Slots == 0 || g.last.Running == 0 || limit <= 0 {
-		return 0
-	}
+// pending returns how many requests surely have run for longer than limit, since they arrived before and have no result yet,
+// and how many results belong to requests that arrived later. Without the first, a version of which half of the requests
+// do not end within the rollout would look like one without faults.
+func (g *gateRecord) pending(limit time.Duration) (overdue, young int) {
 	var arrived, ended uint64
 	for _, a := range g.history {
 		if a.at <= g.at-limit {
@@ -135,20 +140,42 @@
 		ended += uint64(counts.Succeeded) + uint64(counts.Failed) + uint64(counts.Broken)
 	}
 	if arrived <= ended {
-		return 0
+		return 0, int(ended - arrived)
+	}
+	if g.last.Slots == 0 {
+		return 0, 0
 	}
-	return int(min(arrived-ended, uint64(g.last.Running)))
+	return max(0, int(min(arrived-ended, uint64(g.last.Running)))-g.coldRunning), 0
 }
 
-// samples returns all samples in a fixed order. Requests that are overdue belong to the newest sample of their gate.
-func (c *collection) samples(now, limit time.Duration) []Sample {
+// samples returns all samples in a fixed order. Overdue requests count for the newest sample of their gate, or its newest
+// sample at load if it had one.
+func (c *collection) samples(limit time.Duration) []Sample {
 	var all []Sample
 	for _, key := range c.keys() {
 		g := c.gates[key]
 		first := len(all)
 		all = append(all, g.slices...)
-		if len(all) > first {
-			all[len(all)-1].Overdue = g.overdue(now, limit)
+		own := all[first:]
+		if len(own) == 0 || limit <= 0 {
+			continue
+		}
+		overdue, young := g.pending(limit)
+		at := len(own) - 1
+		for i := range own {
+			if own[i].Loaded {
+				at = i
+			}
+		}
+		own[at].Overdue = overdue
+		own[len(own)-1].Running = g.last.Running
+		for i := len(own) - 1; i >= 0 && young > 0; i-- {
+			n := 0
+			for _, counts := range own[i].Routes {
+				n += int(counts.Succeeded) + int(counts.Failed) + int(counts.Broken)
+			}
+			own[i].Young = min(young, n)
+			young -= own[i].Young
 		}
 	}
 	return all
@@ -211,14 +238,32 @@
 	return t
 }
 
-// growth returns the arrivals at both versions that the leader may count for the bound on exposure.
-func (c *collection) growth() (n uint64) {
+// arrived returns the arrivals at the servers of both versions.
+func (c *collection) arrived() (n uint64) {
 	for _, g := range c.gates {
-		n += g.before + g.last.Arrived - min(g.unseen, g.before+g.last.Arrived)
+		n += g.before + g.last.Arrived
 	}
 	return n
 }
 
+// rate returns the requests per second at both versions, from the last seconds of each gate that reports. Reports of old
+// gates are a second apart, so the sum of counts is behind by half of that.
+func (c *collection) rate(elapsed time.Duration) (rate float64) {
+	for _, g := range c.gates {
+		if elapsed-g.at > reportsLostAfter {
+			continue
+		}
+		first, span := uint64(0), time.Duration(g.last.KnownMs)*time.Millisecond
+		for _, a := range g.history {
+			if g.at-a.at >= reportsLostAfter {
+				first, span = a.count, g.at-a.at
+			}
+		}
+		rate += float64(g.last.Arrived-min(first, g.last.Arrived)) / max(0.5, span.Seconds())
+	}
+	return rate
+}
+
 func sum(total, more *RouteCounts) {
 	total.Succeeded += more.Succeeded
 	total.Failed += more.Failed
--- a/rollout/decider.go
+++ b/rollout/decider.go
@@ -28,15 +28,17 @@
 	firstPercent = 5
 	// maxPercent leaves the old version enough requests for a comparison.
 	maxPercent = 50
+	// canaryEnd is the sixteenth of the duration at which the loaded phase begins.
+	canaryEnd = 3
 	// canaryPart of what may be sent to the new version before cutover is offered in the canary phase.
 	canaryPart = 0.4
 	// loadedSlots is the share of its slots that a server of the loaded phase shall run: bad versions show above a half.
 	loadedSlots = 0.75
 	// loadedFrom is the share of its slots from which a server counts as loaded.
 	loadedFrom = 0.5
-	// urgentBad bad responses start the time of RollbackAfter, and urgentLikelihood, ln(20), suffices once half of it has passed.
+	// urgentBad bad responses start the time of RollbackAfter, and urgentLikelihood, ln(150), suffices once half of it has passed.
 	urgentBad        = 50
-	urgentLikelihood = 3.0
+	urgentLikelihood = 5.0
 	// judgeEvery limits the work of the leader; reports of new gates come every 250 ms.
 	judgeEvery = 200 * time.Millisecond
 )
@@ -54,7 +56,7 @@
 	takeover bool
 	// readyAt is the elapsed time at which a leader that took over has heard of all gates.
 	readyAt time.Duration
-	// carried is what the earlier leaders allowed.
+	// carried is what earlier leaders may have allowed beyond what the gates report.
 	carried   uint64
 	isCarried bool
 
@@ -62,11 +64,10 @@
 	proposedAt time.Duration
 	hasPending bool
 
-	verdict   Verdict
-	judgedAt  time.Duration
-	hasJudged bool
-	urgentAt  time.Duration
-	loadedAt  float64
+	verdict  Verdict
+	judgedAt time.Duration
+	urgentAt time.Duration
+	loadedAt float64
 	// phaseAt is the elapsed time at which the phase began, and groupAt that at which the servers of the loaded phase were chosen.
 	phaseAt, groupAt time.Duration
 	oldSlots         int
@@ -93,7 +94,7 @@
 	} else {
 		arrived, refused = r.Arrived, r.Refused
 	}
-	g := d.reports.add(elapsed, r, d.loadedAt, d.takeover)
+	g := d.reports.add(elapsed, r, d.loadedAt)
 	if g == nil {
 		if g = d.reports.gates[key]; g != nil && key.new && g.last.Incarnation == r.Incarnation && r.Rollout == d.plan.ID {
 			return g.grant.reply(r.Sequence, r.Granted)
@@ -105,7 +106,7 @@
 	}
 	g.grant.reported(&r)
 	if d.takeover && !d.isCarried && elapsed >= d.readyAt {
-		d.carried, d.isCarried = d.committed(), true
+		d.carry()
 	}
 	return g.grant.reply(r.Sequence, d.allow(elapsed, g, arrived, refused))
 }
@@ -185,15 +186,14 @@
 	case last:
 		return rollBack("the deadline is near and the phase is still %s", d.plan.Phase)
 	case elapsed >= d.plan.Duration*2/3 && ready:
-		// The evidence counts from a check of this moment, not from an earlier one.
-		if reason, can := d.canCutOver(old, new); !can {
+		if reason, can := d.canCutOver(old, new, true); !can {
 			return rollBack("insufficient evidence: %s", reason)
 		}
 	case !ready:
 		return Decision{}, false
 	}
 	if elapsed >= d.plan.Duration/2 {
-		if _, can := d.canCutOver(old, new); can {
+		if _, can := d.canCutOver(old, new, elapsed >= d.plan.Duration*2/3); can {
 			d.oldSlots = old.Slots
 			return Decision{Phase: Cutover, Percent: 100, Reason: d.verdict.Reason}, true
 		}
@@ -210,32 +210,15 @@
 		return
 	}
 	d.judgedAt = elapsed
-	d.verdict = Judge(d.reports.samples(elapsed, d.slowLimit()))
+	d.verdict = Judge(d.reports.samples(slowLimit(d.reports.samples(0))))
 }
 
-// slowLimit is the time after which a running request is overdue: longer than nine of ten responses of the old version took,
-// with a factor for the spread between requests.
-func (d *Decider) slowLimit() time.Duration {
-	var l Latencies
-	for key, g := range d.reports.gates {
-		if !key.new {
-			for i := range g.slices {
-				for _, counts := range g.slices[i].Routes {
-					l.Merge(&counts.Latency)
-				}
-			}
-		}
-	}
-	const factor = 1.5
-	q, _ := l.Quantile(0.9)
-	return time.Duration(factor * float64(q))
-}
-
-func (d *Decider) canCutOver(old, new Totals) (reason string, can bool) {
+// canCutOver reports whether the evidence and the slots suffice. At the last moment, less evidence does.
+func (d *Decider) canCutOver(old, new Totals, last bool) (reason string, can bool) {
 	if new.Slots*100 < old.Slots*d.settings.FloorPercent || new.Slots == 0 {
 		return fmt.Sprintf("new servers have %d slots, old ones %d, and the floor is %d%%", new.Slots, old.Slots, d.settings.FloorPercent), false
 	}
-	return d.verdict.Reason, d.verdict.Judgement == Good
+	return d.verdict.Reason, d.verdict.Judgement == Good || last && d.verdict.Likely
 }
 
 // finish decides the end of the cutover phase. The old version is released when it runs nothing and the new one had all
@@ -269,15 +252,15 @@
 	if d.plan.Decision == 0 {
 		return Decision{Phase: Canary, Percent: firstPercent, Reason: "first requests"}, true
 	}
-	rate := float64(old.Arrived+new.Arrived) / max(1, elapsed.Seconds())
+	rate := d.reports.rate(elapsed)
 	if rate == 0 || elapsed < duration/16 || elapsed < settleBefore {
 		return Decision{}, false
 	}
-	if elapsed < duration/4 {
+	if elapsed < duration*canaryEnd/16 {
 		if d.plan.Percent != firstPercent || d.plan.Decision > 1 {
 			return Decision{}, false
 		}
-		percent := d.percent(elapsed, duration/4, rate, canaryPart, new)
+		percent := d.percent(elapsed, duration*canaryEnd/16, rate, canaryPart, new)
 		return Decision{Phase: Canary, Percent: percent, Reason: fmt.Sprintf("%.1f requests per second", rate)}, percent != d.plan.Percent
 	}
 	if d.plan.Phase == Loaded && elapsed-d.groupAt < d.reports.slice {
@@ -293,10 +276,7 @@
 func (d *Decider) percent(elapsed, until time.Duration, rate, part float64, new Totals) int {
 	seconds := max((until - elapsed).Seconds(), 0.5)
 	limit := float64(d.exposureLimit()) + allowedShare*d.settings.ExposureShare*rate*seconds
-	left := part*limit - float64(new.Arrived)
-	if d.takeover {
-		left = limit - float64(d.committed())
-	}
+	left := part*limit - float64(new.Arrived+d.carried)
 	percent := int(math.Ceil(100 * left / (rate * seconds)))
 	return max(firstPercent, min(maxPercent, percent))
 }
@@ -310,7 +290,10 @@
 	perServer := float64(new.Slots) / float64(new.Gates)
 	running := rate * d.meanLatency(old).Seconds()
 	servers := max(1, min(new.Gates, int(running/(loadedSlots*perServer))))
-	d.loadedAt = min(loadedFrom, loadedFrom*running/(float64(servers)*perServer))
+	d.loadedAt = loadedFrom
+	if running < loadedSlots*perServer {
+		d.loadedAt = loadedFrom / loadedSlots * running / perServer
+	}
 	return servers
 }
 
--- a/rollout/verdict.go
+++ b/rollout/verdict.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 	"sort"
+	"time"
 )
 
 // Judgement is the outcome of a comparison of two versions.
@@ -19,6 +20,8 @@
 // Verdict is a judgement with its evidence.
 type Verdict struct {
 	Judgement Judgement
+	// Likely reports whether the samples favour a good version in each comparison, though not enough for Good.
+	Likely bool
 	// Likelihood is the logarithm of how much better the samples fit the most suspicious kind of bad version than a good one.
 	Likelihood float64
 	Reason     string
@@ -29,14 +32,10 @@
 	badLikelihood = 6.9
 	// minDifference is the least difference of the shares of bad responses that callers notice, and that a verdict may be based on.
 	minDifference = 0.08
-	// suspect is the share of additional bad responses that Good must exclude; bad versions have at least 0.3.
-	suspect = 0.25
-	// The evidence against suspect that Good needs: over the whole time, over the last slices, from servers at load, and for
-	// each route.
-	goodWhole  = -4.0
-	goodRecent = -2.0
-	goodLoaded = -2.0
-	goodRoute  = -1.0
+	// suspect is the share of additional bad responses that Good must exclude: the least that a bad version has.
+	suspect = 0.3
+	// minLoaded responses of servers at load are needed to exclude a version that is bad only there.
+	minLoaded = 8
 	// minOldSamples are needed to know the spread between old servers.
 	minOldSamples = 20
 	// A unit of more responses is scaled down: the distribution is known only at the points of shares.
@@ -160,7 +159,9 @@
 	old      spread
 	oldShare float64
 	oldCount int
-	ratios   map[unit]ratios
+	// part is the share of the old version's requests on this route.
+	part   float64
+	ratios map[unit]ratios
 }
 
 // ratios holds spread.ratio for each of the effects, and for suspect.
@@ -205,7 +206,30 @@
 	return first
 }
 
-func (s *Sample) unit(m measure, route string, slowFrom map[string]int) (u unit) {
+// slowLimit is the time after which a running request is overdue: the least time of a slow response on the routes that have
+// three quarters of the requests.
+func slowLimit(samples []Sample) time.Duration {
+	slowFrom := slowBucketByRoute(samples)
+	count, total := map[int]int{}, 0
+	for i := range samples {
+		for route, counts := range samples[i].Routes {
+			if from, ok := slowFrom[route]; ok && !samples[i].New {
+				count[from] += int(counts.Succeeded)
+				total += int(counts.Succeeded)
+			}
+		}
+	}
+	sum := 0
+	for from := range LatencyBuckets + slowBuckets {
+		if sum += count[from]; total > 0 && 4*sum >= 3*total {
+			return LatencyBound(min(from, LatencyBuckets-1) - 1)
+		}
+	}
+	return 0
+}
+
+// unit returns the responses of a sample. For slow, aged leaves out the young ones.
+func (s *Sample) unit(m measure, route string, slowFrom map[string]int, aged bool) (u unit) {
 	add := func(name string, counts *RouteCounts) {
 		if m == slow {
 			from, known := slowFrom[name]
@@ -237,6 +261,9 @@
 		add(name, &counts)
 	}
 	if m == slow {
+		if aged {
+			u.n = max(u.bad, u.n-s.Young)
+		}
 		u.n += s.Overdue
 		u.bad += s.Overdue
 	}
@@ -248,7 +275,7 @@
 func disturbed(samples []Sample, m measure, slowFrom map[string]int) map[int]bool {
 	sums, counts := map[int]float64{}, map[int]int{}
 	for i := range samples {
-		if u := samples[i].unit(m, "", slowFrom); !samples[i].New && u.n > 0 {
+		if u := samples[i].unit(m, "", slowFrom, false); !samples[i].New && u.n > 0 {
 			sums[samples[i].Slice] += float64(u.bad) / float64(u.n)
 			counts[samples[i].Slice]++
 		}
@@ -296,7 +323,7 @@
 	for i := range samples {
 		newest = max(newest, samples[i].Slice)
 		for route := range samples[i].Routes {
-			n := samples[i].unit(anyFailure, route, nil).n
+			n := samples[i].unit(anyFailure, route, nil, false).n
 			if samples[i].New {
 				newByRoute[route] += n
 				newVMs[samples[i].VM] = newVMs[samples[i].VM] || n > 0
@@ -318,12 +345,16 @@
 	sort.Strings(routes)
 	threshold := badLikelihood + math.Log(float64(len(routes)))
 	limit := threshold / float64(max(1, min(independentVMs, len(newVMs))))
-	verdict := Verdict{Judgement: Good, Likelihood: math.Inf(-1)}
+	verdict := Verdict{Judgement: Good, Likely: true, Likelihood: math.Inf(-1)}
 	var good string
 	for m := range measures {
 		skip := disturbed(samples, m, slowFrom)
 		for _, route := range routes {
 			c := compare(samples, m, route, slowFrom, skip)
+			c.part = 1
+			if route != "" {
+				c.part = float64(oldByRoute[route]) / float64(oldTotal)
+			}
 			for w := range windows {
 				e := c.evidence(samples, w, newest, limit, slowFrom, skip)
 				if e.difference >= minDifference && e.likelihood > verdict.Likelihood {
@@ -331,17 +362,24 @@
 					verdict.Reason = fmt.Sprintf("%s %s %s: %.0f%% of %d at %d new servers, %.0f%% of %d at old ones", m, routeName(route), w,
 						100*e.share, e.count, e.vms, 100*c.oldShare, c.oldCount)
 				}
-				if need, matters := goodNeeds(m, route, w); matters && e.excluded > need &&
-					(route == "" || float64(oldByRoute[route]) >= rareRoute*float64(oldTotal)) && verdict.Judgement == Good {
+				if route != "" && float64(oldByRoute[route]) < rareRoute*float64(oldTotal) {
+					continue
+				}
+				need, likely, matters := goodNeeds(m, route, w)
+				few := w == loaded && e.count < minLoaded
+				if matters && (e.excluded > need || few) && verdict.Judgement == Good {
 					verdict.Judgement = Undecided
-					good = fmt.Sprintf("not yet excluded: %s %s %s (%d responses)", m, routeName(route), w, e.count)
+					good = fmt.Sprintf("not excluded: %s %s %s (%d responses at %d servers, %.1f)", m, routeName(route), w, e.count, e.vms, e.excluded)
+				}
+				if matters && (e.excluded > likely || few) {
+					verdict.Likely = false
 				}
 			}
 		}
 	}
 	switch {
 	case verdict.Likelihood >= threshold:
-		verdict.Judgement = Bad
+		verdict.Judgement, verdict.Likely = Bad, false
 	case verdict.Judgement == Undecided:
 		verdict.Reason = good
 	default:
@@ -364,19 +402,25 @@
 	return "on " + route
 }
 
-// goodNeeds returns the evidence against a bad version that Good requires of a comparison.
-func goodNeeds(m measure, route string, w window) (need float64, matters bool) {
+// goodNeeds returns the evidence against a bad version that Good and Likely require of a comparison. Failures need a wider range
+// than slow responses, since gray servers fail and are not slow: with 80 responses of which a quarter fail, a good version
+// reaches -8 with a deviation of 4, and one that fails 30% more reaches 8.
+func goodNeeds(m measure, route string, w window) (good, likely float64, matters bool) {
 	switch {
 	case m == onlyFailed || m == onlyBroken:
-		return 0, false
+		return 0, 0, false
 	case route != "":
-		return goodRoute, w == whole
+		return -0.5, 2, w == whole
+	case w == whole && m == slow:
+		return -2.5, -2, true
 	case w == whole:
-		return goodWhole, true
+		return -2.5, -1.5, true
+	case m == slow:
+		return -1.5, -1, true
 	case w == recent:
-		return goodRecent, true
+		return -1, 1, true
 	}
-	return goodLoaded, true
+	return -1, 0, true
 }
 
 func compare(samples []Sample, m measure, route string, slowFrom map[string]int, skip map[int]bool) *comparison {
@@ -385,7 +429,7 @@
 	bad := 0
 	for i := range samples {
 		s := &samples[i]
-		if u := s.unit(m, route, slowFrom); !s.New && u.n > 0 && !skip[s.Slice] {
+		if u := s.unit(m, route, slowFrom, false); !s.New && u.n > 0 && !skip[s.Slice] {
 			units[u.scaled()]++
 			c.oldCount += u.n
 			bad += u.bad
@@ -411,13 +455,18 @@
 		unit
 	}
 	var servers []server
-	index := map[string]int{}
+	index, wasLoaded := map[string]int{}, map[string]bool{}
 	for i := range samples {
 		s := &samples[i]
-		if !s.New || skip[s.Slice] || w == recent && s.Slice <= newest-recentSlices || w == loaded && !s.Loaded {
+		if !s.New || skip[s.Slice] || w == recent && s.Slice <= newest-recentSlices {
 			continue
 		}
-		u := s.unit(c.measure, c.route, slowFrom)
+		// Slow responses to requests that arrived at load come when the load may be over.
+		if w == loaded && !s.Loaded && (c.measure != slow || !wasLoaded[s.VM]) {
+			continue
+		}
+		wasLoaded[s.VM] = wasLoaded[s.VM] || s.Loaded
+		u := s.unit(c.measure, c.route, slowFrom, false)
 		if u.n == 0 {
 			continue
 		}
@@ -429,10 +478,19 @@
 		}
 		v := &servers[at]
 		v.n, v.bad = v.n+u.n, v.bad+u.bad
-		r := c.ratiosOf(u.scaled())
+		withRunning := u
+		if c.measure != slow {
+			withRunning.n += int(math.Round(c.part * float64(s.Running)))
+		}
+		r := c.ratiosOf(withRunning.scaled())
 		for j := range r.effects {
 			v.ratio[j] += r.effects[j]
 		}
+		r.suspect = c.ratiosOf(u.scaled()).suspect
+		// A window of the last seconds has slow responses whose faster companions are older, so there only all count.
+		if c.measure == slow && w != recent {
+			r = c.ratiosOf(s.unit(c.measure, c.route, slowFrom, true).scaled())
+		}
 		v.excluded += r.suspect
 	}
 	if len(servers) == 0 {
