node, proxy: gates count and limit requests by version, entries draw a side, and the control leader decides rollouts

Entries filter the VMs of a service by the versions in the fleet state, and draw for each request of a running rollout whether it goes to the new version. Gates refuse versions that get no requests, hold the allowance of the new version, and report their counts to the control leader, which runs one decider per rollout and proposes its decisions. Off by default; the adapter switches it on where the platform's contracts ask for rollouts.

--- a/node/controlrole.go
+++ b/node/controlrole.go
@@ -29,9 +29,11 @@
 	controlID  raft.ID
 	recordsID  raft.ID
 	heartbeats *heartbeats
-	orders     orderSequence
-	keeper     rosterKeeper // used by keepRoster only
-	expirer    *idempotency.Expirer
+	// rollouts decides about running rollouts while this process leads; nil without Options.Rollouts.
+	rollouts *rolloutLeader
+	orders   orderSequence
+	keeper   rosterKeeper // used by keepRoster only
+	expirer  *idempotency.Expirer
 
 	leavingMu sync.Mutex // guards leavingMembers
 	// leavingMembers holds the members of the control group whose processes said that they are stopping, with the run that
@@ -72,6 +74,10 @@
 	rpc.Register(n.rpc, methodPropose, c.servePropose)
 	rpc.Register(n.rpc, methodOrder, c.servePropose)
 	rpc.Register(n.rpc, methodRollout, c.servePropose)
+	if n.opts.Rollouts != nil {
+		c.rollouts = newRolloutLeader(c)
+		rpc.Register(n.rpc, methodRolloutReport, c.rollouts.serveReport)
+	}
 	rpc.Register(n.rpc, methodDepartures, c.serveDepartures)
 	rpc.Register(n.rpc, methodLeaving, c.receiveLeaving)
 	control.RegisterConfirmations(n.rpc, c.heartbeats)
@@ -145,6 +151,9 @@
 	t.Go(func() error { return c.heartbeats.run(t) })
 	t.Go(func() error { return every(t, relayInterval, c.heartbeats.relayConfirmations) })
 	t.Go(func() error { return every(t, rosterCheckInterval, c.keepRoster) })
+	if c.rollouts != nil {
+		t.Go(func() error { return every(t, rolloutStepInterval, c.rollouts.step) })
+	}
 	if !c.node.opts.NoRecords {
 		t.Go(func() error { return every(t, expireInterval, c.expireRecords) })
 	}
--- a/node/directory.go
+++ b/node/directory.go
@@ -78,6 +78,7 @@
 			Domain:  m.Domain,
 			Address: m.Address,
 			State:   state,
+			Version: r.Version,
 			Slots:   float64(r.Effective),
 		},
 		updatedAt: m.receivedAt,
--- a/node/ejections.go
+++ b/node/ejections.go
@@ -43,6 +43,8 @@
 	// disabled leaves out all evaluation of backend servers (Options.NoPeerEjection). The metadata rows of this VM are
 	// still published.
 	disabled bool
+	// versions adds the versions of the servers to the rows (Options.Rollouts).
+	versions bool
 
 	mu       sync.Mutex // guards the fields below
 	detector *outlier.Detector
@@ -73,6 +75,7 @@
 		log:         n.opts.Log,
 		tomb:        &n.tomb,
 		disabled:    n.opts.NoPeerEjection,
+		versions:    n.opts.Rollouts != nil,
 		probeClient: &http.Client{Timeout: probeTimeout, Transport: &http.Transport{DisableKeepAlives: true}},
 		detector:    outlier.NewDetector(outlier.Config{}),
 		holder:      holder,
@@ -319,12 +322,21 @@
 			Out:       s.Out,
 			Effective: s.Load.Slots,
 			State:     rowState(s).String(),
+			Version:   e.rowVersion(s.Version),
 			Load:      roundUpLoad(s.Load.InFlight + s.Load.Queued),
 		})
 	}
 	return rows
 }
 
+// rowVersion returns the version for the metadata. Where no rollouts are asked for, it would only add to the traffic.
+func (e *ejections) rowVersion(version string) string {
+	if !e.versions {
+		return ""
+	}
+	return version
+}
+
 // roundUpLoad rounds a load up to a power of two, so that the metadata changes rarely.
 func roundUpLoad(load int) int {
 	step := 0
--- a/node/gossip.go
+++ b/node/gossip.go
@@ -57,6 +57,8 @@
 	Effective int `json:"effective"`
 	// State is the text of a routing.State.
 	State string `json:"state"`
+	// Version is the version of the servers' software; empty where it is not known or differs.
+	Version string `json:"version,omitempty"`
 	// Load is the number of running and queued requests, rounded up to a power of two. It is for operators only:
 	// entries use the load in responses.
 	Load int `json:"load,omitempty"`
--- a/node/node.go
+++ b/node/node.go
@@ -220,6 +220,9 @@
 	n.tomb.Go(func() error { return every(&n.tomb, directoryInterval, publisher.run) })
 	n.tomb.Go(func() error { return every(&n.tomb, time.Second, n.entry.Sweep) })
 	n.tomb.Go(func() error { return every(&n.tomb, time.Second, n.gate.UpdateRetryReserves) })
+	if n.opts.Rollouts != nil {
+		n.tomb.Go(func() error { return every(&n.tomb, rolloutReportInterval, (&rolloutReporter{node: n}).run) })
+	}
 	n.tomb.Go(n.follow)
 	n.tomb.Go(n.announcer.restore)
 	n.tomb.Go(n.closeWhenDying)
--- a/node/options.go
+++ b/node/options.go
@@ -10,6 +10,7 @@
 	"github.com/phuslu/log"
 
 	"rosemaryline.dev/proxy"
+	"rosemaryline.dev/rollout"
 )
 
 // Options are the settings of one process.
@@ -122,6 +123,10 @@
 	// Listeners are opened in addition to the process's own.
 	Listeners []Listener
 
+	// Rollouts are the bounds of rollouts. Default: nil, versions of backend servers are not published and rollouts are not
+	// driven.
+	Rollouts *RolloutOptions
+
 	// MaxBufferedBody is the size in bytes up to which a request body is buffered, so that it can be sent again. Default
 	// 64 KiB.
 	MaxBufferedBody int64
@@ -135,6 +140,14 @@
 	Log *log.Logger
 }
 
+// RolloutOptions are the settings of rollouts.
+type RolloutOptions struct {
+	rollout.Settings
+	// HoldUnknownVersions keeps requests from servers of a version that neither was there when the service was first seen nor
+	// was ordered by a rollout. Default: such servers get requests as all others do.
+	HoldUnknownVersions bool
+}
+
 // Listener describes an additional listener.
 type Listener struct {
 	// Name identifies the listener in logs and errors.
--- a/proxy/announce.go
+++ b/proxy/announce.go
@@ -37,6 +37,8 @@
 	Instance string `json:"instance"`
 	// Slots is the number of requests that the backend server can process at once. 0 means the setting of the service.
 	Slots int `json:"slots,omitempty"`
+	// Version is the version of the backend server's software. It takes part in rollouts; empty where none is known.
+	Version string `json:"version,omitempty"`
 	// Draining is true while the backend server wants no new requests.
 	Draining bool `json:"draining,omitempty"`
 	// ColdMs is the time in milliseconds for which the backend server remains cold. 0 means that it is warm.
--- a/proxy/fleet.go
+++ b/proxy/fleet.go
@@ -21,6 +21,8 @@
 	routesVersion uint64
 	table         atomic.Pointer[routing.Table]
 	version       atomic.Uint64
+	// rollouts holds the views of rollouts; the map is nil if there are none.
+	rollouts atomic.Pointer[rolloutViews]
 	// known is closed when the first state is in use. Only Refresh closes it.
 	known chan struct{}
 }
@@ -42,6 +44,8 @@
 			f.table.Store(routing.NewTable(s.Config()))
 			f.routesVersion = s.RoutesVersion()
 		}
+		views := newRolloutViews(s)
+		f.rollouts.Store(&views)
 		f.version.Store(s.Version())
 	})
 	if before == 0 && f.version.Load() > 0 {
--- a/proxy/gate.go
+++ b/proxy/gate.go
@@ -84,6 +84,8 @@
 	opts    GateOptions
 	leaving atomic.Bool
 	budgets gateBudgets
+	// rollouts has a lock of its own, which is taken last.
+	rollouts gateRollouts
 
 	mu      sync.Mutex // guards the fields below
 	servers map[string]*server
@@ -376,11 +378,25 @@
 	if s == nil {
 		return nil, g.completeRefusal(req, notRunRefusal(http.StatusServiceUnavailable, ReasonNoCapacity, "pick"), nil)
 	}
+	ticket, refusal := g.admitVersion(req, s)
+	if refusal != nil {
+		return nil, g.completeRefusal(req, refusal, s)
+	}
+	// A request that is sent has ended its ticket by then.
+	defer ticket.end(admission.Cancelled, false, 0)
 	done, refusal := g.reserveRepeat(req)
 	if refusal != nil {
 		return nil, g.completeRefusal(req, refusal, s)
 	}
 	held, reason := s.acquire(ctx, req, g.opts.Fleet.TeamRate(req.Team))
+	if reason == admission.ReasonNone {
+		if refusal := g.stillAdmitted(req, s); refusal != nil {
+			done(false)
+			held.release(0, admission.Cancelled)
+			return nil, g.completeRefusal(req, refusal, s)
+		}
+		held.version = ticket
+	}
 	done(reason == admission.ReasonNone)
 	if isBreakerReason(Reason(reason)) {
 		return nil, g.completeRefusal(req, notRunRefusal(http.StatusServiceUnavailable, Reason(reason), "breaker"), s)
@@ -458,11 +474,15 @@
 func (g *Gate) leastLoaded(service string) *server {
 	var best *server
 	bestLoad := 0.0
+	view, hasView := g.opts.Fleet.Versions(service)
 	for _, s := range g.serversOf(service) {
 		l := s.load()
 		if l.State != admission.Serving {
 			continue
 		}
+		if hasView && len(g.serversOf(service)) > 1 && !view.Admits(s.version()) {
+			continue
+		}
 		load := float64(l.InFlight+l.Queued) / float64(max(l.Effective, 1))
 		if best == nil || load < bestLoad {
 			best, bestLoad = s, load
--- a/proxy/message.go
+++ b/proxy/message.go
@@ -29,6 +29,8 @@
 	// BackendCall is true for a request on a public route, which needs no key. Backend servers send such requests while
 	// they process another one.
 	BackendCall bool
+	// side is the side of a running rollout that the entry drew for the request. It is not sent to other VMs.
+	side versionSide
 	// MayFail is true while the request can still be sent to another backend server after a failure. A gate prefers
 	// such requests as trials of a backend server whose circuit breaker has tripped.
 	MayFail bool
--- a/proxy/peers.go
+++ b/proxy/peers.go
@@ -13,6 +13,8 @@
 	// Address is the host and port of the peer listener.
 	Address string
 	State   routing.State
+	// Version is the version of the servers' software; empty where it is not known or not the same for all of them.
+	Version string
 	// Slots is the effective concurrency of the service on the VM.
 	Slots            float64
 	InFlight, Queued float64
--- a/proxy/problem.go
+++ b/proxy/problem.go
@@ -52,6 +52,8 @@
 	ReasonSuspect:       "The backend server failed a request a moment ago.",
 	ReasonFaulty:        "The backend server failed several requests a moment ago.",
 	ReasonFailed:        "The backend server failed the request.",
+	ReasonExposure:      "The new version had as many requests as its rollout allows for now.",
+	ReasonVersion:       "The version of the backend server gets no requests.",
 	ReasonPathSilent:    "The path to the VM is silent.",
 	ReasonAnswerNotKept: "The request completed earlier; its answer was too large to keep.",
 
--- /dev/null
+++ b/proxy/rollouts_test.go
@@ -0,0 +1,198 @@
+package proxy
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"rosemaryline.dev/fleet/state"
+	"rosemaryline.dev/rollout"
+)
+
+// beginTestRollout records v1 as admitted and orders a rollout to v2.
+func beginTestRollout(t testing.TB, v *fleetView) state.Rollout {
+	t.Helper()
+	v.apply(t, state.Command{Operator: "test", AdmitVersions: &state.AdmitVersions{Service: "svc", Versions: []string{"v1"}}})
+	v.apply(t, state.Command{Operator: "test", BeginRollout: &state.BeginRollout{Service: "svc", NewVersion: "v2", DurationMs: 10_000}})
+	r, _ := v.s.Rollout("svc")
+	return r
+}
+
+func decideTestRollout(t testing.TB, v *fleetView, phase state.RolloutPhase, percent int) {
+	t.Helper()
+	r, _ := v.s.Rollout("svc")
+	v.apply(t, state.Command{Operator: "test", DecideRollout: &state.DecideRollout{
+		Service: "svc", ID: r.ID, Previous: r.Decision, Phase: phase, Percent: percent, Reason: "test",
+	}})
+}
+
+// versionFleet is an entry and two gates with one server each, of v1 and v2.
+type versionFleet struct {
+	view            *fleetView
+	entry, old, new *testVM
+	oldServer       *backend
+	newServer       *backend
+}
+
+func newVersionFleet(t *testing.T, h http.HandlerFunc) *versionFleet {
+	f := &versionFleet{view: newFleetView(t, 4), oldServer: newBackend(t, nil), newServer: newBackend(t, h)}
+	f.old = newVM(t, "old", f.view, nil)
+	f.new = newVM(t, "new", f.view, nil)
+	f.announce(t)
+	oldPeer, newPeer := newPeer("old", addressOf(f.old.peer)), newPeer("new", addressOf(f.new.peer))
+	oldPeer.Version, newPeer.Version = "v1", "v2"
+	f.entry = newVM(t, "entry", f.view, directory{oldPeer, newPeer})
+	return f
+}
+
+func (f *versionFleet) announce(t *testing.T) {
+	t.Helper()
+	assert.NilError(t, f.old.gate.Announce(Announcement{Name: "b", Service: "svc", Address: addressOf(f.oldServer.Server), Instance: "1", Version: "v1"}, time.Now()))
+	assert.NilError(t, f.new.gate.Announce(Announcement{Name: "b", Service: "svc", Address: addressOf(f.newServer.Server), Instance: "1", Version: "v2"}, time.Now()))
+}
+
+func (f *versionFleet) refresh() {
+	for _, m := range []*testVM{f.entry, f.old, f.new} {
+		m.fleet.Refresh()
+	}
+}
+
+func (f *versionFleet) send(t *testing.T, n int) {
+	t.Helper()
+	for range n {
+		resp, text, err := sendRequest(t, f.entry.caller, "GET", "/x", nil)
+		assert.NilError(t, err)
+		assert.Equal(t, resp.StatusCode, http.StatusOK, text)
+	}
+}
+
+// allow gives the gate of the new version an allowance, as the reply to a report does.
+func (f *versionFleet) allow(t *testing.T, allowed uint64) rollout.Report {
+	t.Helper()
+	reports, isNew := f.new.gate.RolloutReports()
+	assert.Equal(t, len(reports), 1)
+	assert.Assert(t, isNew[0])
+	f.new.gate.RolloutReplied(&reports[0], rollout.Reply{Allowed: allowed})
+	return reports[0]
+}
+
+// Guards against a new version that gets more requests than the control leader allowed, whatever the entries offer, and
+// against callers who are refused because of it.
+func TestNewVersionGetsOnlyWhatWasAllowed(t *testing.T) {
+	f := newVersionFleet(t, nil)
+	beginTestRollout(t, f.view)
+	decideTestRollout(t, f.view, state.RolloutCanary, 100)
+	f.refresh()
+	f.send(t, 5)
+	assert.Equal(t, f.newServer.count(), 0)
+	report := f.allow(t, 3)
+	assert.Equal(t, report.Refused, uint64(5))
+	f.send(t, 10)
+	assert.Equal(t, f.newServer.count(), 3)
+	assert.Equal(t, f.oldServer.count(), 12)
+	report = f.allow(t, 3)
+	assert.Equal(t, report.Arrived, uint64(3))
+	assert.Equal(t, report.Routes["root"].Succeeded, uint32(3))
+	assert.Equal(t, report.Running, 0)
+	old, _ := f.old.gate.RolloutReports()
+	assert.Equal(t, old[0].Arrived, uint64(12))
+}
+
+// Guards against requests to a version that no rollout ordered, to a new version after its roll-back, and to old versions
+// from cutover on, by entries that know and by those that do not.
+func TestVersionsThatGetNoRequests(t *testing.T) {
+	f := newVersionFleet(t, nil)
+	f.view.apply(t, state.Command{Operator: "test", AdmitVersions: &state.AdmitVersions{Service: "svc", Versions: []string{"v1"}}})
+	f.refresh()
+	f.send(t, 5)
+	assert.Equal(t, f.newServer.count(), 0)
+	f.view.apply(t, state.Command{Operator: "test", BeginRollout: &state.BeginRollout{Service: "svc", NewVersion: "v2", DurationMs: 10_000}})
+	decideTestRollout(t, f.view, state.RolloutCutover, 100)
+	f.refresh()
+	f.send(t, 5)
+	assert.Equal(t, f.newServer.count(), 5)
+	_, err := f.old.gate.Run(context.Background(), newTestRequest(t, "root"))
+	assert.Equal(t, asRefusal(err).Reason, ReasonVersion)
+	assert.Equal(t, asRefusal(err).Outcome, OutcomeNotRun)
+	decideTestRollout(t, f.view, state.RolloutRolledBack, 0)
+	f.refresh()
+	f.send(t, 5)
+	assert.Equal(t, f.newServer.count(), 5)
+	_, err = f.new.gate.Run(context.Background(), newTestRequest(t, "root"))
+	assert.Equal(t, asRefusal(err).Reason, ReasonVersion)
+}
+
+// Guards against a queued request that runs at a version which was rolled back while it waited.
+func TestQueuedRequestOfRolledBackVersion(t *testing.T) {
+	release := make(chan struct{})
+	finish := sync.OnceFunc(func() { close(release) })
+	defer finish()
+	f := newVersionFleet(t, func(w http.ResponseWriter, r *http.Request) {
+		<-release
+		io.WriteString(w, "ok")
+	})
+	beginTestRollout(t, f.view)
+	decideTestRollout(t, f.view, state.RolloutCanary, 100)
+	f.refresh()
+	f.allow(t, 100)
+	// One of the four slots is reserved for nested calls.
+	results := make(chan error, 4)
+	for range cap(results) {
+		go func() {
+			resp, err := f.new.gate.Run(context.Background(), newTestRequest(t, "root"))
+			if err == nil {
+				resp.Body.Close()
+			}
+			results <- err
+		}()
+	}
+	eventually(t, "one request waits", func() bool { return f.new.gate.Load("svc").Queued == 1 })
+	decideTestRollout(t, f.view, state.RolloutRolledBack, 0)
+	f.refresh()
+	finish()
+	refused := 0
+	for range cap(results) {
+		if err := <-results; err != nil {
+			assert.Equal(t, asRefusal(err).Reason, ReasonVersion)
+			refused++
+		}
+	}
+	assert.Equal(t, refused, 1)
+	assert.Equal(t, f.newServer.count(), 3)
+}
+
+// Guards against evidence that blames a version for what its requests did not cause, and against failures of one kind that are
+// counted as another.
+func TestResultsOfVersions(t *testing.T) {
+	status := http.StatusInternalServerError
+	f := newVersionFleet(t, func(w http.ResponseWriter, r *http.Request) {
+		if status == 0 {
+			panic(http.ErrAbortHandler)
+		}
+		w.WriteHeader(status)
+	})
+	beginTestRollout(t, f.view)
+	decideTestRollout(t, f.view, state.RolloutCanary, 100)
+	f.refresh()
+	f.allow(t, 100)
+	run := func(s int) {
+		status = s
+		req := newTestRequest(t, "root")
+		req.Forced = true
+		if resp, err := f.new.gate.Run(context.Background(), req); err == nil {
+			resp.Body.Close()
+		}
+	}
+	for _, s := range []int{500, 500, 0, 200, 404} {
+		run(s)
+	}
+	counts := f.allow(t, 100).Routes["root"]
+	assert.Equal(t, counts.Failed, uint32(2))
+	assert.Equal(t, counts.Broken, uint32(1))
+	assert.Equal(t, counts.Succeeded, uint32(2))
+}
--- a/proxy/router.go
+++ b/proxy/router.go
@@ -74,7 +74,7 @@
 		req.MayFail = r.mayFail(req, history)
 		req.Repeat = history.repeat(req)
 		chosen, ok := r.choose(req, history.tried)
-		if !ok && r.allowTrippedBreakers(req, history) {
+		if !ok && (r.leaveNewVersion(req) || r.allowTrippedBreakers(req, history)) {
 			continue
 		}
 		if !ok {
@@ -99,6 +99,9 @@
 		}
 		history.recordRefusal(chosen.peer.VM, refusal)
 		r.recordTrippedBreaker(chosen.peer.VM, req.Service, refusal)
+		if refusal.Reason == ReasonExposure {
+			r.leaveNewVersion(req)
+		}
 		if !r.mayRetry(req, refusal, history) {
 			return history.result()
 		}
@@ -166,7 +169,7 @@
 // that may fail, so that it is retried elsewhere; without another backend server that is not faulty, the caller would get a
 // failure in place of a late response.
 func (r *router) hasAlternative(req *Request, vm string, tried map[string]bool) bool {
-	hosts := r.opts.Directory.Hosts(req.Service)
+	hosts := r.hosts(req)
 	out := r.opts.Fleet.OutDomains()
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -238,6 +241,8 @@
 		h.reached++
 	case isBreakerReason(refusal.Reason):
 		h.breakerTripped[vm] = true
+	case refusal.Reason == ReasonExposure:
+		// The servers of the old version are not tried yet.
 	default:
 		h.declined++
 	}
@@ -437,7 +442,7 @@
 
 // choose returns the VM for the next attempt.
 func (r *router) choose(req *Request, tried map[string]bool) (choice, bool) {
-	hosts := r.opts.Directory.Hosts(req.Service)
+	hosts := r.hosts(req)
 	if i := r.pickTrial(req, hosts, tried); i >= 0 {
 		return choice{peer: hosts[i], reason: routing.ReasonTrial}, true
 	}
--- a/proxy/run.go
+++ b/proxy/run.go
@@ -56,6 +56,7 @@
 	tracked := g.track(req, held.server.name)
 	began := g.opts.Clock()
 	held.sentAt = began
+	held.version.send(held.server.isCold())
 	remaining := time.Until(req.Deadline)
 	resp, cancelledForRetry, err := g.sendWatched(ctx, cancel, req, held)
 	var info BackendResponse
@@ -72,6 +73,7 @@
 		cancel()
 		g.untrack(req)
 		tracked.end(admission.Overloaded)
+		held.version.end(admission.Overloaded, false, 0)
 		held.release(latency, admission.Overloaded)
 		return nil, g.declinedRefusal(req, held, resp, info)
 	}
@@ -95,6 +97,7 @@
 			result = admission.Cancelled
 		}
 		nested := tracked.end(result)
+		held.version.end(result, true, latency-nested)
 		held.release(latency-nested, result)
 		refusal := backendRefusal(err, inTime, callerGone)
 		if cancelledForRetry {
@@ -114,6 +117,7 @@
 		if !whole {
 			result = admission.Failed
 		}
+		held.version.end(result, !whole, latency-nested)
 		held.release(latency-nested, result)
 	}
 	if whole {
--- a/proxy/server.go
+++ b/proxy/server.go
@@ -31,9 +31,11 @@
 	rampDeadline time.Duration
 	ramped       bool
 	expiresAt    time.Duration
-	cfg          admission.Config
-	gate         *admission.Gate
-	breaker      outlier.Breaker
+	// coldEnd is the end of the cold time.
+	coldEnd time.Duration
+	cfg     admission.Config
+	gate    *admission.Gate
+	breaker outlier.Breaker
 	// loggedHealth is the health that was last logged.
 	loggedHealth outlier.Health
 	// refusedEntries are the VMs of entries whose requests were refused because the circuit breaker had tripped, with
@@ -66,6 +68,8 @@
 	wait   time.Duration
 	trial  bool
 	route  string
+	// version counts the request in a running rollout; nil without one.
+	version *versionTicket
 	// sentAt is when the request was sent to the backend server.
 	sentAt time.Duration
 }
@@ -134,7 +138,8 @@
 		s.client.closeIdle()
 	}
 	s.lastAnnouncement = a
-	s.gate.SetColdUntil(s.coldUntil(a, settings, newInstance))
+	s.coldEnd = s.coldUntil(a, settings, newInstance)
+	s.gate.SetColdUntil(s.coldEnd)
 	s.address = a.Address
 	s.draining = a.Draining
 	s.lost = false
--- a/proxy/summary.go
+++ b/proxy/summary.go
@@ -16,6 +16,8 @@
 	Serving, Draining, Ejected, Lost int
 	// Load is the load of the service.
 	Load Load
+	// Version is the version of the servers' software; empty where it is not the same for all of them.
+	Version string
 }
 
 // Summary returns one row for each service on this VM.
@@ -24,11 +26,15 @@
 	var order []string
 	for _, s := range g.serversOf("") {
 		row, ok := rows[s.service]
+		version := s.version()
 		if !ok {
-			row = &ServiceSummary{Service: s.service}
+			row = &ServiceSummary{Service: s.service, Version: version}
 			rows[s.service] = row
 			order = append(order, s.service)
 		}
+		if row.Version != version {
+			row.Version = ""
+		}
 		row.add(s.name, s.load())
 	}
 	all := make([]ServiceSummary, 0, len(order))
--- a/rollout/view.go
+++ b/rollout/view.go
@@ -27,6 +27,12 @@
 // Active reports whether a rollout is running.
 func (v View) Active() bool { return v.running && !v.plan.Phase.Final() }
 
+// ID returns the ID of the service's rollout; empty if it never had one.
+func (v View) ID() string { return v.plan.ID }
+
+// Decision returns the number of the rollout's last decision.
+func (v View) Decision() uint64 { return v.plan.Decision }
+
 // IsNew reports whether the version is the new one of a running rollout.
 func (v View) IsNew(version string) bool { return v.Active() && version == v.plan.NewVersion }
 
