--- a/node/rolloutorders_test.go
+++ b/node/rolloutorders_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -227,3 +228,29 @@
 	t.Cleanup(cancel)
 	return ctx
 }
+
+// Guards against an order that is refused, or that begins a second rollout, because the reply to its first copy was lost.
+func TestRolloutOrderWithLostReplies(t *testing.T) {
+	f := startRolloutFleet(t)
+	leader := f.leader()
+	var lost atomic.Int32
+	rpc.Register(leader.rpc, methodRollout, func(ctx context.Context, from string, p proposal) (proposalResult, error) {
+		result, err := leader.control.servePropose(ctx, from, p)
+		if p.Rollout.Begin != nil && lost.Add(1) <= 3 {
+			return proposalResult{}, &rpc.RemoteError{Code: rpc.CodeOutcomeUnknown, Message: "lost"}
+		}
+		return result, err
+	})
+	assert.Assert(t, f.begin(f.followers()[0], "operator", testOrder) == nil)
+	assert.Assert(t, lost.Load() > 3)
+	accepted := 0
+	leader.viewState(func(s *state.State) {
+		for _, r := range s.History(100) {
+			if r.Kind == state.KindBeginRollout {
+				assert.Assert(t, r.Result.Err == nil, "%v", r.Result.Err)
+				accepted++
+			}
+		}
+	})
+	assert.Equal(t, accepted, 1)
+}
