node: a raft message to a new member after the end of the process is dropped

The group outlives the other parts of a stopping process for a moment. Its first message to a member started a goroutine of a tomb that had ended, which panics. Seen once in a run of the package's tests on a loaded machine.

--- a/node/stop_test.go
+++ b/node/stop_test.go
@@ -4,8 +4,10 @@
 	"net/http"
 	"testing"
 
+	"gopkg.in/tomb.v2"
 	"gotest.tools/v3/assert"
 
+	"rosemaryline.dev/raft"
 	"rosemaryline.dev/routing"
 )
 
@@ -35,3 +37,13 @@
 	assert.NilError(t, err)
 	assert.Equal(t, status, http.StatusOK) // from the gate of another VM, which sends its own callers elsewhere
 }
+
+// Guards against a panic of a process that is stopping: its group sends the first message to a member after all other parts
+// of the process have ended.
+func TestRaftMessageAfterTheEndIsDropped(t *testing.T) {
+	var ended tomb.Tomb
+	ended.Go(func() error { return nil })
+	assert.NilError(t, ended.Wait())
+	transport := newRaftTransport(groupControl, "127.0.0.1:1", nil, nil, &ended)
+	transport.Send(7, raft.Message{})
+}
--- a/node/transport.go
+++ b/node/transport.go
@@ -96,18 +96,19 @@
 	if !ok {
 		q = make(chan raft.Message, raftQueueLength)
 		t.queues[to] = q
-		t.tomb.Go(func() error { return t.sendLoop(to, q) })
+		// The group may still send while the process stops; these messages are dropped.
+		spawn(t.tomb, func() { t.sendLoop(to, q) })
 	}
 	return q
 }
 
-func (t *raftTransport) sendLoop(to raft.ID, q chan raft.Message) error {
+func (t *raftTransport) sendLoop(to raft.ID, q chan raft.Message) {
 	for {
 		select {
 		case m := <-q:
 			t.send(to, m)
 		case <-t.tomb.Dying():
-			return nil
+			return
 		}
 	}
 }
