--- a/rollout/allowance.go
+++ b/rollout/allowance.go
@@ -78,9 +78,9 @@
 const (
 	// allowedShare of the bound on exposure is given out. The rest covers requests that arrive twice because they are retried.
 	allowedShare = 0.8
-	// refusedAhead is what a gate without arrivals gets when it refused a request: the requests of a report interval of a server
-	// that has the load of half of its slots.
-	refusedAhead = 3
+	// refusedAhead is the most that a gate gets for the requests that it refused: those of a report interval of a server
+	// to which the requests of the loaded phase go.
+	refusedAhead = 6
 )
 
 // allow decides the allowance of a gate of the new version. The load pattern is a few requests per second for the new version,
@@ -100,10 +100,7 @@
 		return r.Arrived
 	}
 	room := limit - used + g.grant.committed - r.Arrived
-	ahead := 2 * arrived
-	if refused > 0 {
-		ahead += refusedAhead
-	}
+	ahead := 2*arrived + min(refused, refusedAhead)
 	if ahead == 0 && d.plan.Phase == Canary && 2*used < limit {
 		ahead = 1
 	}
--- a/rollout/collection.go
+++ b/rollout/collection.go
@@ -13,14 +13,20 @@
 	// Loaded reports whether the servers ran at the load that the loaded phase aims at. A slice has a sample for each load.
 	Loaded bool
 	Routes map[string]RouteCounts
-	// Overdue is the number of running requests that already take longer than a slow response, on all routes.
-	Overdue int
-	// Young is the number of successful responses to requests that arrived so lately that slow ones of the same time still run.
-	// Counting them would make a version look faster than it is.
-	Young int
+	// Unended holds, for each route, requests without a result. Only the newest samples of a gate have it.
+	Unended map[string]Unended
+}
+
+// Unended describes the requests of a route that have no result yet, or had none when others of the same time had.
+type Unended struct {
 	// Running is the number of requests without a result. A failure may come at once while successful responses take a second,
 	// so just after the traffic moved the results alone would show mostly failures.
 	Running int
+	// Overdue is the number of running requests that already take longer than a slow response.
+	Overdue int
+	// Young is the number of responses to requests that arrived so lately that slow ones of the same time still run.
+	// Counting them would make a version look faster than it is.
+	Young int
 }
 
 type gateKey struct {
@@ -34,16 +40,17 @@
 	at   time.Duration
 	// before counts the arrivals of earlier incarnations.
 	before uint64
-	// coldRunning is the number of requests that ran when the servers were last cold. They may take longer.
-	coldRunning int
+	// coldRunning is the number of requests of each route that ran when the servers were last cold. They may take longer.
+	coldRunning map[string]int
 	history     []arrival
 	slices      []Sample
 	grant       grant
 }
 
 type arrival struct {
-	at    time.Duration
-	count uint64
+	at     time.Duration
+	count  uint64
+	routes map[string]RouteCounts
 }
 
 // overdueHistory bounds the arrivals that are kept to recognise overdue requests.
@@ -87,7 +94,7 @@
 		g.before += g.last.Arrived
 		g.history = g.history[:0]
 		g.grant.restart()
-		g.coldRunning = 0
+		g.coldRunning = nil
 	default:
 		previous = g.last
 	}
@@ -102,13 +109,16 @@
 		}
 	}
 	if r.Slots == 0 || previous.Sequence > 0 && previous.Slots == 0 {
-		g.coldRunning = r.Running
+		g.coldRunning = map[string]int{}
+		for route, counts := range r.Routes {
+			g.coldRunning[route] = counts.unended()
+		}
 	}
 	g.last, g.at = r, elapsed
 	if len(g.history) == overdueHistory {
 		g.history = append(g.history[:0], g.history[1:]...)
 	}
-	g.history = append(g.history, arrival{elapsed, r.Arrived})
+	g.history = append(g.history, arrival{elapsed, r.Arrived, r.Routes})
 	return g
 }
 
@@ -126,56 +136,66 @@
 	return &g.slices[len(g.slices)-1]
 }
 
-// pending returns how many requests surely have run for longer than limit, since they arrived before and have no result yet,
-// and how many results belong to requests that arrived later. Without the first, a version of which half of the requests
-// do not end within the rollout would look like one without faults.
-func (g *gateRecord) pending(limit time.Duration) (overdue, young int) {
-	var arrived, ended uint64
-	for _, a := range g.history {
-		if a.at <= g.at-limit {
-			arrived = a.count
-		}
-	}
-	for _, counts := range g.last.Routes {
-		ended += uint64(counts.Succeeded) + uint64(counts.Failed) + uint64(counts.Broken)
+func (c *RouteCounts) ended() int { return int(c.Succeeded) + int(c.Failed) + int(c.Broken) }
+
+func (c *RouteCounts) unended() int { return max(0, int(c.Started)-c.ended()) }
+
+// unended returns the requests of a route without a result. Those that surely have run for longer than limit are overdue:
+// they arrived before and have no result yet. Without them, a version of which half of the requests do not end within the
+// rollout would look like one without faults.
+func (g *gateRecord) unended(route string, limit time.Duration) (u Unended) {
+	counts := g.last.Routes[route]
+	u.Running = min(counts.unended(), g.last.Running)
+	if limit <= 0 {
+		return u
 	}
-	if arrived <= ended {
-		return 0, int(ended - arrived)
+	started := 0
+	for i := len(g.history) - 1; i >= 0; i-- {
+		if a := g.history[i]; a.at <= g.at-limit {
+			before := a.routes[route]
+			started = int(before.Started)
+			break
+		}
 	}
-	if g.last.Slots == 0 {
-		return 0, 0
+	u.Young = max(0, counts.ended()-started)
+	if g.last.Slots > 0 {
+		u.Overdue = max(0, min(started-counts.ended(), u.Running)-g.coldRunning[route])
 	}
-	return max(0, int(min(arrived-ended, uint64(g.last.Running)))-g.coldRunning), 0
+	return u
 }
 
 // samples returns all samples in a fixed order. Overdue requests count for the newest sample of their gate, or its newest
-// sample at load if it had one.
-func (c *collection) samples(limit time.Duration) []Sample {
+// sample at load if it had one. limits has the least time of a slow response for each route.
+func (c *collection) samples(limits map[string]time.Duration) []Sample {
 	var all []Sample
 	for _, key := range c.keys() {
 		g := c.gates[key]
 		first := len(all)
 		all = append(all, g.slices...)
 		own := all[first:]
-		if len(own) == 0 || limit <= 0 {
+		if len(own) == 0 {
 			continue
 		}
-		overdue, young := g.pending(limit)
-		at := len(own) - 1
+		atLoad := len(own) - 1
 		for i := range own {
+			own[i].Unended = map[string]Unended{}
 			if own[i].Loaded {
-				at = i
+				atLoad = i
 			}
 		}
-		own[at].Overdue = overdue
-		own[len(own)-1].Running = g.last.Running
-		for i := len(own) - 1; i >= 0 && young > 0; i-- {
-			n := 0
-			for _, counts := range own[i].Routes {
-				n += int(counts.Succeeded) + int(counts.Failed) + int(counts.Broken)
+		for route := range g.last.Routes {
+			u := g.unended(route, limits[route])
+			own[len(own)-1].Unended[route] = Unended{Running: u.Running}
+			for i := len(own) - 1; i >= 0; i-- {
+				counts := own[i].Routes[route]
+				part := own[i].Unended[route]
+				part.Young = min(u.Young, counts.ended())
+				u.Young -= part.Young
+				if i == atLoad {
+					part.Overdue = u.Overdue
+				}
+				own[i].Unended[route] = part
 			}
-			own[i].Young = min(young, n)
-			young -= own[i].Young
 		}
 	}
 	return all
@@ -265,6 +285,7 @@
 }
 
 func sum(total, more *RouteCounts) {
+	total.Started += more.Started
 	total.Succeeded += more.Succeeded
 	total.Failed += more.Failed
 	total.Broken += more.Broken
@@ -282,6 +303,7 @@
 		grew = true
 		return a - b
 	}
+	delta.Started = sub(now.Started, before.Started)
 	delta.Succeeded = sub(now.Succeeded, before.Succeeded)
 	delta.Failed = sub(now.Failed, before.Failed)
 	delta.Broken = sub(now.Broken, before.Broken)
--- a/rollout/decider.go
+++ b/rollout/decider.go
@@ -32,8 +32,12 @@
 	canaryEnd = 3
 	// canaryPart of what may be sent to the new version before cutover is offered in the canary phase.
 	canaryPart = 0.4
-	// loadedSlots is the share of its slots that a server of the loaded phase shall run: bad versions show above a half.
-	loadedSlots = 0.75
+	// loadedSlots is the share of its slots that a server of the loaded phase is offered. Bad versions show above a half, and
+	// circuit breakers and allowances keep a part away.
+	loadedSlots = 1.0
+	// minGroupTime fills a server with requests of a second, and leaves as long to see their results.
+	minGroupTime  = 1500 * time.Millisecond
+	groupsPerPlan = 10
 	// loadedFrom is the share of its slots from which a server counts as loaded.
 	loadedFrom = 0.5
 	// urgentBad bad responses start the time of RollbackAfter, and urgentLikelihood, ln(150), suffices once half of it has passed.
@@ -179,13 +183,13 @@
 	switch {
 	case d.verdict.Judgement == Bad:
 		return rollBack("%s", d.verdict.Reason)
-	case d.urgentAt > 0 && elapsed-d.urgentAt >= d.settings.RollbackAfter/2 && d.verdict.Likelihood >= urgentLikelihood:
+	case d.plan.Phase != Cutover && d.urgentAt > 0 && elapsed-d.urgentAt >= d.settings.RollbackAfter/2 && d.verdict.Likelihood >= urgentLikelihood:
 		return rollBack("%d bad responses, %s", new.Bad(), d.verdict.Reason)
 	case d.plan.Phase == Cutover:
 		return d.finish(elapsed, new, last)
 	case last:
 		return rollBack("the deadline is near and the phase is still %s", d.plan.Phase)
-	case elapsed >= d.plan.Duration*2/3 && ready:
+	case elapsed >= d.evidenceBy() && ready:
 		if reason, can := d.canCutOver(old, new, true); !can {
 			return rollBack("insufficient evidence: %s", reason)
 		}
@@ -193,7 +197,7 @@
 		return Decision{}, false
 	}
 	if elapsed >= d.plan.Duration/2 {
-		if _, can := d.canCutOver(old, new, elapsed >= d.plan.Duration*2/3); can {
+		if _, can := d.canCutOver(old, new, elapsed >= d.evidenceBy()); can {
 			d.oldSlots = old.Slots
 			return Decision{Phase: Cutover, Percent: 100, Reason: d.verdict.Reason}, true
 		}
@@ -201,6 +205,16 @@
 	return d.offer(elapsed, old, new)
 }
 
+// evidenceBy is the time at which insufficient evidence rolls back. A leader that took over late gets as long as the loaded phase
+// needs, since it knows the counts of before but not under which load they came.
+func (d *Decider) evidenceBy() time.Duration {
+	by := d.plan.Duration * 2 / 3
+	if d.takeover {
+		by = max(by, min(d.plan.Duration*13/16, d.readyAt+d.plan.Duration/4))
+	}
+	return by
+}
+
 // judge updates the verdict. A leader that took over waits until all gates have reported.
 func (d *Decider) judge(elapsed time.Duration, new Totals) {
 	if d.urgentAt == 0 && new.Bad() >= urgentBad {
@@ -210,7 +224,7 @@
 		return
 	}
 	d.judgedAt = elapsed
-	d.verdict = Judge(d.reports.samples(slowLimit(d.reports.samples(0))))
+	d.verdict = Judge(d.reports.samples(slowLimits(d.reports.samples(nil))))
 }
 
 // canCutOver reports whether the evidence and the slots suffice. At the last moment, less evidence does.
@@ -218,6 +232,9 @@
 	if new.Slots*100 < old.Slots*d.settings.FloorPercent || new.Slots == 0 {
 		return fmt.Sprintf("new servers have %d slots, old ones %d, and the floor is %d%%", new.Slots, old.Slots, d.settings.FloorPercent), false
 	}
+	if last && d.verdict.Missing != "" {
+		return d.verdict.Missing, false
+	}
 	return d.verdict.Reason, d.verdict.Judgement == Good || last && d.verdict.Likely
 }
 
@@ -263,7 +280,7 @@
 		percent := d.percent(elapsed, duration*canaryEnd/16, rate, canaryPart, new)
 		return Decision{Phase: Canary, Percent: percent, Reason: fmt.Sprintf("%.1f requests per second", rate)}, percent != d.plan.Percent
 	}
-	if d.plan.Phase == Loaded && elapsed-d.groupAt < d.reports.slice {
+	if d.plan.Phase == Loaded && elapsed-d.groupAt < max(minGroupTime, duration/groupsPerPlan) {
 		return Decision{}, false
 	}
 	percent := d.percent(elapsed, max(duration/2, elapsed+d.reports.slice), rate, 1, new)
--- a/rollout/model_test.go
+++ b/rollout/model_test.go
@@ -388,6 +388,9 @@
 		vm.openUntil = m.now + vm.openFor
 	}
 	vm.arrived++
+	started := vm.routes[route]
+	started.Started++
+	vm.routes[route] = started
 	if vm.isNew {
 		m.result.exposed++
 		if m.plan.Phase == Canary || m.plan.Phase == Loaded {
--- a/rollout/rollout.go
+++ b/rollout/rollout.go
@@ -62,6 +62,9 @@
 // RouteCounts holds the results of the requests of one route at the servers of one version on one VM. All counters only grow
 // while the gate's process runs.
 type RouteCounts struct {
+	// Started counts the requests that were sent to the servers. Those without a result are running or were given up by their
+	// callers. Without it, requests that take longer than the rollout would not count as slow.
+	Started   uint32 `json:"started,omitempty"`
 	Succeeded uint32 `json:"ok,omitempty"`
 	// Failed counts complete responses with a server error.
 	Failed uint32 `json:"failed,omitempty"`
--- a/rollout/verdict.go
+++ b/rollout/verdict.go
@@ -22,6 +22,8 @@
 	Judgement Judgement
 	// Likely reports whether the samples favour a good version in each comparison, though not enough for Good.
 	Likely bool
+	// Missing states what is missing for Likely.
+	Missing string
 	// Likelihood is the logarithm of how much better the samples fit the most suspicious kind of bad version than a good one.
 	Likelihood float64
 	Reason     string
@@ -35,7 +37,7 @@
 	// suspect is the share of additional bad responses that Good must exclude: the least that a bad version has.
 	suspect = 0.3
 	// minLoaded responses of servers at load are needed to exclude a version that is bad only there.
-	minLoaded = 8
+	minLoaded = 12
 	// minOldSamples are needed to know the spread between old servers.
 	minOldSamples = 20
 	// A unit of more responses is scaled down: the distribution is known only at the points of shares.
@@ -159,9 +161,7 @@
 	old      spread
 	oldShare float64
 	oldCount int
-	// part is the share of the old version's requests on this route.
-	part   float64
-	ratios map[unit]ratios
+	ratios   map[unit]ratios
 }
 
 // ratios holds spread.ratio for each of the effects, and for suspect.
@@ -206,66 +206,75 @@
 	return first
 }
 
-// slowLimit is the time after which a running request is overdue: the least time of a slow response on the routes that have
-// three quarters of the requests.
-func slowLimit(samples []Sample) time.Duration {
-	slowFrom := slowBucketByRoute(samples)
-	count, total := map[int]int{}, 0
-	for i := range samples {
-		for route, counts := range samples[i].Routes {
-			if from, ok := slowFrom[route]; ok && !samples[i].New {
-				count[from] += int(counts.Succeeded)
-				total += int(counts.Succeeded)
-			}
+// slowLimits returns the least time of a slow response for each route.
+func slowLimits(samples []Sample) map[string]time.Duration {
+	limits := map[string]time.Duration{}
+	for route, from := range slowBucketByRoute(samples) {
+		limits[route] = LatencyBound(min(from, LatencyBuckets-1) - 1)
+	}
+	return limits
+}
+
+// counting selects how requests without a result count.
+type counting int
+
+const (
+	// plain counts results, and for slow also overdue requests.
+	plain counting = iota
+	// withRunning takes running requests as good ones.
+	withRunning
+	// aged leaves out responses that are younger than a slow one.
+	aged
+)
+
+// unit returns the responses of a sample on a route, or on all if it is empty.
+func (s *Sample) unit(m measure, route string, slowFrom map[string]int, how counting) (u unit) {
+	if route != "" {
+		counts, ok := s.Routes[route]
+		if !ok && s.Unended[route] == (Unended{}) {
+			return u
 		}
+		return routeUnit(m, &counts, s.Unended[route], slowFrom, route, how)
+	}
+	for name, counts := range s.Routes {
+		one := routeUnit(m, &counts, s.Unended[name], slowFrom, name, how)
+		u.n, u.bad = u.n+one.n, u.bad+one.bad
 	}
-	sum := 0
-	for from := range LatencyBuckets + slowBuckets {
-		if sum += count[from]; total > 0 && 4*sum >= 3*total {
-			return LatencyBound(min(from, LatencyBuckets-1) - 1)
+	for name, unended := range s.Unended {
+		if _, ok := s.Routes[name]; !ok {
+			one := routeUnit(m, &RouteCounts{}, unended, slowFrom, name, how)
+			u.n, u.bad = u.n+one.n, u.bad+one.bad
 		}
 	}
-	return 0
+	return u
 }
 
-// unit returns the responses of a sample. For slow, aged leaves out the young ones.
-func (s *Sample) unit(m measure, route string, slowFrom map[string]int, aged bool) (u unit) {
-	add := func(name string, counts *RouteCounts) {
-		if m == slow {
-			from, known := slowFrom[name]
-			for i, n := range counts.Latency {
-				if known {
-					u.n += int(n)
-					if i >= from {
-						u.bad += int(n)
-					}
-				}
-			}
-			return
+func routeUnit(m measure, counts *RouteCounts, unended Unended, slowFrom map[string]int, route string, how counting) (u unit) {
+	if m == slow {
+		from, known := slowFrom[route]
+		if !known {
+			return u
 		}
-		u.n += int(counts.Succeeded) + int(counts.Failed) + int(counts.Broken)
-		if m != onlyBroken {
-			u.bad += int(counts.Failed)
+		for i, n := range counts.Latency {
+			u.n += int(n)
+			if i >= from {
+				u.bad += int(n)
+			}
 		}
-		if m != onlyFailed {
-			u.bad += int(counts.Broken)
+		if how == aged {
+			u.n = max(u.bad, u.n-unended.Young)
 		}
+		return unit{u.n + unended.Overdue, u.bad + unended.Overdue}
 	}
-	if route != "" {
-		if counts, ok := s.Routes[route]; ok {
-			add(route, &counts)
-		}
-		return u
+	u.n = counts.ended()
+	if m != onlyBroken {
+		u.bad += int(counts.Failed)
 	}
-	for name, counts := range s.Routes {
-		add(name, &counts)
+	if m != onlyFailed {
+		u.bad += int(counts.Broken)
 	}
-	if m == slow {
-		if aged {
-			u.n = max(u.bad, u.n-s.Young)
-		}
-		u.n += s.Overdue
-		u.bad += s.Overdue
+	if how == withRunning {
+		u.n += unended.Running
 	}
 	return u
 }
@@ -275,7 +284,7 @@
 func disturbed(samples []Sample, m measure, slowFrom map[string]int) map[int]bool {
 	sums, counts := map[int]float64{}, map[int]int{}
 	for i := range samples {
-		if u := samples[i].unit(m, "", slowFrom, false); !samples[i].New && u.n > 0 {
+		if u := samples[i].unit(m, "", slowFrom, plain); !samples[i].New && u.n > 0 {
 			sums[samples[i].Slice] += float64(u.bad) / float64(u.n)
 			counts[samples[i].Slice]++
 		}
@@ -323,7 +332,7 @@
 	for i := range samples {
 		newest = max(newest, samples[i].Slice)
 		for route := range samples[i].Routes {
-			n := samples[i].unit(anyFailure, route, nil, false).n
+			n := samples[i].unit(anyFailure, route, nil, plain).n
 			if samples[i].New {
 				newByRoute[route] += n
 				newVMs[samples[i].VM] = newVMs[samples[i].VM] || n > 0
@@ -351,10 +360,6 @@
 		skip := disturbed(samples, m, slowFrom)
 		for _, route := range routes {
 			c := compare(samples, m, route, slowFrom, skip)
-			c.part = 1
-			if route != "" {
-				c.part = float64(oldByRoute[route]) / float64(oldTotal)
-			}
 			for w := range windows {
 				e := c.evidence(samples, w, newest, limit, slowFrom, skip)
 				if e.difference >= minDifference && e.likelihood > verdict.Likelihood {
@@ -371,8 +376,9 @@
 					verdict.Judgement = Undecided
 					good = fmt.Sprintf("not excluded: %s %s %s (%d responses at %d servers, %.1f)", m, routeName(route), w, e.count, e.vms, e.excluded)
 				}
-				if matters && (e.excluded > likely || few) {
+				if matters && (e.excluded > likely || few) && verdict.Likely {
 					verdict.Likely = false
+					verdict.Missing = fmt.Sprintf("not excluded: %s %s %s (%d responses at %d servers, %.1f)", m, routeName(route), w, e.count, e.vms, e.excluded)
 				}
 			}
 		}
@@ -409,18 +415,22 @@
 	switch {
 	case m == onlyFailed || m == onlyBroken:
 		return 0, 0, false
+	case route != "" && m == slow:
+		return -1.5, -1, w == whole
 	case route != "":
 		return -0.5, 2, w == whole
 	case w == whole && m == slow:
 		return -2.5, -2, true
 	case w == whole:
 		return -2.5, -1.5, true
+	case w == loaded && m == slow:
+		return -3, -2, true
 	case m == slow:
 		return -1.5, -1, true
 	case w == recent:
 		return -1, 1, true
 	}
-	return -1, 0, true
+	return -2, -1, true
 }
 
 func compare(samples []Sample, m measure, route string, slowFrom map[string]int, skip map[int]bool) *comparison {
@@ -429,7 +439,7 @@
 	bad := 0
 	for i := range samples {
 		s := &samples[i]
-		if u := s.unit(m, route, slowFrom, false); !s.New && u.n > 0 && !skip[s.Slice] {
+		if u := s.unit(m, route, slowFrom, plain); !s.New && u.n > 0 && !skip[s.Slice] {
 			units[u.scaled()]++
 			c.oldCount += u.n
 			bad += u.bad
@@ -451,6 +461,7 @@
 func (c *comparison) evidence(samples []Sample, w window, newest int, limit float64, slowFrom map[string]int, skip map[int]bool) (e evidence) {
 	type server struct {
 		ratio    [len(effects)]float64
+		against  [len(effects)]float64
 		excluded float64
 		unit
 	}
@@ -466,7 +477,7 @@
 			continue
 		}
 		wasLoaded[s.VM] = wasLoaded[s.VM] || s.Loaded
-		u := s.unit(c.measure, c.route, slowFrom, false)
+		u := s.unit(c.measure, c.route, slowFrom, plain)
 		if u.n == 0 {
 			continue
 		}
@@ -478,18 +489,16 @@
 		}
 		v := &servers[at]
 		v.n, v.bad = v.n+u.n, v.bad+u.bad
-		withRunning := u
-		if c.measure != slow {
-			withRunning.n += int(math.Round(c.part * float64(s.Running)))
-		}
-		r := c.ratiosOf(withRunning.scaled())
-		for j := range r.effects {
-			v.ratio[j] += r.effects[j]
+		r := c.ratiosOf(s.unit(c.measure, c.route, slowFrom, withRunning).scaled())
+		// A gray failure lasts for several slices, so what speaks against the version counts once for each server.
+		for j, ratio := range r.effects {
+			v.ratio[j] += min(ratio, 0)
+			v.against[j] = max(v.against[j], ratio)
 		}
 		r.suspect = c.ratiosOf(u.scaled()).suspect
 		// A window of the last seconds has slow responses whose faster companions are older, so there only all count.
 		if c.measure == slow && w != recent {
-			r = c.ratiosOf(s.unit(c.measure, c.route, slowFrom, true).scaled())
+			r.suspect = c.ratiosOf(s.unit(c.measure, c.route, slowFrom, aged).scaled()).suspect
 		}
 		v.excluded += r.suspect
 	}
@@ -500,7 +509,7 @@
 	bad, mean := 0, 0.0
 	for _, v := range servers {
 		for j := range sums {
-			sums[j] += min(limit, v.ratio[j])
+			sums[j] += min(limit, v.ratio[j]+v.against[j])
 		}
 		e.excluded += min(limit, v.excluded)
 		e.count += v.n
