--- a/rollout/decider.go
+++ b/rollout/decider.go
@@ -44,7 +44,7 @@
 	urgentBad        = 50
 	urgentLikelihood = 5.0
 	// judgeEvery limits the work of the leader; reports of new gates come every 250 ms.
-	judgeEvery = 200 * time.Millisecond
+	judgeEvery = 300 * time.Millisecond
 )
 
 // Decider decides the steps of one rollout. The control leader runs it: it hands over the reports, proposes each Decision and
--- a/rollout/measure_test.go
+++ b/rollout/measure_test.go
@@ -11,6 +11,9 @@
 	"testing"
 	"text/tabwriter"
 	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
 )
 
 var (
@@ -75,3 +78,43 @@
 	}
 	w.Flush()
 }
+
+// The rules that hold for each run, whatever the verdict: what a bad version gets before cutover stays within the bound, it gets
+// nothing later than RollbackAfter after its 50th bad response, the rollout has ended at the deadline, and no old server starts
+// a request after completed.
+func TestModelRules(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := modelConfig{
+			seed:       rapid.Uint64Range(1, 1<<20).Draw(t, "seed"),
+			vms:        rapid.SampledFrom([]int{6, 6, 6, 30, 30, 90}).Draw(t, "vms"),
+			kind:       rapid.SampledFrom(modelKinds).Draw(t, "kind"),
+			duration:   time.Duration(rapid.IntRange(12, 20).Draw(t, "seconds")) * time.Second,
+			sameKind:   rapid.Bool().Draw(t, "same kind"),
+			exchange:   rapid.Bool().Draw(t, "exchange"),
+			restarts:   rapid.Bool().Draw(t, "restarts"),
+			alwaysGray: rapid.Bool().Draw(t, "always gray"),
+		}
+		checkRules(t, c, runModel(c))
+	})
+}
+
+// The same rules on the largest fleet.
+func TestModelRulesLarge(t *testing.T) {
+	for seed := range uint64(2) {
+		for _, kind := range []badness{modelKinds[0], modelKinds[4]} {
+			c := modelConfig{seed: seed + 1, vms: 355, kind: kind, duration: 16 * time.Second, exchange: seed == 1, restarts: seed == 1}
+			checkRules(t, c, runModel(c))
+		}
+	}
+}
+
+func checkRules(t assert.TestingT, c modelConfig, r modelResult) {
+	if c.kind.bad() {
+		assert.Assert(t, float64(r.exposedBefore) <= r.bound(), "%d requests, bound %.0f", r.exposedBefore, r.bound())
+		if r.phase == RolledBack {
+			assert.Assert(t, r.toRollBack <= modelSettings.RollbackAfter, "%v", r.toRollBack)
+		}
+	}
+	assert.Assert(t, r.phase.Final(), "%s: %s", r.phase, strings.Join(r.steps, "\n"))
+	assert.Equal(t, r.late, 0)
+}
--- a/rollout/verdict.go
+++ b/rollout/verdict.go
@@ -38,6 +38,8 @@
 	suspect = 0.3
 	// minLoaded responses of servers at load are needed to exclude a version that is bad only there.
 	minLoaded = 12
+	// minLoadedVMs keeps one server from standing for all.
+	minLoadedVMs = 2
 	// minOldSamples are needed to know the spread between old servers.
 	minOldSamples = 20
 	// A unit of more responses is scaled down: the distribution is known only at the points of shares.
@@ -371,7 +373,7 @@
 					continue
 				}
 				need, likely, matters := goodNeeds(m, route, w)
-				few := w == loaded && e.count < minLoaded
+				few := w == loaded && (e.count < minLoaded || e.vms < min(minLoadedVMs, len(newVMs)))
 				if matters && (e.excluded > need || few) && verdict.Judgement == Good {
 					verdict.Judgement = Undecided
 					good = fmt.Sprintf("not excluded: %s %s %s (%d responses at %d servers, %.1f)", m, routeName(route), w, e.count, e.vms, e.excluded)
@@ -416,13 +418,13 @@
 	case m == onlyFailed || m == onlyBroken:
 		return 0, 0, false
 	case route != "" && m == slow:
-		return -1.5, -1, w == whole
+		return -1.5, 0.5, w == whole
 	case route != "":
-		return -0.5, 2, w == whole
+		return -0.5, 3, w == whole
 	case w == whole && m == slow:
 		return -2.5, -2, true
 	case w == whole:
-		return -2.5, -1.5, true
+		return -2.5, -0.5, true
 	case w == loaded && m == slow:
 		return -3, -2, true
 	case m == slow:
