--- a/rollout/verdict.go
+++ b/rollout/verdict.go
@@ -264,7 +264,8 @@
 			}
 		}
 		if how == aged {
-			u.n = max(u.bad, u.n-unended.Young)
+			// Young includes failures, which have no latency.
+			u.n = max(u.bad, u.n-int(math.Round(float64(unended.Young*u.n)/float64(max(1, counts.ended())))))
 		}
 		return unit{u.n + unended.Overdue, u.bad + unended.Overdue}
 	}
