--- a/rollout/measure_test.go
+++ b/rollout/measure_test.go
@@ -21,6 +21,7 @@
 	measureVMs   = flag.Int("rollout.vms", 0, "fleet size for TestMeasure, 0 for 90")
 	measureGray  = flag.Bool("rollout.gray", false, "let TestMeasure have 30% gray servers at any time")
 	runKnownRed  = flag.Bool("rollout.red", false, "run the cases of TestTargets that are listed in KNOWN-RED.txt")
+	measureKind  = flag.String("rollout.kind", "", "run TestMeasure only for kinds that contain this")
 	measureTrace = flag.String("rollout.trace", "", "print the decisions of TestMeasure for kinds that contain this")
 )
 
@@ -68,6 +69,9 @@
 	w := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', 0)
 	fmt.Fprintln(w, "version\tseeds\tright\tend: median\tworst\trequests: median\tworst\tof bound: worst\tover bound\troll-back: worst\tlate\tmissed seeds")
 	for _, kind := range modelKinds {
+		if !strings.Contains(kind.name, *measureKind) {
+			continue
+		}
 		results := make([]modelResult, *measureSeeds)
 		var group sync.WaitGroup
 		limit := make(chan struct{}, min(3, runtime.GOMAXPROCS(0)))
--- a/rollout/verdict.go
+++ b/rollout/verdict.go
@@ -427,7 +427,7 @@
 	case w == whole:
 		return -2.5, -0.5, true
 	case w == loaded && m == slow:
-		return -3, -2, true
+		return -4.5, -3, true
 	case m == slow:
 		return -1.5, -1, true
 	case w == recent:
