--- a/node/gossip.go
+++ b/node/gossip.go
@@ -42,6 +42,8 @@
 	Records raft.ID `json:"records,omitempty"`
 	// Admin is the address of the admin listener. Only processes with the control role set it.
 	Admin string `json:"admin,omitempty"`
+	// Features names what the process knows beyond earlier builds. Only processes with the control role set it.
+	Features []string `json:"features,omitempty"`
 }
 
 // serviceRow describes the backend servers of one service on one VM.
@@ -55,6 +57,8 @@
 	Effective int `json:"effective"`
 	// State is the text of a routing.State.
 	State string `json:"state"`
+	// Version is the version of the servers' software; empty where it is not known or differs.
+	Version string `json:"version,omitempty"`
 	// Load is the number of running and queued requests, rounded up to a power of two. It is for operators only:
 	// entries use the load in responses.
 	Load int `json:"load,omitempty"`
--- a/proxy/domainstatus.go
+++ b/proxy/domainstatus.go
@@ -53,5 +53,6 @@
 func (s *server) assumeCold(coldTime time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.coldEnd = s.clock() + coldTime
 	s.gate.AssumeCold(s.clock(), coldTime)
 }
--- a/proxy/gate.go
+++ b/proxy/gate.go
@@ -84,6 +84,8 @@
 	opts    GateOptions
 	leaving atomic.Bool
 	budgets gateBudgets
+	// rollouts has a lock of its own, which is taken last.
+	rollouts gateRollouts
 
 	// wasOut is the status of the failure domain of this VM that domainOut saw last. domainMu guards changes.
 	wasOut   atomic.Bool
@@ -382,6 +384,11 @@
 	if s == nil {
 		return nil, g.completeRefusal(req, notRunRefusal(http.StatusServiceUnavailable, ReasonNoCapacity, "pick"), nil)
 	}
+	ticket, refusal := g.admitVersion(req, s)
+	if refusal != nil {
+		return nil, g.completeRefusal(req, refusal, s)
+	}
+	defer ticket.abandon()
 	done, refusal := g.reserveRepeat(req)
 	if refusal != nil {
 		return nil, g.completeRefusal(req, refusal, s)
@@ -390,6 +397,14 @@
 	if reason == admission.ReasonNone {
 		reason = g.checkSlot(held)
 	}
+	if reason == admission.ReasonNone {
+		if refusal := g.stillAdmitted(req, s); refusal != nil {
+			done(false)
+			held.release(0, admission.Cancelled)
+			return nil, g.completeRefusal(req, refusal, s)
+		}
+		held.version = ticket
+	}
 	done(reason == admission.ReasonNone)
 	if isBreakerReason(Reason(reason)) {
 		return nil, g.completeRefusal(req, notRunRefusal(http.StatusServiceUnavailable, Reason(reason), "breaker"), s)
@@ -467,11 +482,15 @@
 func (g *Gate) leastLoaded(service string) *server {
 	var best *server
 	bestLoad := 0.0
+	view, hasView := g.opts.Fleet.Versions(service)
 	for _, s := range g.serversOf(service) {
 		l := s.load()
 		if l.State != admission.Serving {
 			continue
 		}
+		if hasView && len(g.serversOf(service)) > 1 && !view.Admits(s.version()) {
+			continue
+		}
 		load := float64(l.InFlight+l.Queued) / float64(max(l.Effective, 1))
 		if best == nil || load < bestLoad {
 			best, bestLoad = s, load
--- /dev/null
+++ b/rollout/collection.go
@@ -0,0 +1,314 @@
+package rollout
+
+import (
+	"sort"
+	"time"
+)
+
+// Sample is what the servers of one version on one VM answered within one slice of the rollout's time.
+type Sample struct {
+	VM    string
+	New   bool
+	Slice int
+	// Loaded reports whether the servers ran at the load that the loaded phase aims at. A slice has a sample for each load.
+	Loaded bool
+	Routes map[string]RouteCounts
+	// Unended holds, for each route, requests without a result. Only the newest samples of a gate have it.
+	Unended map[string]Unended
+}
+
+// Unended describes the requests of a route that have no result yet, or had none when others of the same time had.
+type Unended struct {
+	// Running is the number of requests without a result. A failure may come at once while successful responses take a second,
+	// so just after the traffic moved the results alone would show mostly failures.
+	Running int
+	// Overdue is the number of running requests that already take longer than a slow response.
+	Overdue int
+	// Young is the number of responses to requests that arrived so lately that slow ones of the same time still run.
+	// Counting them would make a version look faster than it is.
+	Young int
+}
+
+type gateKey struct {
+	vm  string
+	new bool
+}
+
+// gateRecord holds what one VM reported for the servers of one version.
+type gateRecord struct {
+	last Report
+	at   time.Duration
+	// before counts the arrivals of earlier incarnations.
+	before uint64
+	// coldRunning is the number of requests of each route that ran when the servers were last cold. They may take longer.
+	coldRunning map[string]int
+	history     []arrival
+	slices      []Sample
+	grant       grant
+}
+
+type arrival struct {
+	at     time.Duration
+	count  uint64
+	routes map[string]RouteCounts
+}
+
+// overdueHistory bounds the arrivals that are kept to recognise overdue requests.
+const overdueHistory = 128
+
+// collection holds the newest report of each gate and the samples made from them. The load pattern is reports that are lost,
+// late or duplicated, and gates that restart: counts are cumulative, the newest sequence of the newest incarnation wins, and
+// the counts of earlier incarnations remain.
+type collection struct {
+	plan  Plan
+	slice time.Duration
+	gates map[gateKey]*gateRecord
+}
+
+// minSlice is twice the report interval of gates with servers of the old version.
+const (
+	minSlice      = 2 * time.Second
+	slicesPerPlan = 8
+)
+
+func newCollection(plan Plan) *collection {
+	return &collection{plan: plan, slice: max(minSlice, plan.Duration/slicesPerPlan), gates: map[gateKey]*gateRecord{}}
+}
+
+// add takes a report and returns the gate's record, or nil if the report is of another rollout or not newer than the last one.
+// The elapsed time decides the slice to which the new counts belong.
+func (c *collection) add(elapsed time.Duration, r Report, loadedAt float64) *gateRecord {
+	if r.Rollout != c.plan.ID || r.Service != c.plan.Service || r.VM == "" {
+		return nil
+	}
+	key := gateKey{r.VM, r.Version == c.plan.NewVersion}
+	g := c.gates[key]
+	var previous Report
+	switch {
+	case g == nil:
+		g = &gateRecord{}
+		c.gates[key] = g
+	case r.Incarnation < g.last.Incarnation, r.Incarnation == g.last.Incarnation && r.Sequence <= g.last.Sequence:
+		return nil
+	case r.Incarnation > g.last.Incarnation:
+		g.before += g.last.Arrived
+		g.history = g.history[:0]
+		g.grant.restart()
+		g.coldRunning = nil
+	default:
+		previous = g.last
+	}
+	atLoad := func(r *Report) bool { return r.Slots > 0 && float64(r.Running) > loadedAt*float64(r.Slots) }
+	current := g.current(r.VM, key.new, int(elapsed/c.slice), atLoad(&r) || atLoad(&previous))
+	for route, counts := range r.Routes {
+		delta, grew := since(counts, previous.Routes[route])
+		if grew {
+			total := current.Routes[route]
+			sum(&total, &delta)
+			current.Routes[route] = total
+		}
+	}
+	if r.Slots == 0 || previous.Sequence > 0 && previous.Slots == 0 {
+		g.coldRunning = map[string]int{}
+		for route, counts := range r.Routes {
+			g.coldRunning[route] = counts.unended()
+		}
+	}
+	g.last, g.at = r, elapsed
+	if len(g.history) == overdueHistory {
+		g.history = append(g.history[:0], g.history[1:]...)
+	}
+	g.history = append(g.history, arrival{elapsed, r.Arrived, r.Routes})
+	return g
+}
+
+// current returns the sample of the slice and load. Samples are in the order of their slices.
+func (g *gateRecord) current(vm string, isNew bool, slice int, loaded bool) *Sample {
+	if n := len(g.slices); n > 0 {
+		slice = max(slice, g.slices[n-1].Slice)
+	}
+	for i := len(g.slices) - 1; i >= 0 && g.slices[i].Slice == slice; i-- {
+		if g.slices[i].Loaded == loaded {
+			return &g.slices[i]
+		}
+	}
+	g.slices = append(g.slices, Sample{VM: vm, New: isNew, Slice: slice, Loaded: loaded, Routes: map[string]RouteCounts{}})
+	return &g.slices[len(g.slices)-1]
+}
+
+func (c *RouteCounts) ended() int { return int(c.Succeeded) + int(c.Failed) + int(c.Broken) }
+
+func (c *RouteCounts) unended() int { return max(0, int(c.Started)-c.ended()) }
+
+// unended returns the requests of a route without a result. Those that surely have run for longer than limit are overdue:
+// they arrived before and have no result yet. Without them, a version of which half of the requests do not end within the
+// rollout would look like one without faults.
+func (g *gateRecord) unended(route string, limit time.Duration) (u Unended) {
+	counts := g.last.Routes[route]
+	u.Running = min(counts.unended(), g.last.Running)
+	if limit <= 0 {
+		return u
+	}
+	started := 0
+	for i := len(g.history) - 1; i >= 0; i-- {
+		if a := g.history[i]; a.at <= g.at-limit {
+			before := a.routes[route]
+			started = int(before.Started)
+			break
+		}
+	}
+	u.Young = max(0, counts.ended()-started)
+	if g.last.Slots > 0 {
+		u.Overdue = max(0, min(started-counts.ended(), u.Running)-g.coldRunning[route])
+	}
+	return u
+}
+
+// samples returns all samples in a fixed order. Overdue requests count for the newest sample of their gate, or its newest
+// sample at load if it had one. limits has the least time of a slow response for each route.
+func (c *collection) samples(limits map[string]time.Duration) []Sample {
+	var all []Sample
+	for _, key := range c.keys() {
+		g := c.gates[key]
+		first := len(all)
+		all = append(all, g.slices...)
+		own := all[first:]
+		if len(own) == 0 {
+			continue
+		}
+		atLoad := len(own) - 1
+		for i := range own {
+			own[i].Unended = map[string]Unended{}
+			if own[i].Loaded {
+				atLoad = i
+			}
+		}
+		for route := range g.last.Routes {
+			u := g.unended(route, limits[route])
+			own[len(own)-1].Unended[route] = Unended{Running: u.Running}
+			for i := len(own) - 1; i >= 0; i-- {
+				counts := own[i].Routes[route]
+				part := own[i].Unended[route]
+				part.Young = min(u.Young, counts.ended())
+				u.Young -= part.Young
+				if i == atLoad {
+					part.Overdue = u.Overdue
+				}
+				own[i].Unended[route] = part
+			}
+		}
+	}
+	return all
+}
+
+func (c *collection) keys() []gateKey {
+	keys := make([]gateKey, 0, len(c.gates))
+	for key := range c.gates {
+		keys = append(keys, key)
+	}
+	sort.Slice(keys, func(i, j int) bool {
+		return keys[i].vm < keys[j].vm || keys[i].vm == keys[j].vm && !keys[i].new && keys[j].new
+	})
+	return keys
+}
+
+// Totals are the counts of the servers of one version.
+type Totals struct {
+	// Gates is the number of VMs that reported, and Slots that of the slots of those that reported lately.
+	Gates   int
+	Slots   int
+	Running int
+	// Arrived includes the requests of earlier incarnations of the gates.
+	Arrived uint64
+	Routes  map[string]RouteCounts
+}
+
+// Bad returns the number of responses that failed or broke.
+func (t Totals) Bad() (n uint64) {
+	for _, counts := range t.Routes {
+		n += uint64(counts.Failed) + uint64(counts.Broken)
+	}
+	return n
+}
+
+// reportsLostAfter is three report intervals of a gate with servers of the old version: what it reported then no longer counts
+// as its present state.
+const reportsLostAfter = 3 * time.Second
+
+func (c *collection) totals(elapsed time.Duration, isNew bool) Totals {
+	t := Totals{Routes: map[string]RouteCounts{}}
+	for key, g := range c.gates {
+		if key.new != isNew {
+			continue
+		}
+		t.Gates++
+		t.Arrived += g.before + g.last.Arrived
+		if elapsed-g.at <= reportsLostAfter {
+			t.Slots += g.last.Slots
+			t.Running += g.last.Running
+		}
+		for i := range g.slices {
+			for route, counts := range g.slices[i].Routes {
+				total := t.Routes[route]
+				sum(&total, &counts)
+				t.Routes[route] = total
+			}
+		}
+	}
+	return t
+}
+
+// arrived returns the arrivals at the servers of both versions.
+func (c *collection) arrived() (n uint64) {
+	for _, g := range c.gates {
+		n += g.before + g.last.Arrived
+	}
+	return n
+}
+
+// rate returns the requests per second at both versions, from the last seconds of each gate that reports. Reports of old
+// gates are a second apart, so the sum of counts is behind by half of that.
+func (c *collection) rate(elapsed time.Duration) (rate float64) {
+	for _, g := range c.gates {
+		if elapsed-g.at > reportsLostAfter {
+			continue
+		}
+		first, span := uint64(0), time.Duration(g.last.KnownMs)*time.Millisecond
+		for _, a := range g.history {
+			if g.at-a.at >= reportsLostAfter {
+				first, span = a.count, g.at-a.at
+			}
+		}
+		rate += float64(g.last.Arrived-min(first, g.last.Arrived)) / max(0.5, span.Seconds())
+	}
+	return rate
+}
+
+func sum(total, more *RouteCounts) {
+	total.Started += more.Started
+	total.Succeeded += more.Succeeded
+	total.Failed += more.Failed
+	total.Broken += more.Broken
+	for i, n := range more.Latency {
+		total.Latency[i] += n
+	}
+}
+
+// since returns the counts that were added between two reports of an incarnation.
+func since(now, before RouteCounts) (delta RouteCounts, grew bool) {
+	sub := func(a, b uint32) uint32 {
+		if a <= b {
+			return 0
+		}
+		grew = true
+		return a - b
+	}
+	delta.Started = sub(now.Started, before.Started)
+	delta.Succeeded = sub(now.Succeeded, before.Succeeded)
+	delta.Failed = sub(now.Failed, before.Failed)
+	delta.Broken = sub(now.Broken, before.Broken)
+	for i := range now.Latency {
+		delta.Latency[i] = sub(now.Latency[i], before.Latency[i])
+	}
+	return delta, grew
+}
