admission: an adaptive concurrency limit besides the ramp

The ramp starts at one slot and never grows where the work of requests varies by half its mean and a server sees one to three requests per second. The setting concurrency: adaptive starts at the announced slots. It lowers them when the server sheds most requests beside a number of others, or when requests take longer than expected beside many others and not right before and after, and raises them again with time.

--- a/admission/config.go
+++ b/admission/config.go
@@ -25,6 +25,9 @@
 	// SuccessesPerSlot is the number of successful requests with normal latency after which the ramp adds one slot.
 	// Default 10.
 	SuccessesPerSlot int
+	// Adaptive selects the adaptive limit in place of the ramp: all slots are available from the start, and fewer after
+	// evidence of overload. InitialSlots and SuccessesPerSlot have no effect then. Default false.
+	Adaptive bool
 	// ColdRate is the number of requests per second that a cold backend server can handle. When it is set, all slots
 	// are available from the start, and this limit applies until the time passed to SetColdUntil. Default 0: no rate
 	// limit; the ramp adds slots step by step instead.
--- a/admission/fair_queue.go
+++ b/admission/fair_queue.go
@@ -19,6 +19,8 @@
 	expiresAt time.Duration
 	// expiryReason is the reason of the refusal when the waiter expires.
 	expiryReason Reason
+	// expectedCost is Request.ExpectedCost.
+	expectedCost time.Duration
 }
 
 // currentRank returns the rank of the waiter in a priorityQueue. It changes when the waiter becomes late.
--- a/admission/gate.go
+++ b/admission/gate.go
@@ -10,7 +10,7 @@
 	cfg      Config
 	state    State
 	instance string
-	ramp     ramp
+	limit    concurrencyLimit
 	loads    rankLoads
 
 	lastTicket Ticket
@@ -31,7 +31,7 @@
 // runningRequest is an admitted request that has not ended.
 type runningRequest struct {
 	depth    int
-	epoch    uint32
+	start    startMark
 	priority int
 }
 
@@ -40,7 +40,7 @@
 	cfg = cfg.withDefaults()
 	g := &Gate{
 		cfg:         cfg,
-		ramp:        newRamp(cfg),
+		limit:       newLimit(cfg),
 		running:     make(map[Ticket]runningRequest),
 		waiting:     make(map[Ticket]*waiter),
 		inFlight:    make([]int, cfg.NestedLevels+1),
@@ -62,10 +62,11 @@
 	if r.Deadline != 0 && now+r.ExpectedDuration >= r.Deadline {
 		return refuse(ReasonHopeless)
 	}
+	g.limit.advance(now, len(g.running))
 	level := g.level(r.Depth)
 	if g.queues[level].size == 0 && g.hasFreeSlot(level) && g.coldLimiter.next(now) <= now {
 		ticket := g.newTicket()
-		g.start(now, ticket, r.Depth, r.Priority)
+		g.start(now, ticket, r.Depth, r.Priority, r.ExpectedCost)
 		return Decision{Verdict: Admitted, Ticket: ticket}
 	}
 	// A call nested deeper than the reserved levels could wait for a slot that its own ancestor holds.
@@ -106,6 +107,7 @@
 		queuedAt:     now,
 		expiresAt:    now + g.cfg.MaxWait,
 		expiryReason: ReasonMaxWait,
+		expectedCost: r.ExpectedCost,
 	}
 	if last := r.Deadline - r.ExpectedDuration; r.Deadline != 0 && last < w.expiresAt {
 		w.expiresAt = last
@@ -122,9 +124,10 @@
 	if !ok {
 		return nil
 	}
+	g.limit.advance(now, len(g.running))
 	delete(g.running, ticket)
 	g.inFlight[g.level(r.depth)]--
-	g.ramp.observe(r.epoch, latency, result)
+	g.limit.ended(now, r.start, latency, result)
 	if result != Cancelled && result != Overloaded {
 		g.loads.record(now, r.priority, latency)
 	}
@@ -185,7 +188,7 @@
 	g.state = state
 	if state == Serving {
 		if previous == Ejected || previous == Lost {
-			g.ramp.reset(true)
+			g.limit.reset(true)
 		}
 		return nil
 	}
@@ -204,9 +207,9 @@
 // Reconfigure applies new settings. Running requests continue even when they exceed the new number of slots. Queued
 // requests keep their deadlines; those nested deeper than the new NestedLevels are refused.
 func (g *Gate) Reconfigure(now time.Duration, cfg Config) ([]Grant, []Refusal) {
-	former := g.queues
+	former, previous := g.queues, g.cfg
 	g.cfg = cfg.withDefaults()
-	g.ramp.configure(g.cfg)
+	g.limit = reconfigured(g.limit, previous, g.cfg)
 	g.coldLimiter.perSecond = g.cfg.ColdRate
 	g.inFlight = make([]int, g.cfg.NestedLevels+1)
 	for _, r := range g.running {
@@ -233,7 +236,10 @@
 
 // Grant starts the queued requests that have a free slot and that the rate limit of a cold backend server allows.
 // Call it at the time that NextGrant returns.
-func (g *Gate) Grant(now time.Duration) []Grant { return g.grant(now) }
+func (g *Gate) Grant(now time.Duration) []Grant {
+	g.limit.advance(now, len(g.running))
+	return g.grant(now)
+}
 
 // NextGrant returns the time at which the rate limit of a cold backend server allows the next start, and false when
 // no queued request has a free slot.
@@ -251,10 +257,10 @@
 // priority.
 func (g *Gate) EstimateWait() time.Duration {
 	waiting := len(g.waiting)
-	if len(g.running) < g.ramp.effective && waiting == 0 {
+	if len(g.running) < g.limit.slotsInUse() && waiting == 0 {
 		return 0
 	}
-	return g.ramp.estimateWait(waiting + 1)
+	return g.limit.estimateWait(waiting + 1)
 }
 
 // SetInstance records the instance ID of the backend server. A new ID means a restart of the server, which is cold
@@ -264,14 +270,17 @@
 		return
 	}
 	g.instance = instance
-	g.ramp.reset(false)
+	g.limit.reset(false)
 }
 
+// TakeLimitChanges returns the changes of the concurrency limit since the last call. The ramp reports none.
+func (g *Gate) TakeLimitChanges() []LimitChange { return g.limit.takeChanges() }
+
 // Load returns the current load.
 func (g *Gate) Load() Load {
 	return Load{
 		InFlight:  len(g.running),
-		Effective: g.ramp.effective,
+		Effective: g.limit.slotsInUse(),
 		Queued:    len(g.waiting),
 		Slots:     g.cfg.Slots,
 		State:     g.state,
@@ -298,16 +307,17 @@
 			if w.late {
 				g.late[level].recordStart(now)
 			}
-			g.start(now, w.ticket, w.depth, w.priority)
+			g.start(now, w.ticket, w.depth, w.priority, w.expectedCost)
 			grants = append(grants, Grant{Ticket: w.ticket, Wait: now - w.queuedAt})
 		}
 	}
 	return grants
 }
 
-func (g *Gate) start(now time.Duration, ticket Ticket, depth, priority int) {
+func (g *Gate) start(now time.Duration, ticket Ticket, depth, priority int, cost time.Duration) {
 	g.coldLimiter.start(now)
-	g.running[ticket] = runningRequest{depth: depth, epoch: g.ramp.epoch, priority: priority}
+	g.limit.advance(now, len(g.running))
+	g.running[ticket] = runningRequest{depth: depth, start: g.limit.started(cost, len(g.running)+1), priority: priority}
 	g.inFlight[g.level(depth)]++
 }
 
@@ -333,7 +343,7 @@
 // capacity returns the number of requests at levels 0 to level that may run at once. Requests at level 0 always have
 // one slot, because a cold backend server would never warm up otherwise; the reserved slots are added to it.
 func (g *Gate) capacity(level int) int {
-	newWork := max(g.ramp.effective-g.cfg.NestedLevels, 1)
+	newWork := max(g.limit.slotsInUse()-g.cfg.NestedLevels, 1)
 	return newWork + level
 }
 
--- a/admission/late_requests.go
+++ b/admission/late_requests.go
@@ -96,7 +96,7 @@
 func (g *Gate) demoteLate(now time.Duration, level int) {
 	q := g.queues[level]
 	if q.lateSize() == 0 {
-		g.late[level].reset(now, g.ramp.throughput())
+		g.late[level].reset(now, g.limit.throughput())
 	}
 	q.demoteLate(now)
 }
@@ -104,8 +104,8 @@
 // estimateQueueWait estimates how long a new request waits for its slot: until the slots that more urgent requests leave have
 // served the requests before it.
 func (g *Gate) estimateQueueWait(now time.Duration, q *priorityQueue, r *Request) time.Duration {
-	work := q.workBefore(r.Priority, r.Team, func(priority int) float64 { return g.loads.holdOf(priority, g.ramp.meanLatency) })
-	seconds := work / g.loads.remainingSlots(now, r.Priority, g.ramp.effective) / float64(time.Second)
+	work := q.workBefore(r.Priority, r.Team, func(priority int) float64 { return g.loads.holdOf(priority, g.limit.latency()) })
+	seconds := work / g.loads.remainingSlots(now, r.Priority, g.limit.slotsInUse()) / float64(time.Second)
 	if !(seconds < maxWait.Seconds()) {
 		return maxWait
 	}
--- a/admission/ramp.go
+++ b/admission/ramp.go
@@ -1,9 +1,6 @@
 package admission
 
-import (
-	"math"
-	"time"
-)
+import "time"
 
 const (
 	// slowFactor is the multiple of the baseline latency above which a response is slow. With a lower factor, the
@@ -34,15 +31,12 @@
 
 	// fixed makes all slots available at all times, because Config.ColdRate limits a cold backend server instead.
 	fixed bool
-	// effective is the number of requests that may be in flight.
-	effective int
+	pace
 	// successes counts the normal results since the last change of the slots.
 	successes int
 	// baseline is the usual latency in nanoseconds, a moving average of successful requests; 0 before the first one.
 	baseline float64
-	// meanLatency is a moving average of the latency of all requests but cancelled ones, in nanoseconds.
-	meanLatency float64
-	window      resultWindow
+	window   resultWindow
 	// epoch counts the reductions of the slots. Results of requests that started before the last reduction cannot
 	// cause another one.
 	epoch uint32
@@ -58,7 +52,7 @@
 		initial:          cfg.InitialSlots,
 		slots:            cfg.Slots,
 		successesPerSlot: cfg.SuccessesPerSlot,
-		effective:        cfg.InitialSlots,
+		pace:             pace{effective: cfg.InitialSlots},
 		fixed:            cfg.ColdRate > 0,
 	}
 	if r.fixed {
@@ -99,10 +93,7 @@
 	if result == Cancelled {
 		return
 	}
-	if result != Overloaded {
-		// A backend server sheds in a moment; that tells nothing about the time for which a request holds its slot.
-		r.meanLatency += (float64(latency) - r.meanLatency) / 8
-	}
+	r.record(latency, result)
 	if epoch != r.epoch {
 		return
 	}
@@ -149,20 +140,6 @@
 	return normal, slow, cold
 }
 
-// estimateWait estimates how long the last of n queued requests waits for its slot.
-func (r *ramp) estimateWait(n int) time.Duration {
-	return time.Duration(float64(n) * r.meanLatency / float64(r.effective))
-}
-
-// throughput estimates how many requests per second can start while all allowed slots are in use; +Inf before the
-// first result.
-func (r *ramp) throughput() float64 {
-	if r.meanLatency <= 0 {
-		return math.Inf(1)
-	}
-	return float64(r.effective) / (r.meanLatency / float64(time.Second))
-}
-
 // grow counts a normal result and adds a slot after every successesPerSlot of them.
 func (r *ramp) grow() {
 	r.successes++
--- a/admission/types.go
+++ b/admission/types.go
@@ -28,6 +28,9 @@
 	// ExpectedDuration is the expected time from the start of the request to its response. A request that cannot
 	// finish before its deadline is refused, either by Offer or as soon as this is certain. 0 means unknown.
 	ExpectedDuration time.Duration
+	// ExpectedCost is the usual time from the start of such a request to its response. The adaptive limit measures the
+	// time of the request against it. Unlike ExpectedDuration it refuses nothing. 0 means unknown.
+	ExpectedCost time.Duration
 }
 
 // Verdict is the outcome of Offer.
@@ -136,7 +139,7 @@
 type Load struct {
 	// InFlight is the number of admitted requests that have not ended.
 	InFlight int
-	// Effective is the number of requests that the ramp currently allows in flight.
+	// Effective is the number of requests that may currently be in flight.
 	Effective int
 	Queued    int
 	Slots     int
--- a/fleet/config/defaults.go
+++ b/fleet/config/defaults.go
@@ -55,6 +55,9 @@
 
 func (s Service) withDefaults() Service {
 	normalizeEmpty(&s.Domains)
+	if s.Concurrency == ConcurrencyRamp {
+		s.Concurrency = ""
+	}
 	setDefault(&s.ConnectTimeout, DefaultConnectTimeout)
 	setDefault(&s.ProbePath, DefaultProbePath)
 	setDefault(&s.Ramp.InitialSlots, DefaultInitialSlots)
--- a/fleet/config/document.go
+++ b/fleet/config/document.go
@@ -57,6 +57,10 @@
 	Ramp Ramp `json:"ramp"`
 	// Queue limits the requests that wait for one backend server.
 	Queue Queue `json:"queue"`
+	// Concurrency is how the number of requests that one backend server runs at once is limited: ConcurrencyRamp or
+	// ConcurrencyAdaptive. Empty means ConcurrencyRamp. SetDefaults keeps it empty, because older members of the
+	// control group refuse documents with this field.
+	Concurrency string `json:"concurrency,omitempty"`
 	// ConnectTimeout limits the time to open a connection to a backend server. Default: 250ms.
 	ConnectTimeout Duration `json:"connectTimeout,omitempty"`
 	// ResponseTimeout limits the wait for the response headers of a backend server. Default: the route's deadline.
@@ -67,6 +71,14 @@
 	NestedCalls bool `json:"nestedCalls,omitempty"`
 }
 
+// Values of Service.Concurrency.
+const (
+	// ConcurrencyRamp starts a cold backend server with few slots and adds others with successful requests; see Ramp.
+	ConcurrencyRamp = "ramp"
+	// ConcurrencyAdaptive starts with all announced slots and lowers their number on evidence of overload.
+	ConcurrencyAdaptive = "adaptive"
+)
+
 // Ramp describes how the load on a cold backend server increases.
 type Ramp struct {
 	// InitialSlots is the number of slots with which a cold backend server starts. Default: 1.
--- a/fleet/config/load_test.go
+++ b/fleet/config/load_test.go
@@ -45,6 +45,19 @@
 	assert.DeepEqual(t, doc.Routes["home"].RepeatableMethods, []string{})
 }
 
+// Guards against a default that is written into the document, which older members of the control group would refuse.
+func TestConcurrencyDefault(t *testing.T) {
+	for overlay, want := range map[string]string{
+		"services: {web: {slots: 5}}":              "",
+		"services: {web: {concurrency: ramp}}":     "",
+		"services: {web: {concurrency: adaptive}}": ConcurrencyAdaptive,
+	} {
+		doc, err := Load([]byte(testBase), []byte(overlay), [2]string{"base.yaml", "site.yaml"})
+		assert.NilError(t, err)
+		assert.Equal(t, doc.Services["web"].Concurrency, want, overlay)
+	}
+}
+
 // Guards against errors that report the wrong file, line or field.
 func TestLoadReportsFileLineAndField(t *testing.T) {
 	tests := []struct {
@@ -62,6 +75,7 @@
 		{"anchor", testBase, "teams:\n  red: &x {rate: 1}\n", FieldError{"site.yaml", 2, "teams.red", ""}},
 		{"second document", testBase, "teams: {}\n---\nteams: {}\n", FieldError{"site.yaml", 3, "", ""}},
 		{"fraction for a whole number", testBase, "teams: {red: {burst: 1.5}}", FieldError{"site.yaml", 1, "teams.red.burst", ""}},
+		{"unknown kind of limit", testBase, "services: {web: {concurrency: fixed}}", FieldError{"site.yaml", 1, "services.web.concurrency", ""}},
 		{"same key in two teams", testBase, "teams:\n  red: {keyHashes: [" + HashKey("k") + "]}\n  blue: {keyHashes: [" + HashKey("k") + "]}\n", FieldError{"site.yaml", 2, "teams.red.keyHashes[0]", ""}},
 		{"two routes with one path", testBase, "routes:\n  other: {path: /, service: web, access: open}\n", FieldError{"site.yaml", 2, "routes.other.path", ""}},
 		{"path without leading slash", testBase, "routes: {home: {path: home}}", FieldError{"site.yaml", 1, "routes.home.path", ""}},
--- a/fleet/config/validate_entry.go
+++ b/fleet/config/validate_entry.go
@@ -98,6 +98,9 @@
 	if s.Ramp.Time < 0 || s.Ramp.Time > maxDuration || s.Ramp.Time > 0 && s.Ramp.Rate == 0 {
 		c.fail(path+".ramp.time", "%s is not in 0s to %s, or stands without a rate", s.Ramp.Time.Std(), maxDuration.Std())
 	}
+	if s.Concurrency != "" && s.Concurrency != ConcurrencyRamp && s.Concurrency != ConcurrencyAdaptive {
+		c.fail(path+".concurrency", "%q is neither %q nor %q", s.Concurrency, ConcurrencyRamp, ConcurrencyAdaptive)
+	}
 	c.checkRange(path+".queue.length", s.Queue.Length, 1, maxQueueLength)
 	c.checkRange(path+".queue.teamPercent", s.Queue.TeamPercent, 1, 100)
 	c.checkPositive(path+".queue.maxWait", s.Queue.MaxWait)
--- a/proxy/server.go
+++ b/proxy/server.go
@@ -108,6 +108,7 @@
 		TeamPercent:      settings.Queue.TeamPercent,
 		MaxWait:          settings.Queue.MaxWait.Std(),
 		ColdRate:         settings.Ramp.Rate,
+		Adaptive:         settings.Concurrency == config.ConcurrencyAdaptive,
 	}
 	if settings.NestedCalls {
 		cfg.NestedLevels = 1
@@ -503,12 +504,13 @@
 	expected := s.expectedLatency(req.Route)
 	offer := admission.Request{
 		Team: req.Team, Weight: weight, Depth: req.Depth, Priority: req.Priority, Deadline: deadline,
-		ExpectedDuration: time.Duration(minWorkShare * float64(expected)),
+		ExpectedDuration: time.Duration(minWorkShare * float64(expected)), ExpectedCost: expected,
 	}
 	if !req.Objective.IsZero() {
 		offer.Objective = max(now+time.Until(req.Objective)-expected, 1)
 	}
 	decision := s.gate.Offer(now, offer)
+	s.logLimitChanges()
 	s.deliverRefusals(decision.Displaced)
 	if decision.Verdict == admission.Refused {
 		s.endTrial(trial)
@@ -606,6 +608,7 @@
 		s.observe(h.sentAt, true, "failed")
 	}
 	s.deliverGrants(s.gate.Done(s.clock(), h.ticket, latency, result))
+	s.logLimitChanges()
 }
 
 // deliverGrants wakes the waiters whose requests may start. The caller holds mu.
