outlier, proxy: circuit breakers of services with the adaptive limit tell single errors from gray failures

The requests queued at a server that begins to fail within a millisecond all started and failed: they are refused as not run when the breaker trips. An error after the usual work counts half, so that one leaves the server in service. After one fast failure, a request that may not be repeated is a trial after 1 s, and after 7 s at a server that failed repeatedly within two minutes.

--- a/admission/gate.go
+++ b/admission/gate.go
@@ -192,12 +192,18 @@
 		}
 		return nil
 	}
+	return g.RefuseQueued(state.refusalReason())
+}
+
+// RefuseQueued refuses all queued requests for a reason. Without it, the requests queued at a backend server that begins to
+// fail each request at once would all start and fail within milliseconds.
+func (g *Gate) RefuseQueued(reason Reason) []Refusal {
 	refusals := g.expired
 	g.expired = nil
 	for level, q := range g.queues {
 		for _, w := range q.all() {
 			delete(g.waiting, w.ticket)
-			refusals = append(refusals, Refusal{Ticket: w.ticket, Reason: state.refusalReason()})
+			refusals = append(refusals, Refusal{Ticket: w.ticket, Reason: reason})
 		}
 		g.queues[level] = &priorityQueue{}
 	}
--- a/outlier/breaker.go
+++ b/outlier/breaker.go
@@ -61,6 +61,7 @@
 	// lastRetryable is when the newest retryable request was offered; retryableSeen is false before the first.
 	lastRetryable time.Duration
 	retryableSeen bool
+	adaptive      adaptiveBreaker
 }
 
 // BreakerRequest holds what a Breaker needs to know about a request.
@@ -87,12 +88,13 @@
 	}
 	b.runningTrials++
 	b.lastTrial = now
+	b.adaptive.evidenceAt = now
 	return true, true
 }
 
 // allowTrial reports whether a request may be sent as a trial now.
 func (b *Breaker) allowTrial(now time.Duration, r BreakerRequest) bool {
-	if !r.MayFail && (!r.Pressed && b.retryableExpected(now) || b.NonRetryableTrialIn(now) > 0) {
+	if !r.MayFail && (!r.Pressed && b.retryableExpected(now) && !b.adaptive.trusts(now) || b.NonRetryableTrialIn(now) > 0) {
 		return false
 	}
 	if b.score < openScore {
@@ -103,6 +105,9 @@
 
 // NonRetryableTrialIn returns the time until a request that cannot be retried may be sent as a trial if no other result comes.
 func (b *Breaker) NonRetryableTrialIn(now time.Duration) time.Duration {
+	if b.adaptive.on {
+		return b.adaptive.nonRetryableTrialIn(now, b.runningTrials > 0)
+	}
 	if b.runningTrials > 0 {
 		return nonRetryableTrialAfter
 	}
@@ -125,7 +130,8 @@
 	if failed {
 		b.lastFailureSentAt = max(b.lastFailureSentAt, sentAt)
 		wasOpen := b.score >= openScore
-		b.score = min(b.score+failureScore, maxScore)
+		b.score = min(b.score+failureScore*b.adaptive.failureWeight(now-sentAt), maxScore)
+		b.adaptive.failed(now, !wasOpen && b.score >= openScore)
 		if wasOpen {
 			b.trialWait = min(2*b.trialWait, maxTrialWait)
 		} else {
@@ -137,11 +143,13 @@
 		return
 	}
 	b.trialWait = 0
+	wasTripped := b.score >= suspectScore
 	b.score = max(b.score+successScore, 0)
+	b.adaptive.succeeded(now, now-sentAt, wasTripped && b.score < suspectScore)
 }
 
 // Reset drops all evidence, for a new instance.
-func (b *Breaker) Reset() { *b = Breaker{} }
+func (b *Breaker) Reset() { *b = Breaker{adaptive: adaptiveBreaker{on: b.adaptive.on}} }
 
 // Score returns the evidence against the backend server: 0 is none, and from suspectScore on the backend server is
 // Suspect.
--- a/proxy/server.go
+++ b/proxy/server.go
@@ -88,6 +88,7 @@
 		log:            logger,
 	}
 	s.gate = admission.NewGate(s.cfg)
+	s.breaker.SetAdaptive(s.cfg.Adaptive)
 	return s
 }
 
@@ -176,6 +177,7 @@
 	}
 	s.cfg = cfg
 	s.slots = slots
+	s.breaker.SetAdaptive(cfg.Adaptive)
 	grants, refusals := s.gate.Reconfigure(s.clock(), cfg)
 	s.deliverGrants(grants)
 	s.deliverRefusals(refusals)
@@ -339,6 +341,8 @@
 		Float64("score", s.breaker.Score()).Int("running", len(s.running)).Msg("gate: judged backend server.")
 	if health == outlier.Healthy {
 		s.notifyRecovered()
+	} else if s.cfg.Adaptive {
+		s.deliverRefusals(s.gate.RefuseQueued(admission.Reason(breakerReason(&s.breaker))))
 	}
 }
 
@@ -352,10 +356,7 @@
 	if _, known := s.refusedEntries[entry]; entry != "" && (known || len(s.refusedEntries) < maxRefusedEntries) {
 		s.refusedEntries[entry] = s.clock()
 	}
-	if s.breaker.Health() == outlier.Faulty {
-		return ReasonFaulty
-	}
-	return ReasonSuspect
+	return breakerReason(&s.breaker)
 }
 
 // notifyRecovered notifies the entries that still avoid the backend server that it is healthy. The caller holds mu.
