--- a/admission/gate.go
+++ b/admission/gate.go
@@ -26,6 +26,9 @@
 	lastReview time.Duration
 	// expired holds requests that grant found expired. The next Expire returns them.
 	expired []Refusal
+	// failedUntil holds, for each request that ended early with a failure, the time at which it would usually have ended.
+	// Only a gate with the adaptive limit keeps it.
+	failedUntil []time.Duration
 }
 
 // runningRequest is an admitted request that has not ended.
@@ -128,6 +131,7 @@
 	delete(g.running, ticket)
 	g.inFlight[g.level(r.depth)]--
 	g.limit.ended(now, r.start, latency, result)
+	g.recordEarlyFailure(now, latency, result)
 	if result != Cancelled && result != Overloaded {
 		g.loads.record(now, r.priority, latency)
 	}
--- a/proxy/server.go
+++ b/proxy/server.go
@@ -488,7 +488,7 @@
 func (s *server) load() admission.Load {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.gate.Load()
+	return s.gate.ReportedLoad(s.clock())
 }
 
 // acquire waits for a slot until the deadline.
