--- a/admission/adaptive_limit.go
+++ b/admission/adaptive_limit.go
@@ -72,7 +72,11 @@
 	// before, during and after hold the results of the round that is being measured.
 	before, during, after logMean
 	rounds                []round
-	changes               []LimitChange
+	// manyEndedAt and fewEndedAt are the ends of the last requests in during and after. A request that began before the end of
+	// the part before its own belongs to neither: at the edge of a slow episode, requests that began in it and after it end in
+	// turn, and would pass as many rounds.
+	manyEndedAt, fewEndedAt time.Duration
+	changes                 []LimitChange
 }
 
 // logMean is a moving average of the logarithms of the last few ratios.
@@ -201,16 +205,21 @@
 	sample := math.Log(float64(latency) / float64(start.expectedCost))
 	switch {
 	case share >= manyShare:
+		if l.after.n > 0 && start.at < l.fewEndedAt {
+			return
+		}
 		if l.after.n > 0 {
 			l.endRound(now)
 		}
 		if l.before.n > 0 {
 			l.during.add(sample)
+			l.manyEndedAt = now
 		}
 	case share <= fewShare && l.during.n == 0:
 		l.before.add(sample)
-	case share <= fewShare:
+	case share <= fewShare && start.at >= l.manyEndedAt:
 		l.after.add(sample)
+		l.fewEndedAt = now
 	}
 	if len(l.rounds) >= minRounds {
 		l.judgeRounds(now, start)
--- a/admission/adaptive_limit_test.go
+++ b/admission/adaptive_limit_test.go
@@ -24,6 +24,8 @@
 	falseSheds float64
 	// episode is the length of the phases in which slowness applies and does not apply in turn; 0 is always.
 	episode time.Duration
+	// coldFor is the time in which requests take four times as long.
+	coldFor time.Duration
 }
 
 const limitMeanWork = 840 * time.Millisecond
@@ -43,6 +45,9 @@
 	if s.slowness > 0 && (s.episode == 0 || now/s.episode%2 == 1) {
 		work *= s.slowness
 	}
+	if now < s.coldFor {
+		work *= 4
+	}
 	return time.Duration(work), Succeeded
 }
 
@@ -161,6 +166,7 @@
 		maxSheds float64
 	}{
 		{name: "healthy", slots: []int{1, 2, 4, 8, 64}, minMean: always},
+		{name: "cold for 30 s", server: limitServer{coldFor: 30 * time.Second}, slots: []int{1, 2, 4, 8, 64}, minMean: always},
 		{name: "slow x4", server: limitServer{slowness: 4}, slots: []int{1, 2, 4, 8, 64}, minMean: always},
 		{name: "slow x12", server: limitServer{slowness: 12}, slots: []int{1, 2, 4, 8, 64}, minMean: always},
 		{name: "slow x4 for 5 of 10 s", server: limitServer{slowness: 4, episode: 5 * time.Second}, slots: []int{1, 2, 4, 8, 64}, minMean: 0.9},
