--- a/proxy/router.go
+++ b/proxy/router.go
@@ -102,6 +102,7 @@
 		if refusal.Reason == ReasonExposure {
 			r.leaveNewVersion(req)
 		}
+		req.Forced = req.Forced || r.mostTripped(req.Service, history)
 		if !r.mayRetry(req, refusal, history) {
 			return history.result()
 		}
--- a/proxy/server.go
+++ b/proxy/server.go
@@ -92,6 +92,7 @@
 		log:            logger,
 	}
 	s.gate = admission.NewGate(s.cfg)
+	s.breaker.SetAdaptive(s.cfg.Adaptive)
 	return s
 }
 
@@ -112,6 +113,7 @@
 		TeamPercent:      settings.Queue.TeamPercent,
 		MaxWait:          settings.Queue.MaxWait.Std(),
 		ColdRate:         settings.Ramp.Rate,
+		Adaptive:         settings.Concurrency == config.ConcurrencyAdaptive,
 	}
 	if settings.NestedCalls {
 		cfg.NestedLevels = 1
@@ -180,6 +182,7 @@
 	}
 	s.cfg = cfg
 	s.slots = slots
+	s.breaker.SetAdaptive(cfg.Adaptive)
 	grants, refusals := s.gate.Reconfigure(s.clock(), cfg)
 	s.deliverGrants(grants)
 	s.deliverRefusals(refusals)
@@ -343,6 +346,8 @@
 		Float64("score", s.breaker.Score()).Int("running", len(s.running)).Msg("gate: judged backend server.")
 	if health == outlier.Healthy {
 		s.notifyRecovered()
+	} else if s.cfg.Adaptive {
+		s.deliverRefusals(s.gate.RefuseQueued(admission.Reason(breakerReason(&s.breaker))))
 	}
 }
 
@@ -356,10 +361,7 @@
 	if _, known := s.refusedEntries[entry]; entry != "" && (known || len(s.refusedEntries) < maxRefusedEntries) {
 		s.refusedEntries[entry] = s.clock()
 	}
-	if s.breaker.Health() == outlier.Faulty {
-		return ReasonFaulty
-	}
-	return ReasonSuspect
+	return breakerReason(&s.breaker)
 }
 
 // notifyRecovered notifies the entries that still avoid the backend server that it is healthy. The caller holds mu.
@@ -491,7 +493,7 @@
 func (s *server) load() admission.Load {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.gate.Load()
+	return s.gate.ReportedLoad(s.clock())
 }
 
 // acquire waits for a slot until the deadline.
@@ -508,12 +510,13 @@
 	expected := s.expectedLatency(req.Route)
 	offer := admission.Request{
 		Team: req.Team, Weight: weight, Depth: req.Depth, Priority: req.Priority, Deadline: deadline,
-		ExpectedDuration: time.Duration(minWorkShare * float64(expected)),
+		ExpectedDuration: time.Duration(minWorkShare * float64(expected)), ExpectedCost: expected,
 	}
 	if !req.Objective.IsZero() {
 		offer.Objective = max(now+time.Until(req.Objective)-expected, 1)
 	}
 	decision := s.gate.Offer(now, offer)
+	s.logLimitChanges()
 	s.deliverRefusals(decision.Displaced)
 	if decision.Verdict == admission.Refused {
 		s.endTrial(trial)
@@ -611,6 +614,7 @@
 		s.observe(h.sentAt, true, "failed")
 	}
 	s.deliverGrants(s.gate.Done(s.clock(), h.ticket, latency, result))
+	s.logLimitChanges()
 }
 
 // deliverGrants wakes the waiters whose requests may start. The caller holds mu.
