proxy: a gate without a free slot passes a request on instead of letting it wait

Where an entry expects free slots elsewhere, the gate now refuses with reason full, up to three times; then the request waits at the VM with the shortest queue of those that it saw.

--- a/admission/gate.go
+++ b/admission/gate.go
@@ -69,6 +69,9 @@
 		g.start(now, ticket, r.Depth, r.Priority, r.ExpectedCost)
 		return Decision{Verdict: Admitted, Ticket: ticket}
 	}
+	if r.NoWait {
+		return refuse(ReasonFull)
+	}
 	// A call nested deeper than the reserved levels could wait for a slot that its own ancestor holds.
 	if r.Depth > g.cfg.NestedLevels {
 		return refuse(ReasonNested)
--- a/admission/types.go
+++ b/admission/types.go
@@ -18,6 +18,8 @@
 	// Priority is the rank of the request in the queue; lower values start first. RequestPriority and
 	// BackendCallPriority return it.
 	Priority int
+	// NoWait is true for a request that is refused with ReasonFull instead of being queued.
+	NoWait bool
 	// Deadline is the time at which the request may no longer start. 0 means that only Config.MaxWait limits its time
 	// in the queue.
 	Deadline time.Duration
@@ -62,6 +64,8 @@
 	ReasonDraining Reason = "draining"
 	ReasonEjected  Reason = "ejected"
 	ReasonLost     Reason = "lost"
+	// ReasonFull means that no slot was free for a request that does not wait.
+	ReasonFull Reason = "full"
 	// ReasonDisplaced means that a queued request gave its place in the full queue to a more urgent one, or to one of
 	// a team with fewer queued requests for its weight.
 	ReasonDisplaced Reason = "displaced"
--- a/proxy/gatehttp.go
+++ b/proxy/gatehttp.go
@@ -86,6 +86,7 @@
 		Forced:         r.Header.Get(headerForced) != "",
 		Repeat:         parseRepeat(r.Header.Get(headerRepeat)),
 		Pressed:        r.Header.Get(headerPressed) != "",
+		NoWait:         r.Header.Get(headerNoWait) != "",
 		ConfigVersion:  version,
 		Repeatable:     repeatable,
 		IdempotencyKey: r.Header.Get(HeaderIdempotencyKey),
--- a/proxy/headers.go
+++ b/proxy/headers.go
@@ -36,6 +36,7 @@
 	headerForced        = HeaderPrefix + "Forced"
 	headerRepeat        = HeaderPrefix + "Repeat"
 	headerPressed       = HeaderPrefix + "Pressed"
+	headerNoWait        = HeaderPrefix + "No-Wait"
 	headerTrialInMs     = HeaderPrefix + "Trial-In-Ms"
 	headerReached       = HeaderPrefix + "Reached"
 	headerRetryAfterMs  = HeaderPrefix + "Retry-After-Ms"
--- a/proxy/message.go
+++ b/proxy/message.go
@@ -40,6 +40,9 @@
 	// Pressed is true where the entry knows no other VM with a free slot. The gate may then use a request that may not be
 	// repeated as a trial of a backend server whose circuit breaker has tripped.
 	Pressed bool
+	// NoWait is true where the entry expects a free slot on another VM if this one has none. The gate then refuses the request
+	// with the reason "full" instead of letting it wait. A gate of an earlier build lets it wait.
+	NoWait bool
 	// LastResort is true where the entry knows no VM that serves the service, and tries the own one. A gate that is leaving
 	// serves such requests, because the own entry accepted them before or during the stop. It is not sent to other VMs.
 	LastResort bool
--- a/proxy/problem.go
+++ b/proxy/problem.go
@@ -56,6 +56,7 @@
 	ReasonAnswerNotKept: "The request completed earlier; its answer was too large to keep.",
 
 	Reason(admission.ReasonTeamShare): "The team's share of the queue is full.",
+	Reason(admission.ReasonFull):      "The backend server has no free slot.",
 	Reason(admission.ReasonMaxWait):   "The request waited too long for a slot.",
 	Reason(admission.ReasonHopeless):  "The request could not be answered in time.",
 	Reason(admission.ReasonNested):    "The nested call is too deep for the service.",
--- a/proxy/remote.go
+++ b/proxy/remote.go
@@ -171,6 +171,9 @@
 	if req.Pressed {
 		h.Set(headerPressed, "true")
 	}
+	if req.NoWait {
+		h.Set(headerNoWait, "true")
+	}
 	h.Set(headerURI, req.URI)
 	h.Set(headerHost, req.Host)
 	if req.IdempotencyKey != "" {
--- a/proxy/router.go
+++ b/proxy/router.go
@@ -58,6 +58,8 @@
 	reached, declined int
 	lastRefusal       *Refusal
 	mayHaveRun        bool
+	// moves records the gates without a free slot that passed the request on.
+	moves moves
 	// retryReserved is true while the request holds a reserved retry that it has not used.
 	retryReserved bool
 	// failedResponse is the last response with a failure from a backend server; nil if there is none.
@@ -73,7 +75,7 @@
 	for attemptNumber := 1; ; attemptNumber++ {
 		req.MayFail = r.mayFail(req, history)
 		req.Repeat = history.repeat(req)
-		chosen, ok := r.choose(req, history.tried)
+		chosen, ok := r.chooseNext(req, history)
 		if !ok && r.allowTrippedBreakers(req, history) {
 			continue
 		}
@@ -83,6 +85,7 @@
 		if attemptNumber > 1 {
 			retriesCounter.Inc()
 		}
+		req.NoWait = r.mayMove(req, chosen, history)
 		req.MayFail = req.MayFail && r.hasAlternative(req, chosen.peer.VM, history.tried)
 		r.logChoice(req, chosen, attemptNumber)
 		resp, refusal := r.attempt(ctx, req, chosen)
@@ -238,6 +241,8 @@
 		h.reached++
 	case isBreakerReason(refusal.Reason):
 		h.breakerTripped[vm] = true
+	case isFull(refusal):
+		h.moves.add(vm, refusal.Load)
 	default:
 		h.declined++
 	}
--- a/proxy/server.go
+++ b/proxy/server.go
@@ -503,7 +503,7 @@
 	}
 	expected := s.expectedLatency(req.Route)
 	offer := admission.Request{
-		Team: req.Team, Weight: weight, Depth: req.Depth, Priority: req.Priority, Deadline: deadline,
+		Team: req.Team, Weight: weight, Depth: req.Depth, Priority: req.Priority, Deadline: deadline, NoWait: req.NoWait,
 		ExpectedDuration: time.Duration(minWorkShare * float64(expected)), ExpectedCost: expected,
 	}
 	if !req.Objective.IsZero() {
--- a/routing/candidate.go
+++ b/routing/candidate.go
@@ -79,6 +79,9 @@
 	// ReasonLeastLoaded means that no candidate has a free slot and a usable path, and that this one has the lower
 	// cost of two random candidates.
 	ReasonLeastLoaded Reason = "least-loaded"
+	// ReasonShortestQueue means that several VMs had no free slot for the request, and that this one has the shortest queue
+	// of them.
+	ReasonShortestQueue Reason = "shortest-queue"
 	// ReasonTrial means that the request deliberately tests a backend server whose circuit breaker has tripped.
 	ReasonTrial Reason = "trial"
 	// ReasonPressedTrial is ReasonTrial for a request that may not be repeated and that no VM with a free slot was found for.
