--- /dev/null
+++ b/workload/rapid_test.go
@@ -0,0 +1,9 @@
+package workload
+
+import "flag"
+
+func init() {
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+}
