--- a/routing/candidate.go
+++ b/routing/candidate.go
@@ -52,6 +52,8 @@
 	PathPenalty float64
 	// LoadAge is the age of the load report that InFlight and Queued come from.
 	LoadAge time.Duration
+	// Work is what is known of the candidate's work. Only LeastCompletion uses it.
+	Work Work
 }
 
 // Locality is the location of the process that chooses a candidate.
@@ -79,6 +81,9 @@
 	// ReasonLeastLoaded means that no candidate has a free slot and a usable path, and that this one has the lower
 	// cost of two random candidates.
 	ReasonLeastLoaded Reason = "least-loaded"
+	// ReasonLeastCompletion means that no candidate is expected to start the request at once, and that this one is expected
+	// to end it sooner than another random candidate.
+	ReasonLeastCompletion Reason = "least-completion"
 	// ReasonTrial means that the request deliberately tests a backend server whose circuit breaker has tripped.
 	ReasonTrial Reason = "trial"
 	// ReasonPressedTrial is ReasonTrial for a request that may not be repeated and that no VM with a free slot was found for.
--- a/routing/load.go
+++ b/routing/load.go
@@ -32,9 +32,11 @@
 	return load(c) + deadPathCost*c.PathPenalty
 }
 
+// usablePath is the penalty from which a path does not count as usable.
+const usablePath = 0.5
+
 // hasFreeSlot reports whether the request is expected to start without queueing, over a usable path.
 func hasFreeSlot(c *Candidate) bool {
-	const usablePath = 0.5
 	free := c.Capacity >= 1 && load(c)+1/c.Capacity <= 1
 	return free && c.PathPenalty < usablePath
 }
--- a/routing/policy_test.go
+++ b/routing/policy_test.go
@@ -28,16 +28,27 @@
 			State:       State(rapid.IntRange(0, int(StateTakenOut)).Draw(t, "state")),
 			PathPenalty: rapid.Float64Range(0, 1).Draw(t, "penalty"),
 			LoadAge:     time.Duration(rapid.Int64Range(0, int64(time.Minute)).Draw(t, "age")),
+			Work:        drawWork(t),
 		}
 	}
 	return cands
 }
 
+func drawWork(t *rapid.T) Work {
+	draw := func(label string) time.Duration {
+		return time.Duration(rapid.Int64Range(0, int64(10*time.Second)).Draw(t, label))
+	}
+	return Work{
+		Cost: draw("cost"), Start: draw("start"), Age: draw("workAge"), OwnCost: draw("ownCost"), Path: draw("path"),
+		Speed: rapid.Float64Range(0, 4).Draw(t, "speed"), Own: rapid.IntRange(0, 5).Draw(t, "own"),
+	}
+}
+
 // TestPoliciesChooseOnlyEligible guards against choosing a candidate that is draining, lapsed, taken out, ejected or
 // already tried, against choosing none while an eligible one is left (even if its path is faulty), and against
 // choosing a farther tier while a nearer one has a free slot.
 func TestPoliciesChooseOnlyEligible(t *testing.T) {
-	policies := []Policy{Random{}, TwoChoices{}}
+	policies := []Policy{Random{}, TwoChoices{}, LeastCompletion{}}
 	rapid.Check(t, func(t *rapid.T) {
 		cands := drawCandidates(t)
 		exclude := make(map[string]bool)
