--- a/fleet/config/defaults.go
+++ b/fleet/config/defaults.go
@@ -62,6 +62,9 @@
 	setDefault(&s.Queue.Length, DefaultQueuePerSlot*s.Slots)
 	setDefault(&s.Queue.TeamPercent, DefaultQueueTeamPercent)
 	setDefault(&s.Queue.MaxWait, DefaultQueueMaxWait)
+	if s.Placement == PlacementTwoChoices {
+		s.Placement = ""
+	}
 	return s
 }
 
--- a/fleet/config/document.go
+++ b/fleet/config/document.go
@@ -65,8 +65,22 @@
 	ProbePath string `json:"probePath,omitempty"`
 	// NestedCalls is true if other services call this service while they run a request.
 	NestedCalls bool `json:"nestedCalls,omitempty"`
+	// Placement is how entries choose the VM for a request. Default: "", the same as PlacementTwoChoices. The default is
+	// not written into documents, so that builds that do not know the field can read them.
+	Placement Placement `json:"placement,omitempty"`
 }
 
+// Placement is how entries choose the VM for a request.
+type Placement string
+
+const (
+	// PlacementTwoChoices chooses the VM with the lower load of two random ones.
+	PlacementTwoChoices Placement = "two-choices"
+	// PlacementLeastCompletion chooses the VM at which the request is expected to end first, of two random ones, by the
+	// likely cost of the request and the work at the VM.
+	PlacementLeastCompletion Placement = "least-completion"
+)
+
 // Ramp describes how the load on a cold backend server increases.
 type Ramp struct {
 	// InitialSlots is the number of slots with which a cold backend server starts. Default: 1.
--- a/fleet/config/validate_entry.go
+++ b/fleet/config/validate_entry.go
@@ -103,6 +103,11 @@
 	c.checkPositive(path+".queue.maxWait", s.Queue.MaxWait)
 	c.checkPositive(path+".connectTimeout", s.ConnectTimeout)
 	c.checkPathPrefix(path+".probePath", s.ProbePath)
+	switch s.Placement {
+	case "", PlacementTwoChoices, PlacementLeastCompletion:
+	default:
+		c.fail(path+".placement", "%q is not %s or %s", s.Placement, PlacementTwoChoices, PlacementLeastCompletion)
+	}
 	if s.ResponseTimeout != 0 {
 		c.checkPositive(path+".responseTimeout", s.ResponseTimeout)
 	}
