proxy: gates report their work, and entries choose by it with placement least-completion

Gates send Rosemaryline-Work with responses and refusals of services with this placement. A failure counts as a slow request, so that a server that fails fast does not look idle. Without a report the choice uses the counts.

--- a/proxy/entry.go
+++ b/proxy/entry.go
@@ -120,6 +120,7 @@
 // Sweep drops the load reports of gates without traffic and updates the share of the retry reserve.
 func (e *Entry) Sweep() {
 	e.router.loads.sweep(e.opts.Clock())
+	e.router.work.sweep(e.opts.Clock())
 	e.router.updateReserves()
 }
 
@@ -129,7 +130,7 @@
 // Explain returns the VMs that host a service as the routing policy sees them now, the index of the VM that the policy
 // would choose (-1 if none), and the reason for the choice.
 func (e *Entry) Explain(service string) ([]routing.Candidate, int, routing.Reason) {
-	return e.router.rank(e.opts.Directory.Hosts(service), service, nil)
+	return e.router.rank(e.opts.Directory.Hosts(service), service, "", nil)
 }
 
 // ServeHTTP serves the caller listener.
--- a/proxy/gate.go
+++ b/proxy/gate.go
@@ -417,6 +417,7 @@
 func (g *Gate) completeRefusal(req *Request, r *Refusal, s *server) *Refusal {
 	load := g.Load(req.Service)
 	r.Load = &load
+	r.Work = g.Work(req.Service, req.Route)
 	entry := g.opts.Log.Info().Str("request", req.ID).Str("team", req.Team).Str("service", req.Service).
 		Str("reason", string(r.Reason)).Str("outcome", string(r.Outcome)).Int("inFlight", load.InFlight).
 		Int("slots", load.Slots).Int("queued", load.Queued).Uint64("version", req.ConfigVersion)
--- a/proxy/gatehttp.go
+++ b/proxy/gatehttp.go
@@ -172,6 +172,9 @@
 	if r.Load != nil {
 		h.Set(headerLoad, formatLoad(*r.Load))
 	}
+	if r.Work != nil {
+		h.Set(headerWork, formatWork(*r.Work))
+	}
 	h.Set("Content-Length", "0")
 	w.WriteHeader(r.Status)
 }
@@ -192,6 +195,9 @@
 	h.Set(HeaderRequestID, req.ID)
 	h.Set(headerServer, resp.Server)
 	h.Set(headerLoad, formatLoad(resp.Load))
+	if resp.Work != nil {
+		h.Set(headerWork, formatWork(*resp.Work))
+	}
 	h.Set(headerQueue, formatMicros(resp.Timing.Queue))
 	h.Set(headerBackend, formatMicros(resp.Timing.Backend))
 	writeBody(w, req.Method, resp)
--- a/proxy/headers.go
+++ b/proxy/headers.go
@@ -26,6 +26,7 @@
 	headerHost          = HeaderPrefix + "Host"
 	headerReason        = HeaderPrefix + "Reason"
 	headerLoad          = HeaderPrefix + "Load"
+	headerWork          = HeaderPrefix + "Work"
 	headerQueue         = HeaderPrefix + "Queue-Us"
 	headerBackend       = HeaderPrefix + "Backend-Us"
 	headerServer        = HeaderPrefix + "Server"
--- a/proxy/message.go
+++ b/proxy/message.go
@@ -76,6 +76,8 @@
 	Server string
 	Timing Timing
 	Load   Load
+	// Work is nil where it is not known.
+	Work *Work
 }
 
 // Timing is the time that a request spent on the gate's VM.
@@ -165,6 +167,8 @@
 	TrialIn time.Duration
 	// Load is the load at the gate that refused the request; nil where no gate was involved.
 	Load *Load
+	// Work is nil where it is not known.
+	Work *Work
 	// Reached is true where the request reached a backend server, even if the backend server refused it.
 	Reached bool
 	Err     error
--- a/proxy/remote.go
+++ b/proxy/remote.go
@@ -220,6 +220,7 @@
 	if load, ok := parseLoad(resp.Header.Get(headerLoad)); ok {
 		refusal.Load = &load
 	}
+	refusal.Work = parseWork(resp.Header[headerWork])
 	if millis, err := strconv.Atoi(resp.Header.Get(headerRetryAfterMs)); err == nil {
 		refusal.RetryAfter = time.Duration(millis) * time.Millisecond
 	}
@@ -242,6 +243,7 @@
 			Backend: parseMicros(resp.Header.Get(headerBackend)),
 		},
 		Load: load,
+		Work: parseWork(resp.Header[headerWork]),
 	}
 }
 
--- a/proxy/router.go
+++ b/proxy/router.go
@@ -17,6 +17,7 @@
 	opts   EntryOptions
 	policy routing.Policy
 	loads  *loadTable
+	work   *workTable
 
 	mu              sync.Mutex // guards the fields below
 	paths           *routing.PathHealth
@@ -32,6 +33,7 @@
 		opts:            opts,
 		policy:          routing.TwoChoices{},
 		loads:           newLoadTable(),
+		work:            newWorkTable(),
 		paths:           routing.NewPathHealth(),
 		budgets:         map[string]*routing.RetryBudget{},
 		trippedBreakers: routing.NewTrippedBreakers(),
@@ -447,7 +449,7 @@
 		return choice{peer: near[i], reason: reason}, true
 	}
 	i, reason := r.pick(req, hosts, tried)
-	if i < 0 || reason == routing.ReasonLeastLoaded {
+	if i < 0 || reason == routing.ReasonLeastLoaded || reason == routing.ReasonLeastCompletion {
 		if j := r.pickPressedTrial(req, hosts); j >= 0 {
 			req.Pressed = true
 			return choice{peer: hosts[j], reason: routing.ReasonPressedTrial}, true
@@ -515,13 +517,13 @@
 	if !req.Forced {
 		avoid = r.withTrippedBreakers(req, hosts, tried)
 	}
-	_, i, reason := r.rank(hosts, req.Service, avoid)
+	_, i, reason := r.rank(hosts, req.Service, req.Route, avoid)
 	return i, reason
 }
 
-// rank returns the candidates of a service, the index of the one that the policy chooses (-1 if none), and the reason
+// rank returns the candidates of a service for a request on a route, the index of the one that the policy chooses (-1 if none), and the reason
 // for the choice.
-func (r *router) rank(hosts []Peer, service string, tried map[string]bool) ([]routing.Candidate, int, routing.Reason) {
+func (r *router) rank(hosts []Peer, service, route string, tried map[string]bool) ([]routing.Candidate, int, routing.Reason) {
 	local := r.local()
 	now := r.opts.Clock()
 	out := r.opts.Fleet.OutDomains()
@@ -530,12 +532,13 @@
 		candidates[i] = r.candidate(&hosts[i], service, out)
 	}
 	r.loads.applyReports(candidates, r.opts.VM, service, now)
+	policy := r.applyWork(candidates, &local, service, route, now)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for i := range candidates {
 		candidates[i].PathPenalty = r.paths.Penalty(candidates[i].VM, now)
 	}
-	i, reason := r.policy.Choose(candidates, local, tried, r.rng)
+	i, reason := policy.Choose(candidates, local, tried, r.rng)
 	return candidates, i, reason
 }
 
@@ -589,16 +592,18 @@
 func (r *router) attempt(ctx context.Context, req *Request, chosen choice) (*Response, *Refusal) {
 	vm := chosen.peer.VM
 	began := r.opts.Clock()
-	end := r.loads.begin(vm, req.Service, began)
+	endLoad, endWork := r.loads.begin(vm, req.Service, began), r.beginWork(vm, req, began)
+	end := func() { endLoad(); endWork() }
 	resp, err := r.runner(vm, chosen.peer.Address).Run(ctx, req)
 	now := r.opts.Clock()
 	if err != nil {
 		end()
 		refusal := asRefusal(err)
-		r.updateFromRefusal(vm, req.Service, refusal, now)
+		r.updateFromRefusal(vm, req, refusal, now)
 		return nil, refusal
 	}
 	r.loads.report(vm, req.Service, resp.Load, now)
+	r.updateWork(vm, req, resp, now)
 	r.recordPathTime(vm, now-began-resp.Timing.Queue-resp.Timing.Backend)
 	countTiming(resp.Timing, now-began)
 	resp.Body = &closeHookBody{ReadCloser: resp.Body, onClose: end}
@@ -607,9 +612,10 @@
 
 // updateFromRefusal stores the load that a gate reported with a refusal. A refusal without a load did not come from a
 // gate and counts as a failure of the network path to another VM, unless the caller left.
-func (r *router) updateFromRefusal(vm, service string, refusal *Refusal, now time.Duration) {
+func (r *router) updateFromRefusal(vm string, req *Request, refusal *Refusal, now time.Duration) {
+	r.work.refused(vm, req.Service, req.Route, refusal, now)
 	if refusal.Load != nil {
-		r.loads.report(vm, service, *refusal.Load, now)
+		r.loads.report(vm, req.Service, *refusal.Load, now)
 	}
 	fromGate := refusal.Load != nil
 	if vm == r.opts.VM || fromGate || refusal.Reason == ReasonCallerGone {
--- a/proxy/run.go
+++ b/proxy/run.go
@@ -45,6 +45,7 @@
 		return nil, err
 	}
 	resp.Load = g.Load(req.Service)
+	resp.Work = g.Work(req.Service, req.Route)
 	resp.Timing = Timing{Queue: held.wait, Backend: g.opts.Clock() - began}
 	return resp, nil
 }
@@ -166,6 +167,7 @@
 		Server:        held.server.name,
 		Timing:        Timing{Queue: held.wait, Backend: latency},
 		Load:          g.Load(req.Service),
+		Work:          g.Work(req.Service, req.Route),
 	}
 }
 
--- a/proxy/server.go
+++ b/proxy/server.go
@@ -49,6 +49,8 @@
 	// typicalLatencies holds, by route, the smoothed time until a response, in nanoseconds.
 	typicalLatencies map[string]float64
 	waiting          map[admission.Ticket]chan waitResult
+	// work is the work at the backend server, for the choice of a VM.
+	work serverWork
 	// running holds the requests that wait for a response.
 	running map[*runningRequest]struct{}
 }
@@ -88,6 +90,7 @@
 		log:            logger,
 	}
 	s.gate = admission.NewGate(s.cfg)
+	s.work.configure(settings.Placement)
 	return s
 }
 
@@ -121,12 +124,14 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.reconfigure(a, settings)
+	s.work.configure(settings.Placement)
 	newInstance = !a.sameInstance(&s.lastAnnouncement) || s.instance == ""
 	if newInstance {
 		s.breaker.Reset()
 		s.loggedHealth = outlier.Healthy
 		s.notifyRecovered()
 		clear(s.typicalLatencies)
+		s.work.speed.Reset()
 		s.ramped = false
 		s.rampDeadline = s.clock() + maxRampTime
 		s.instance = a.Instance
@@ -510,6 +515,7 @@
 	}
 	decision := s.gate.Offer(now, offer)
 	s.deliverRefusals(decision.Displaced)
+	s.work.offered(now, decision, req.Route)
 	if decision.Verdict == admission.Refused {
 		s.endTrial(trial)
 		s.mu.Unlock()
@@ -581,6 +587,7 @@
 	defer s.mu.Unlock()
 	delete(s.waiting, held.ticket)
 	s.endTrial(held.trial)
+	s.work.dropped(held.ticket)
 	select {
 	case r := <-result:
 		if r.refused != admission.ReasonNone {
@@ -605,12 +612,14 @@
 	case admission.Failed:
 		s.observe(h.sentAt, true, "failed")
 	}
+	s.work.ended(s.clock(), s.service, h.ticket, latency, result)
 	s.deliverGrants(s.gate.Done(s.clock(), h.ticket, latency, result))
 }
 
 // deliverGrants wakes the waiters whose requests may start. The caller holds mu.
 func (s *server) deliverGrants(grants []admission.Grant) {
 	for _, g := range grants {
+		s.work.granted(s.clock(), g.Ticket)
 		s.deliver(g.Ticket, waitResult{wait: g.Wait})
 	}
 }
@@ -618,6 +627,7 @@
 // deliverRefusals wakes the waiters whose requests are refused. The caller holds mu.
 func (s *server) deliverRefusals(refusals []admission.Refusal) {
 	for _, r := range refusals {
+		s.work.dropped(r.Ticket)
 		s.deliver(r.Ticket, waitResult{refused: r.Reason})
 	}
 }
