--- a/routing/work.go
+++ b/routing/work.go
@@ -13,6 +13,8 @@
 	Speed float64
 	// Start is the reported time until a new request would start.
 	Start time.Duration
+	// UsualStart is the start that reports of all candidates show on average. A report moves towards it with its age.
+	UsualStart time.Duration
 	// Age is the age of the report.
 	Age time.Duration
 	// Own is the number of requests that this process sent there since the report and that have not ended, OwnCost the
@@ -45,7 +47,10 @@
 
 // ExpectedStart returns the time until a request would start. Without a report it is derived from the counts. Reports
 // and counts lose weight with their age; the requests that this process sent since then do not, because they are known.
-func (c *Candidate) ExpectedStart() time.Duration {
+func (c *Candidate) ExpectedStart() time.Duration { return c.start(c.Work.UsualStart) }
+
+// start returns the time until a request would start, if a candidate without a report would start it after usual.
+func (c *Candidate) start(usual time.Duration) time.Duration {
 	capacity := math.Max(c.Capacity, minCapacity)
 	own := float64(c.Work.Own)
 	others := math.Max(c.InFlight-own, 0) + c.Queued
@@ -54,9 +59,10 @@
 	excess := math.Max(busy+1-capacity, 0)
 	duration := float64(c.Work.Cost) / c.ExpectedSpeed()
 	if c.Work.Speed <= 0 {
-		return time.Duration(excess / capacity * duration)
+		return max(time.Duration(excess/capacity*duration), usual)
 	}
-	start := float64(c.Work.Start) * reportWeight(c.Work.Age)
+	weight := reportWeight(c.Work.Age)
+	start := float64(c.Work.Start)*weight + float64(usual)*(1-weight)
 	if own > 0 {
 		start += math.Min(excess, own) / own * float64(c.Work.OwnCost) / c.ExpectedSpeed() / capacity
 	}
