--- a/proxy/work_test.go
+++ b/proxy/work_test.go
@@ -135,3 +135,22 @@
 	table.sweep(now + 2*loadRetention)
 	assert.Equal(t, len(table.rows), 0)
 }
+
+// Guards against an explanation that sends a request, or that gives no reason for a candidate.
+func TestExplainRequest(t *testing.T) {
+	b := newBackend(t, nil)
+	v := newLeastCompletionView(t, 4)
+	entry, gate := newEntryAndGate(t, v, b)
+	_, _, err := sendRequest(t, entry.caller, "GET", "/", nil)
+	assert.NilError(t, err)
+	far := newPeer("vm3", "")
+	far.Domain = "d2"
+	entry.entry.opts.Directory = directory{newPeer("vm2", addressOf(gate.peer)), far, {VM: "vm4", Domain: "d1", State: routing.StateDraining}}
+	list := entry.entry.ExplainRequest(ExplainQuery{Service: "svc", Route: "root"})
+	assert.Equal(t, b.count(), 1)
+	assert.Equal(t, len(list), 3)
+	assert.Assert(t, list[0].Chosen && list[0].Reason == "chosen: own-domain", "%+v", list[0])
+	assert.Assert(t, strings.HasPrefix(list[1].Reason, "not chosen: a candidate of the own failure domain"), "%+v", list[1])
+	assert.Equal(t, list[2].Reason, "draining")
+	assert.Assert(t, list[0].ExpectedCompletion() > 0)
+}
--- a/proxy/workreports.go
+++ b/proxy/workreports.go
@@ -14,6 +14,9 @@
 const (
 	// scaleWeight is the weight of a report in the smoothed relative cost of a target. Reports already are averages.
 	scaleWeight = 0.3
+	// usualStartWeight is the weight of a report in the mean of the reported starts: about ten seconds of an entry that
+	// sees two requests per second.
+	usualStartWeight = 0.05
 	// maxScale limits the relative cost of a target in both directions.
 	maxScale = 16
 	// samePath and otherPath are the assumed times on the network within a failure domain and to another one, in
@@ -27,6 +30,8 @@
 	mu    sync.Mutex // guards the fields below
 	rows  map[loadKey]*workRow
 	costs *workload.Costs
+	// usualStart holds, by service, the mean of the starts that targets report.
+	usualStart map[string]time.Duration
 }
 
 // workRow is the newest report of a target and the number of this entry's own requests there.
@@ -47,7 +52,7 @@
 }
 
 func newWorkTable() *workTable {
-	return &workTable{rows: map[loadKey]*workRow{}, costs: workload.NewCosts()}
+	return &workTable{rows: map[loadKey]*workRow{}, costs: workload.NewCosts(), usualStart: map[string]time.Duration{}}
 }
 
 func (t *workTable) row(key loadKey) *workRow {
@@ -108,6 +113,8 @@
 func (t *workTable) store(key loadKey, route string, w Work, now time.Duration) {
 	r := t.row(key)
 	r.report, r.reported, r.at, r.usedAt = w, true, now, now
+	usual := t.usualStart[key.service]
+	t.usualStart[key.service] = usual + time.Duration(usualStartWeight*float64(w.Start-usual))
 	if w.Cost <= 0 {
 		return
 	}
@@ -134,7 +141,7 @@
 	}
 	for i := range candidates {
 		c := &candidates[i]
-		c.Work.Cost = cost.Mean
+		c.Work.Cost, c.Work.UsualStart = cost.Mean, t.usualStart[service]
 		if c.Domain != local.Domain {
 			c.Work.Path = otherPath
 		} else if c.VM != local.VM {
