--- a/proxy/choose_test.go
+++ b/proxy/choose_test.go
@@ -42,7 +42,7 @@
 			}
 		}
 		req := &Request{Service: "svc"}
-		i, want := r.pick(req, d, tried)
+		i, want, _ := r.pick(req, d, tried)
 		chosen, ok := r.choose(req, tried)
 		assert.Equal(t, ok, i >= 0, "round %d", round)
 		if ok {
--- a/proxy/router.go
+++ b/proxy/router.go
@@ -46,6 +46,8 @@
 type choice struct {
 	peer   Peer
 	reason routing.Reason
+	// work is what was known of the VM's work; nil if the choice did not use it.
+	work *expectedWork
 }
 
 // attemptHistory records the attempts of one request.
@@ -445,10 +447,10 @@
 	}
 	// A VM of the own failure domain with a free slot precedes all others, so the others need a look only without one.
 	near := r.inOwnDomain(hosts)
-	if i, reason := r.pick(req, near, tried); reason == routing.ReasonOwnVM || reason == routing.ReasonOwnDomain {
-		return choice{peer: near[i], reason: reason}, true
+	if i, reason, work := r.pick(req, near, tried); reason == routing.ReasonOwnVM || reason == routing.ReasonOwnDomain {
+		return choice{peer: near[i], reason: reason, work: work}, true
 	}
-	i, reason := r.pick(req, hosts, tried)
+	i, reason, work := r.pick(req, hosts, tried)
 	if i < 0 || reason == routing.ReasonLeastLoaded || reason == routing.ReasonLeastCompletion {
 		if j := r.pickPressedTrial(req, hosts); j >= 0 {
 			req.Pressed = true
@@ -458,7 +460,7 @@
 	if i < 0 {
 		return r.ownGateWhileLeaving(req, hosts)
 	}
-	return choice{peer: hosts[i], reason: reason}, true
+	return choice{peer: hosts[i], reason: reason, work: work}, true
 }
 
 // ownGateWhileLeaving returns the own VM, once for each request, if its gate is leaving and hosts the service. When the last
@@ -511,14 +513,18 @@
 	return near
 }
 
-// pick returns the index of the VM that the policy chooses for the next attempt, -1 if none, and the reason.
-func (r *router) pick(req *Request, hosts []Peer, tried map[string]bool) (int, routing.Reason) {
+// pick returns the index of the VM that the policy chooses for the next attempt, -1 if none, the reason, and what was known of
+// the VM's work, nil if the choice did not use it.
+func (r *router) pick(req *Request, hosts []Peer, tried map[string]bool) (int, routing.Reason, *expectedWork) {
 	avoid := tried
 	if !req.Forced {
 		avoid = r.withTrippedBreakers(req, hosts, tried)
 	}
-	_, i, reason := r.rank(hosts, req.Service, req.Route, avoid)
-	return i, reason
+	candidates, i, reason := r.rank(hosts, req.Service, req.Route, avoid)
+	if i < 0 {
+		return i, reason, nil
+	}
+	return i, reason, newExpectedWork(&candidates[i])
 }
 
 // rank returns the candidates of a service for a request on a route, the index of the one that the policy chooses (-1 if none), and the reason
@@ -636,8 +642,11 @@
 }
 
 func (r *router) logChoice(req *Request, chosen choice, number int) {
-	r.opts.Log.Info().Str("request", req.ID).Str("team", req.Team).Str("route", req.Route).
+	line := r.opts.Log.Info().Str("request", req.ID).Str("team", req.Team).Str("route", req.Route).
 		Str("service", req.Service).Str("target", chosen.peer.VM).Str("domain", chosen.peer.Domain).
-		Str("reason", string(chosen.reason)).Int("attempt", number).Bool("mayFail", req.MayFail).
-		Msg("entry: chose VM.")
+		Str("reason", string(chosen.reason)).Int("attempt", number).Bool("mayFail", req.MayFail)
+	if w := chosen.work; w != nil {
+		line = line.Dur("start", w.start).Float64("speed", w.speed).Dur("cost", w.cost).Dur("reportAge", w.age).Bool("reported", w.reported)
+	}
+	line.Msg("entry: chose VM.")
 }
--- a/proxy/work.go
+++ b/proxy/work.go
@@ -1,6 +1,8 @@
 package proxy
 
 import (
+	"maps"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -153,19 +155,23 @@
 
 // report returns the estimate for a new request on a route. slots is the number of requests that may run at once.
 func (w *serverWork) report(now time.Duration, service, route string, slots int) Work {
-	running := make([]workload.Running, 0, len(w.running))
-	for _, r := range w.running {
+	// Tickets grow with the order of arrival. The order also keeps replays the same: sums of floats depend on it.
+	runningTickets, queuedTickets := slices.Sorted(maps.Keys(w.running)), slices.Sorted(maps.Keys(w.queued))
+	running := make([]workload.Running, 0, len(runningTickets))
+	for _, ticket := range runningTickets {
+		r := w.running[ticket]
 		e, _ := w.costs.Expect(now, service, r.route)
 		running = append(running, workload.Running{Elapsed: now - r.startAt, Typical: e.Median})
 	}
 	speed := w.speed.Estimate(now, running)
 	backlog := workload.Backlog{Slots: slots, Speed: speed}
-	for _, r := range w.running {
+	for _, ticket := range runningTickets {
+		r := w.running[ticket]
 		rest, _ := w.costs.Remaining(now, service, r.route, time.Duration(float64(now-r.startAt)*speed))
 		backlog.Running = append(backlog.Running, rest)
 	}
-	for _, queuedRoute := range w.queued {
-		e, _ := w.costs.Expect(now, service, queuedRoute)
+	for _, ticket := range queuedTickets {
+		e, _ := w.costs.Expect(now, service, w.queued[ticket])
 		backlog.Queued = append(backlog.Queued, e.Mean)
 	}
 	e, _ := w.costs.Expect(now, service, route)
--- a/proxy/workreports.go
+++ b/proxy/workreports.go
@@ -184,6 +184,21 @@
 	}
 }
 
+// expectedWork is what a choice expected of the chosen VM, for the log.
+type expectedWork struct {
+	start, cost, age time.Duration
+	speed            float64
+	reported         bool
+}
+
+// newExpectedWork returns nil if the cost of the request is not known.
+func newExpectedWork(c *routing.Candidate) *expectedWork {
+	if c.Work.Cost <= 0 {
+		return nil
+	}
+	return &expectedWork{start: c.ExpectedStart(), cost: c.Work.Cost, age: c.Work.Age, speed: c.ExpectedSpeed(), reported: c.Work.Speed > 0}
+}
+
 // usesWork reports whether the placement of a service needs work reports.
 func (r *router) usesWork(service string) bool {
 	settings, ok := r.opts.Fleet.Service(service)
