--- a/node/node.go
+++ b/node/node.go
@@ -87,6 +87,7 @@
 	o := &n.opts
 	n.copy = control.NewCopy()
 	n.fleet = proxy.NewFleet(n.copy)
+	n.fleet.Defaults = o.ServiceDefaults
 	traffic := &rpc.Traffic{Locate: func(ip string) rpc.Place { return n.gossip.place(ip) }}
 	n.client = rpc.NewClient(o.PeerClientTLS)
 	n.client.Traffic = traffic
@@ -186,6 +187,7 @@
 func (n *Node) register() {
 	rpc.Register(n.rpc, methodGossip, n.gossip.receive)
 	rpc.Register(n.rpc, methodRecovered, n.receiveRecovered)
+	rpc.Register(n.rpc, methodExplain, n.serveExplain)
 	rpc.Register(n.rpc, methodGrant, n.limiter.serveGrant)
 	rpc.Register(n.rpc, methodPermit, n.ejections.servePermit)
 	rpc.Register(n.rpc, methodPushDigests, n.ejections.receiveDigests)
--- a/node/options.go
+++ b/node/options.go
@@ -123,6 +123,8 @@
 	// Listeners are opened in addition to the process's own.
 	Listeners []Listener
 
+	// ServiceDefaults fill in settings of services that the configuration leaves open. Default: none.
+	ServiceDefaults proxy.ServiceDefaults
 	// Rollouts are the bounds of rollouts. Default: nil, versions of backend servers are not published and rollouts are not
 	// driven.
 	Rollouts *RolloutOptions
--- a/proxy/fleet.go
+++ b/proxy/fleet.go
@@ -17,6 +17,8 @@
 // Fleet is the part of the fleet state that the handling of requests reads.
 type Fleet struct {
 	viewer Viewer
+	// Defaults fill in the settings of services. They must not change after the first use.
+	Defaults ServiceDefaults
 	// routesVersion is the version of the routes in table. Only Refresh uses it.
 	routesVersion uint64
 	table         atomic.Pointer[routing.Table]
@@ -100,7 +102,7 @@
 // Service returns the settings of a service.
 func (f *Fleet) Service(name string) (service config.Service, ok bool) {
 	f.Read(func(s *state.State) { service, ok = s.Config().Services[name] })
-	return service, ok
+	return f.Defaults.apply(service), ok
 }
 
 // OutDomains returns the failure domains that operators took out of service; nil if there are none.
--- a/proxy/router.go
+++ b/proxy/router.go
@@ -17,6 +17,7 @@
 	opts   EntryOptions
 	policy routing.Policy
 	loads  *loadTable
+	work   *workTable
 
 	mu              sync.Mutex // guards the fields below
 	paths           *routing.PathHealth
@@ -32,6 +33,7 @@
 		opts:            opts,
 		policy:          routing.TwoChoices{},
 		loads:           newLoadTable(),
+		work:            newWorkTable(),
 		paths:           routing.NewPathHealth(),
 		budgets:         map[string]*routing.RetryBudget{},
 		trippedBreakers: routing.NewTrippedBreakers(),
@@ -44,6 +46,8 @@
 type choice struct {
 	peer   Peer
 	reason routing.Reason
+	// work is what was known of the VM's work; nil if the choice did not use it.
+	work *expectedWork
 }
 
 // attemptHistory records the attempts of one request.
@@ -454,11 +458,11 @@
 	}
 	// A VM of the own failure domain with a free slot precedes all others, so the others need a look only without one.
 	near := r.inOwnDomain(hosts)
-	if i, reason := r.pick(req, near, tried); reason == routing.ReasonOwnVM || reason == routing.ReasonOwnDomain {
-		return choice{peer: near[i], reason: reason}, true
+	if i, reason, work := r.pick(req, near, tried); reason == routing.ReasonOwnVM || reason == routing.ReasonOwnDomain {
+		return choice{peer: near[i], reason: reason, work: work}, true
 	}
-	i, reason := r.pick(req, hosts, tried)
-	if i < 0 || reason == routing.ReasonLeastLoaded {
+	i, reason, work := r.pick(req, hosts, tried)
+	if i < 0 || reason == routing.ReasonLeastLoaded || reason == routing.ReasonLeastCompletion {
 		if j := r.pickPressedTrial(req, hosts); j >= 0 {
 			req.Pressed = true
 			return choice{peer: hosts[j], reason: routing.ReasonPressedTrial}, true
@@ -467,7 +471,7 @@
 	if i < 0 {
 		return r.ownGateWhileLeaving(req, hosts)
 	}
-	return choice{peer: hosts[i], reason: reason}, true
+	return choice{peer: hosts[i], reason: reason, work: work}, true
 }
 
 // ownGateWhileLeaving returns the own VM, once for each request, if its gate is leaving and hosts the service. When the last
@@ -520,19 +524,23 @@
 	return near
 }
 
-// pick returns the index of the VM that the policy chooses for the next attempt, -1 if none, and the reason.
-func (r *router) pick(req *Request, hosts []Peer, tried map[string]bool) (int, routing.Reason) {
+// pick returns the index of the VM that the policy chooses for the next attempt, -1 if none, the reason, and what was known of
+// the VM's work, nil if the choice did not use it.
+func (r *router) pick(req *Request, hosts []Peer, tried map[string]bool) (int, routing.Reason, *expectedWork) {
 	avoid := tried
 	if !req.Forced {
 		avoid = r.withTrippedBreakers(req, hosts, tried)
 	}
-	_, i, reason := r.rank(hosts, req.Service, avoid)
-	return i, reason
+	candidates, i, reason := r.rank(hosts, req.Service, req.Route, avoid)
+	if i < 0 {
+		return i, reason, nil
+	}
+	return i, reason, newExpectedWork(&candidates[i])
 }
 
-// rank returns the candidates of a service, the index of the one that the policy chooses (-1 if none), and the reason
+// rank returns the candidates of a service for a request on a route, the index of the one that the policy chooses (-1 if none), and the reason
 // for the choice.
-func (r *router) rank(hosts []Peer, service string, tried map[string]bool) ([]routing.Candidate, int, routing.Reason) {
+func (r *router) rank(hosts []Peer, service, route string, tried map[string]bool) ([]routing.Candidate, int, routing.Reason) {
 	local := r.local()
 	now := r.opts.Clock()
 	out := r.opts.Fleet.OutDomains()
@@ -541,12 +549,13 @@
 		candidates[i] = r.candidate(&hosts[i], service, out)
 	}
 	r.loads.applyReports(candidates, r.opts.VM, service, now)
+	policy := r.applyWork(candidates, &local, service, route, now)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for i := range candidates {
 		candidates[i].PathPenalty = r.paths.Penalty(candidates[i].VM, now)
 	}
-	i, reason := r.policy.Choose(candidates, local, tried, r.rng)
+	i, reason := policy.Choose(candidates, local, tried, r.rng)
 	return candidates, i, reason
 }
 
@@ -600,16 +609,18 @@
 func (r *router) attempt(ctx context.Context, req *Request, chosen choice) (*Response, *Refusal) {
 	vm := chosen.peer.VM
 	began := r.opts.Clock()
-	end := r.loads.begin(vm, req.Service, began)
+	endLoad, endWork := r.loads.begin(vm, req.Service, began), r.beginWork(vm, req, began)
+	end := func() { endLoad(); endWork() }
 	resp, err := r.runner(vm, chosen.peer.Address).Run(ctx, req)
 	now := r.opts.Clock()
 	if err != nil {
 		end()
 		refusal := asRefusal(err)
-		r.updateFromRefusal(vm, req.Service, refusal, now)
+		r.updateFromRefusal(vm, req, refusal, now)
 		return nil, refusal
 	}
 	r.loads.report(vm, req.Service, resp.Load, now)
+	r.updateWork(vm, req, resp, now)
 	r.recordPathTime(vm, now-began-resp.Timing.Queue-resp.Timing.Backend)
 	countTiming(resp.Timing, now-began)
 	resp.Body = &closeHookBody{ReadCloser: resp.Body, onClose: end}
@@ -618,9 +629,10 @@
 
 // updateFromRefusal stores the load that a gate reported with a refusal. A refusal without a load did not come from a
 // gate and counts as a failure of the network path to another VM, unless the caller left.
-func (r *router) updateFromRefusal(vm, service string, refusal *Refusal, now time.Duration) {
+func (r *router) updateFromRefusal(vm string, req *Request, refusal *Refusal, now time.Duration) {
+	r.work.refused(vm, req.Service, req.Route, refusal, now)
 	if refusal.Load != nil {
-		r.loads.report(vm, service, *refusal.Load, now)
+		r.loads.report(vm, req.Service, *refusal.Load, now)
 	}
 	fromGate := refusal.Load != nil
 	if vm == r.opts.VM || fromGate || refusal.Reason == ReasonCallerGone {
@@ -641,8 +653,11 @@
 }
 
 func (r *router) logChoice(req *Request, chosen choice, number int) {
-	r.opts.Log.Info().Str("request", req.ID).Str("team", req.Team).Str("route", req.Route).
+	line := r.opts.Log.Info().Str("request", req.ID).Str("team", req.Team).Str("route", req.Route).
 		Str("service", req.Service).Str("target", chosen.peer.VM).Str("domain", chosen.peer.Domain).
-		Str("reason", string(chosen.reason)).Int("attempt", number).Bool("mayFail", req.MayFail).
-		Msg("entry: chose VM.")
+		Str("reason", string(chosen.reason)).Int("attempt", number).Bool("mayFail", req.MayFail)
+	if w := chosen.work; w != nil {
+		line = line.Dur("start", w.start).Float64("speed", w.speed).Dur("cost", w.cost).Dur("reportAge", w.age).Bool("reported", w.reported)
+	}
+	line.Msg("entry: chose VM.")
 }
