--- a/rollout/measure_test.go
+++ b/rollout/measure_test.go
@@ -21,6 +21,7 @@
 	measureVMs   = flag.Int("rollout.vms", 0, "fleet size for TestMeasure, 0 for 90")
 	measureGray  = flag.Bool("rollout.gray", false, "let TestMeasure have 30% gray servers at any time")
 	runKnownRed  = flag.Bool("rollout.red", false, "run the cases of TestTargets that are listed in KNOWN-RED.txt")
+	measureFirst = flag.Int("rollout.first", 1, "first seed of TestMeasure")
 	measureKind  = flag.String("rollout.kind", "", "run TestMeasure only for kinds that contain this")
 	measureTrace = flag.String("rollout.trace", "", "print the decisions of TestMeasure for kinds that contain this")
 )
@@ -80,7 +81,7 @@
 			limit <- struct{}{}
 			go func() {
 				defer func() { <-limit; group.Done() }()
-				results[i] = runModel(measuredCase(i+1, vms, kind, *measureGray))
+				results[i] = runModel(measuredCase(*measureFirst+i, vms, kind, *measureGray))
 			}()
 		}
 		group.Wait()
@@ -103,10 +104,10 @@
 				right++
 			}
 			if r.phase != want || kind.bad() && float64(r.exposed) > r.bound() {
-				missed = append(missed, fmt.Sprint(i+1))
+				missed = append(missed, fmt.Sprint(*measureFirst+i))
 			}
 			if *measureTrace != "" && strings.Contains(kind.name, *measureTrace) {
-				fmt.Printf("%s seed %d: %s exposed %d of %.0f\n  %s\n", kind.name, i+1, r.phase, r.exposed, r.bound(), strings.Join(r.steps, "\n  "))
+				fmt.Printf("%s seed %d: %s exposed %d of %.0f\n  %s\n", kind.name, *measureFirst+i, r.phase, r.exposed, r.bound(), strings.Join(r.steps, "\n  "))
 			}
 			late += r.late
 			requests = append(requests, r.exposed)
