--- a/proxy/rollouts.go
+++ b/proxy/rollouts.go
@@ -239,6 +239,10 @@
 	t.counts.waiting--
 	t.counts.arrived++
 	t.counts.running++
+	if routes, ok := t.counts.routes[t.route]; ok || len(t.counts.routes) < maxKnownRoutes {
+		routes.Started++
+		t.counts.routes[t.route] = routes
+	}
 }
 
 // abandon returns the part of the allowance of a request that was not sent.
@@ -267,8 +271,8 @@
 	t.ended = true
 	t.counts.running--
 	routes, ok := t.counts.routes[t.route]
-	if !ok && len(t.counts.routes) >= maxKnownRoutes {
-		return
+	if !ok {
+		return // send found no room for the route
 	}
 	switch {
 	case result == admission.Succeeded:
--- a/proxy/rollouts_test.go
+++ b/proxy/rollouts_test.go
@@ -98,6 +98,7 @@
 	report = f.allow(t, 3)
 	assert.Equal(t, report.Arrived, uint64(3))
 	assert.Equal(t, report.Routes["root"].Succeeded, uint32(3))
+	assert.Equal(t, report.Routes["root"].Started, uint32(3))
 	assert.Equal(t, report.Running, 0)
 	old, _ := f.old.gate.RolloutReports()
 	assert.Equal(t, old[0].Arrived, uint64(12))
