--- a/proxy/gate.go
+++ b/proxy/gate.go
@@ -462,7 +462,7 @@
 // isCapacityReason reports whether a request was refused for lack of capacity that returns by itself.
 func isCapacityReason(reason Reason) bool {
 	switch reason {
-	case ReasonQueueFull, ReasonShed, ReasonSuspect, ReasonFaulty, Reason(admission.ReasonHopeless), Reason(admission.ReasonTeamShare),
+	case ReasonQueueFull, ReasonShed, ReasonRetryBudget, ReasonSuspect, ReasonFaulty, Reason(admission.ReasonHopeless), Reason(admission.ReasonTeamShare),
 		Reason(admission.ReasonDisplaced), Reason(admission.ReasonMaxWait):
 		return true
 	default:
