proxy: a request that was passed on may wait at any of the VMs that it saw

Cause: settle considered only the VM with the shortest queue. If that VM had stopped serving or its queue filled up in the meantime, the other VMs that had passed the request on stayed excluded. What callers saw: 503 (reason full or queue-full) although a VM had room in its queue for the request. Change: settle chooses the shortest queue among the VMs that may still get the request, and the other ones may be tried again. Since a request settles once, the number of attempts stays limited.

--- a/proxy/moves.go
+++ b/proxy/moves.go
@@ -40,12 +40,13 @@
 	m.full = append(m.full, full)
 }
 
-// shortestQueue returns the VM with the fewest requests for each slot among those that passed the request on.
-func (m *moves) shortestQueue() string {
+// shortestQueue returns the VM with the fewest requests for each slot among those that passed the request on and that may
+// still get it; empty if there is none.
+func (m *moves) shortestQueue(eligible func(vm string) bool) string {
 	best, bestLoad := "", 0.0
 	for _, f := range m.full {
 		load := float64(f.load.InFlight+f.load.Queued) / float64(max(f.load.Slots, 1))
-		if best == "" || load < bestLoad {
+		if eligible(f.vm) && (best == "" || load < bestLoad) {
 			best, bestLoad = f.vm, load
 		}
 	}
@@ -84,25 +85,27 @@
 	return chosen, ok
 }
 
-// settle chooses the VM with the shortest queue among those that passed the request on, once for each request. ok is false if
-// there is none.
+// settle chooses the VM with the shortest queue among those that passed the request on, once for each request. The others
+// may then be tried again, because they have not refused to queue it. ok is false if there is none.
 func (r *router) settle(req *Request, history *attemptHistory) (choice, bool) {
-	vm := history.moves.shortestQueue()
-	if vm == "" || history.moves.settled {
+	if len(history.moves.full) == 0 || history.moves.settled {
 		return choice{}, false
 	}
 	history.moves.settled = true
-	delete(history.tried, vm)
+	for _, f := range history.moves.full {
+		delete(history.tried, f.vm)
+	}
 	hosts := r.hosts(req)
 	avoid := r.withTrippedBreakers(req, hosts, history.tried)
 	out := r.opts.Fleet.OutDomains()
+	peers := map[string]Peer{}
 	for i := range hosts {
-		h := &hosts[i]
-		if h.VM == vm && h.State == routing.StateServing && !avoid[vm] && !out[h.Domain] {
-			return choice{peer: *h, reason: routing.ReasonShortestQueue}, true
+		if h := &hosts[i]; h.State == routing.StateServing && !avoid[h.VM] && !out[h.Domain] {
+			peers[h.VM] = *h
 		}
 	}
-	return choice{}, false
+	vm := history.moves.shortestQueue(func(vm string) bool { _, ok := peers[vm]; return ok })
+	return choice{peer: peers[vm], reason: routing.ReasonShortestQueue}, vm != ""
 }
 
 // isFull reports whether a gate passed a request on because it had no free slot.
--- a/proxy/moves_test.go
+++ b/proxy/moves_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"rosemaryline.dev/admission"
 )
 
 // moveFleet is an entry and the gates of some VMs with one slot each. The servers respond once release is called.
@@ -151,6 +153,33 @@
 	}
 }
 
+// Guards against a request that is refused because the queue where it should wait filled up, or its VM stopped serving,
+// although another VM that passed it on can queue it.
+func TestRequestWaitsAtAnotherQueue(t *testing.T) {
+	f := newMoveFleet(t, 2, true, false)
+	req := newTestRequest(t, "root")
+	history := &attemptHistory{tried: map[string]bool{}, breakerTripped: map[string]bool{}}
+	full := func(vm string, queued int) {
+		refusal := notRunRefusal(http.StatusServiceUnavailable, Reason(admission.ReasonFull), "gate")
+		refusal.Load = &Load{InFlight: 1, Slots: 1, Queued: queued}
+		history.recordRefusal(vm, refusal)
+	}
+	full("gone", 0)
+	full("vm0", 1)
+	full("vm1", 2)
+	r := f.entry.entry.router
+	chosen, ok := r.chooseNext(req, history)
+	assert.Assert(t, ok && chosen.peer.VM == "vm0", "%+v", chosen)
+	assert.Assert(t, !r.mayMove(req, chosen, history))
+	history.recordRefusal("vm0", notRunRefusal(http.StatusServiceUnavailable, ReasonQueueFull, "gate"))
+	chosen, ok = r.chooseNext(req, history)
+	assert.Assert(t, ok && chosen.peer.VM == "vm1", "%+v", chosen)
+	assert.Assert(t, !r.mayMove(req, chosen, history))
+	history.recordRefusal("vm1", notRunRefusal(http.StatusServiceUnavailable, ReasonQueueFull, "gate"))
+	_, ok = r.chooseNext(req, history)
+	assert.Assert(t, !ok)
+}
+
 // Guards against a request that never ends, or that runs twice, when all queues are full.
 func TestAllQueuesFull(t *testing.T) {
 	f := newMoveFleet(t, maxMoves+1, true, false)
