proxy: an entry that is behind a rollout tries the other version after a refusal

Cause: the entry kept the side that it had drawn, and each refusal with reason version counted as an attempt. An entry that was behind a cutover or a roll-back used up all attempts at gates of the version that gets no requests. What callers saw: 503 (reason version, not run) at each phase change, until their entry had the new fleet state, although servers of the other version were idle. Change: a request changes its side once after such a refusal. The gates still check version and allowance.

--- a/proxy/message.go
+++ b/proxy/message.go
@@ -31,6 +31,8 @@
 	BackendCall bool
 	// side is the side of a running rollout that the entry drew for the request. It is not sent to other VMs.
 	side versionSide
+	// sideChanged is true after a gate refused the version of the side that was drawn.
+	sideChanged bool
 	// MayFail is true while the request can still be sent to another backend server after a failure. A gate prefers
 	// such requests as trials of a backend server whose circuit breaker has tripped.
 	MayFail bool
--- a/proxy/rollouts.go
+++ b/proxy/rollouts.go
@@ -149,6 +149,23 @@
 	return ok && view.Limited()
 }
 
+// changeSide chooses the other side of a rollout after a refusal because of the version. Load pattern: hundreds of entries are
+// behind by different times when a rollout reaches cutover or is rolled back, and each gate of the side that they drew refuses.
+// A request changes its side for ReasonVersion once, so that it does not alternate between gates of different age.
+func (r *router) changeSide(req *Request, reason Reason) {
+	switch {
+	case reason == ReasonExposure:
+		r.leaveNewVersion(req)
+	case reason == ReasonVersion && req.side != sideUndrawn && !req.sideChanged:
+		req.sideChanged = true
+		if req.side == sideOld {
+			req.side = sideNew
+		} else {
+			req.side = sideOld
+		}
+	}
+}
+
 // versionCounts counts the requests at the servers of one version of a service on this VM while a rollout runs.
 type versionCounts struct {
 	rollout string
--- a/proxy/rollouts_test.go
+++ b/proxy/rollouts_test.go
@@ -197,3 +197,32 @@
 	assert.Equal(t, counts.Broken, uint32(1))
 	assert.Equal(t, counts.Succeeded, uint32(2))
 }
+
+// Guards against callers who get 503 because all servers of the version that an outdated entry drew refuse, while those of the
+// other version have free slots.
+func TestEntryThatIsBehindARollout(t *testing.T) {
+	for _, test := range []struct {
+		desc    string
+		percent int
+		next    state.RolloutPhase
+	}{{"cutover", 0, state.RolloutCutover}, {"roll-back", 100, state.RolloutRolledBack}} {
+		t.Run(test.desc, func(t *testing.T) {
+			f := newVersionFleet(t, nil)
+			var hosts directory
+			for i := range 6 {
+				oldPeer := newPeer("old"+string(rune('a'+i)), addressOf(f.old.peer))
+				newPeer := newPeer("new"+string(rune('a'+i)), addressOf(f.new.peer))
+				oldPeer.Version, newPeer.Version = "v1", "v2"
+				hosts = append(hosts, oldPeer, newPeer)
+			}
+			f.entry = newVM(t, "entry", f.view, hosts)
+			beginTestRollout(t, f.view)
+			decideTestRollout(t, f.view, state.RolloutCanary, test.percent)
+			f.refresh()
+			decideTestRollout(t, f.view, test.next, 0)
+			f.old.fleet.Refresh()
+			f.new.fleet.Refresh()
+			f.send(t, 3)
+		})
+	}
+}
--- a/proxy/router.go
+++ b/proxy/router.go
@@ -106,9 +106,7 @@
 		}
 		history.recordRefusal(chosen.peer.VM, refusal)
 		r.recordTrippedBreaker(chosen.peer.VM, req.Service, refusal)
-		if refusal.Reason == ReasonExposure {
-			r.leaveNewVersion(req)
-		}
+		r.changeSide(req, refusal.Reason)
 		req.Forced = req.Forced || r.mostTripped(req.Service, history)
 		if !r.mayRetry(req, refusal, history) {
 			return history.result()
