--- a/proxy/moves_test.go
+++ b/proxy/moves_test.go
@@ -30,7 +30,6 @@
 	}
 	hold := make(chan struct{})
 	f := &moveFleet{release: sync.OnceFunc(func() { close(hold) })}
-	t.Cleanup(f.release)
 	var peers directory
 	for i := range n {
 		b := newBackend(t, func(w http.ResponseWriter, r *http.Request) { <-hold })
@@ -63,6 +62,7 @@
 		peers = append(peers, p)
 	}
 	f.entry = newVM(t, "entry", v, peers)
+	t.Cleanup(f.release)
 	return f
 }
 
