proxy, rollout: queued requests keep their allowance in the gate's reports

Cause: a gate admits a request when it arrives, but reports only requests that were sent and the allowance of the last reply. When the leader took an allowance back while requests waited in the queue, it gave that part to other gates too. What callers saw: a new version that gets more requests than the sum of all allowances, by up to a queue for each of its gates; the bound on exposure could be exceeded before cutover. Change: the reported allowance includes the requests that hold a part of it. The leader counts the highest of both as committed already.

--- a/proxy/rollouts.go
+++ b/proxy/rollouts.go
@@ -338,6 +338,10 @@
 			report.Routes[route] = counts
 		}
 		c.allowance.Fill(&report)
+		if c.isNew {
+			// Requests that wait for a slot keep their part of an allowance that was taken back.
+			report.Granted = max(report.Granted, c.arrived+c.waiting)
+		}
 		reports, isNew = append(reports, report), append(isNew, c.isNew)
 	}
 	return reports, isNew
--- a/proxy/rollouts_test.go
+++ b/proxy/rollouts_test.go
@@ -226,3 +226,48 @@
 		})
 	}
 }
+
+// holdingHandler returns a handler that responds once release is called.
+func holdingHandler() (h http.HandlerFunc, release func()) {
+	hold := make(chan struct{})
+	release = sync.OnceFunc(func() { close(hold) })
+	return func(w http.ResponseWriter, r *http.Request) { <-hold }, release
+}
+
+// start runs requests at a gate and returns a channel with their results.
+func (f *versionFleet) start(t *testing.T, m *testVM, n int) <-chan error {
+	results := make(chan error, n)
+	for range n {
+		go func() {
+			resp, err := m.gate.Run(context.Background(), newTestRequest(t, "root"))
+			if err == nil {
+				resp.Body.Close()
+			}
+			results <- err
+		}()
+	}
+	return results
+}
+
+// Guards against a new version that gets more requests than allowed, because requests in a queue keep a part of an allowance that
+// the leader takes back and gives to other gates.
+func TestQueuedRequestsKeepTheirAllowance(t *testing.T) {
+	h, release := holdingHandler()
+	defer release()
+	f := newVersionFleet(t, h)
+	beginTestRollout(t, f.view)
+	decideTestRollout(t, f.view, state.RolloutCanary, 100)
+	f.refresh()
+	f.allow(t, 6)
+	results := f.start(t, f.new, 6)
+	eventually(t, "requests wait", func() bool { return f.new.gate.Load("svc").Queued == 3 })
+	f.allow(t, 1)
+	report := f.allow(t, 1)
+	assert.Equal(t, report.Arrived, uint64(3))
+	assert.Equal(t, report.Granted, uint64(6))
+	release()
+	for range cap(results) {
+		assert.NilError(t, <-results)
+	}
+	assert.Assert(t, f.allow(t, 1).Arrived <= report.Granted)
+}
--- a/rollout/rollout.go
+++ b/rollout/rollout.go
@@ -99,7 +99,8 @@
 	// Refused counts the requests that the gate refused because of its allowance. The leader gives allowances to gates where
 	// it grows.
 	Refused uint64 `json:"refused,omitempty"`
-	// Granted is the allowance that the gate acts on, and GrantedBy the Sequence of the report whose reply gave it (Allowance).
+	// Granted is the allowance that the gate acts on, or more where requests that wait for a slot were admitted by an earlier one,
+	// and GrantedBy the Sequence of the report whose reply gave it (Allowance).
 	Granted   uint64                 `json:"granted,omitempty"`
 	GrantedBy uint64                 `json:"grantedBy,omitempty"`
 	Routes    map[string]RouteCounts `json:"routes,omitempty"`
