--- a/proxy/rollouts_test.go
+++ b/proxy/rollouts_test.go
@@ -197,3 +197,77 @@
 	assert.Equal(t, counts.Broken, uint32(1))
 	assert.Equal(t, counts.Succeeded, uint32(2))
 }
+
+// Guards against callers who get 503 because all servers of the version that an outdated entry drew refuse, while those of the
+// other version have free slots.
+func TestEntryThatIsBehindARollout(t *testing.T) {
+	for _, test := range []struct {
+		desc    string
+		percent int
+		next    state.RolloutPhase
+	}{{"cutover", 0, state.RolloutCutover}, {"roll-back", 100, state.RolloutRolledBack}} {
+		t.Run(test.desc, func(t *testing.T) {
+			f := newVersionFleet(t, nil)
+			var hosts directory
+			for i := range 6 {
+				oldPeer := newPeer("old"+string(rune('a'+i)), addressOf(f.old.peer))
+				newPeer := newPeer("new"+string(rune('a'+i)), addressOf(f.new.peer))
+				oldPeer.Version, newPeer.Version = "v1", "v2"
+				hosts = append(hosts, oldPeer, newPeer)
+			}
+			f.entry = newVM(t, "entry", f.view, hosts)
+			beginTestRollout(t, f.view)
+			decideTestRollout(t, f.view, state.RolloutCanary, test.percent)
+			f.refresh()
+			decideTestRollout(t, f.view, test.next, 0)
+			f.old.fleet.Refresh()
+			f.new.fleet.Refresh()
+			f.send(t, 3)
+		})
+	}
+}
+
+// holdingHandler returns a handler that responds once release is called.
+func holdingHandler() (h http.HandlerFunc, release func()) {
+	hold := make(chan struct{})
+	release = sync.OnceFunc(func() { close(hold) })
+	return func(w http.ResponseWriter, r *http.Request) { <-hold }, release
+}
+
+// start runs requests at a gate and returns a channel with their results.
+func (f *versionFleet) start(t *testing.T, m *testVM, n int) <-chan error {
+	results := make(chan error, n)
+	for range n {
+		go func() {
+			resp, err := m.gate.Run(context.Background(), newTestRequest(t, "root"))
+			if err == nil {
+				resp.Body.Close()
+			}
+			results <- err
+		}()
+	}
+	return results
+}
+
+// Guards against a new version that gets more requests than allowed, because requests in a queue keep a part of an allowance that
+// the leader takes back and gives to other gates.
+func TestQueuedRequestsKeepTheirAllowance(t *testing.T) {
+	h, release := holdingHandler()
+	defer release()
+	f := newVersionFleet(t, h)
+	beginTestRollout(t, f.view)
+	decideTestRollout(t, f.view, state.RolloutCanary, 100)
+	f.refresh()
+	f.allow(t, 6)
+	results := f.start(t, f.new, 6)
+	eventually(t, "requests wait", func() bool { return f.new.gate.Load("svc").Queued == 3 })
+	f.allow(t, 1)
+	report := f.allow(t, 1)
+	assert.Equal(t, report.Arrived, uint64(3))
+	assert.Equal(t, report.Granted, uint64(6))
+	release()
+	for range cap(results) {
+		assert.NilError(t, <-results)
+	}
+	assert.Assert(t, f.allow(t, 1).Arrived <= report.Granted)
+}
