--- a/proxy/concurrency.go
+++ b/proxy/concurrency.go
@@ -5,7 +5,6 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
-	"rosemaryline.dev/fleet/config"
 	"rosemaryline.dev/outlier"
 )
 
@@ -38,6 +37,5 @@
 	if len(history.breakerTripped) < mostTrippedRefusals {
 		return false
 	}
-	settings, ok := r.opts.Fleet.Service(service)
-	return ok && settings.Concurrency == config.ConcurrencyAdaptive
+	return r.isAdaptive(service)
 }
--- a/proxy/message.go
+++ b/proxy/message.go
@@ -29,6 +29,8 @@
 	// BackendCall is true for a request on a public route, which needs no key. Backend servers send such requests while
 	// they process another one.
 	BackendCall bool
+	// trials is the number of tripped circuit breakers that the request tested. It is not sent to other VMs.
+	trials int
 	// side is the side of a running rollout that the entry drew for the request. It is not sent to other VMs.
 	side versionSide
 	// sideChanged is true after a gate refused the version of the side that was drawn.
--- a/proxy/moves.go
+++ b/proxy/moves.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"rosemaryline.dev/admission"
-	"rosemaryline.dev/fleet/config"
 	"rosemaryline.dev/routing"
 )
 
@@ -64,8 +63,7 @@
 	default:
 		return false
 	}
-	settings, ok := r.opts.Fleet.Service(req.Service)
-	return ok && settings.Concurrency == config.ConcurrencyAdaptive
+	return r.isAdaptive(req.Service)
 }
 
 // chooseNext returns the VM for the next attempt. A request that was passed on as often as allowed, or that can expect no free
--- a/proxy/placement_replay_test.go
+++ b/proxy/placement_replay_test.go
@@ -19,10 +19,10 @@
 )
 
 var (
-	fullReplay        = flag.Bool("replay.full", false, "replay all fleets, slots and placements; -v prints the table")
-	replayUtilisation = flag.Float64("replay.utilisation", 0.7, "mean share of the slots in use")
-	replayVMs         = flag.Int("replay.vms", 0, "with replay.full, replay only fleets of this size")
-	placementGrayShare        = flag.Float64("replay.gray", 0.1, "share of the time that a server is slow")
+	fullReplay         = flag.Bool("replay.full", false, "replay all fleets, slots and placements; -v prints the table")
+	replayUtilisation  = flag.Float64("replay.utilisation", 0.7, "mean share of the slots in use")
+	replayVMs          = flag.Int("replay.vms", 0, "with replay.full, replay only fleets of this size")
+	placementGrayShare = flag.Float64("replay.gray", 0.1, "share of the time that a server is slow")
 )
 
 // replayCase is one load pattern.
--- a/proxy/router.go
+++ b/proxy/router.go
@@ -373,6 +373,7 @@
 	target, now := routing.Target{VM: vm, Service: service}, r.opts.Clock()
 	r.trippedBreakers.Record(target, now, refusal.Reason == ReasonFaulty)
 	r.trippedBreakers.AllowPressedTrial(target, now+refusal.TrialIn)
+	r.avoidUntilTrial(target, refusal.TrialIn, now)
 }
 
 // trialPassed records a successful trial of a backend server whose circuit breaker has tripped. The next trial from the
@@ -415,7 +416,7 @@
 
 // pickTrial returns the index of a VM whose tripped circuit breaker the request should test, or -1.
 func (r *router) pickTrial(req *Request, hosts []Peer, tried map[string]bool) int {
-	if !req.MayFail {
+	if !r.mayTest(req) {
 		return -1
 	}
 	out := r.opts.Fleet.OutDomains()
@@ -431,6 +432,7 @@
 			continue
 		}
 		if r.trippedBreakers.TakeTrial(routing.Target{VM: h.VM, Service: req.Service}, now, h.Domain == r.opts.Domain) {
+			req.trials++
 			return i
 		}
 	}
--- a/routing/tripped_breakers.go
+++ b/routing/tripped_breakers.go
@@ -65,6 +65,14 @@
 	}
 }
 
+// Extend keeps the record of a target until the given time, if it would end earlier.
+func (b *TrippedBreakers) Extend(target Target, until time.Duration) {
+	if breaker, ok := b.byTarget[target]; ok && until > breaker.until {
+		breaker.until = until
+		b.byTarget[target] = breaker
+	}
+}
+
 // TakePressedTrial reports whether a request that may not be repeated should be sent to a target now as a trial, and if so
 // keeps others from it. Use it only for a request that would otherwise wait in a queue or be refused: it is lost if the target
 // still fails. Load pattern: the load is above the capacity that is left while many backend servers fail, and too few requests
