--- a/proxy/moves.go
+++ b/proxy/moves.go
@@ -11,6 +11,8 @@
 	// maxMoves is the number of gates without a free slot that pass a request on before it waits in a queue. At half of the
 	// load that a service bears, three full VMs in a row are rare; above it, further hops only cost time and bytes.
 	maxMoves = 3
+	// maxBlindMoves is the number of such gates where the entry expects no free slot.
+	maxBlindMoves = 2
 	// minMoveRemaining is the least time before the deadline for a request that may still be moved.
 	minMoveRemaining = 200 * time.Millisecond
 )
@@ -60,6 +62,9 @@
 	switch chosen.reason {
 	case routing.ReasonOwnVM, routing.ReasonOwnDomain, routing.ReasonOwnRegion, routing.ReasonFarRegion:
 		// A free slot is expected there, and may be elsewhere if it is taken.
+	case routing.ReasonLeastCompletion:
+		// No free slot is known, but most reports are old. The refusals bring new ones.
+		return len(history.moves.full) < maxBlindMoves
 	default:
 		return false
 	}
@@ -75,7 +80,9 @@
 		}
 	}
 	chosen, ok := r.choose(req, history.tried)
-	if !ok || chosen.reason == routing.ReasonLeastLoaded {
+	noneFree := chosen.reason == routing.ReasonLeastLoaded ||
+		chosen.reason == routing.ReasonLeastCompletion && len(history.moves.full) >= maxBlindMoves
+	if !ok || noneFree {
 		if settled, found := r.settle(req, history); found {
 			return settled, true
 		}
