--- a/proxy/gate.go
+++ b/proxy/gate.go
@@ -470,13 +470,10 @@
 	}
 }
 
-// admissionRefusal converts the reason of the admission gate to a refusal.
+// admissionRefusal converts the reason of the admission gate to a refusal. The status promises that the request has not run,
+// also where its deadline passed in the queue.
 func admissionRefusal(reason admission.Reason) *Refusal {
-	status := http.StatusServiceUnavailable
-	if reason == admission.ReasonDeadline {
-		status = http.StatusGatewayTimeout
-	}
-	return notRunRefusal(status, Reason(reason), "admission")
+	return notRunRefusal(http.StatusServiceUnavailable, Reason(reason), "admission")
 }
 
 // leastLoaded returns the serving backend server with the lowest load relative to its effective slots, or nil.
