proxy: rollout reports count all requests that hold a slot as running

Cause: reports counted only requests that were sent after the gate learned of the rollout. Requests sent before, and those that hold a slot but are not sent yet (for example while an idempotency key is claimed), were missing. What callers saw: after cutover the leader could report completed while requests ran at old servers, which then stop at once: broken responses. Change: the running requests are those that hold a slot of the servers of the version. A slot is taken before the view is read, so a report that has applied the cutover includes every request that was admitted under an earlier view.

--- a/proxy/rollouts.go
+++ b/proxy/rollouts.go
@@ -311,10 +311,12 @@
 // counts of the others. isNew tells the reports of new versions.
 func (g *Gate) RolloutReports() (reports []rollout.Report, isNew []bool) {
 	running := g.opts.Fleet.RunningRollouts()
-	slots := map[versionKey]int{}
+	slots, inFlight := map[versionKey]int{}, map[versionKey]int{}
 	for service := range running {
 		for _, s := range g.serversOf(service) {
-			slots[versionKey{service, s.version()}] += s.warmSlots()
+			key := versionKey{service, s.version()}
+			slots[key] += s.warmSlots()
+			inFlight[key] += s.inFlight()
 		}
 	}
 	now := g.opts.Clock()
@@ -331,7 +333,10 @@
 		c.sequence++
 		report := rollout.Report{
 			VM: g.opts.VM, Sequence: c.sequence, Rollout: c.rollout, Service: key.service, Version: key.version,
-			Applied: view.Decision(), Arrived: c.arrived, Running: c.running, Slots: n,
+			Applied: view.Decision(), Arrived: c.arrived, Slots: n,
+			// Requests that were sent before the gate learned of the rollout, or that hold a slot and are about to be sent, count
+			// too: the servers of the old version stop when none is left.
+			Running: max(c.running, inFlight[key]),
 			KnownMs: (now - c.since).Milliseconds(), Routes: map[string]rollout.RouteCounts{},
 		}
 		for route, counts := range c.routes {
@@ -373,6 +378,13 @@
 	return s.gate.Load().Effective
 }
 
+// inFlight returns the number of requests that hold a slot of the server.
+func (s *server) inFlight() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.gate.Load().InFlight
+}
+
 // isCold reports whether the server is cold.
 func (s *server) isCold() bool {
 	s.mu.Lock()
--- a/proxy/rollouts_test.go
+++ b/proxy/rollouts_test.go
@@ -271,3 +271,23 @@
 	}
 	assert.Assert(t, f.allow(t, 1).Arrived <= report.Granted)
 }
+
+// Guards against old servers that stop while a request runs there that was sent before the gate learned of the rollout.
+func TestReportsIncludeEarlierRequests(t *testing.T) {
+	h, release := holdingHandler()
+	defer release()
+	f := newVersionFleet(t, h)
+	f.refresh()
+	results := f.start(t, f.new, 1)
+	eventually(t, "the request runs", func() bool { return f.newServer.count() == 1 })
+	f.view.apply(t, state.Command{Operator: "test", BeginRollout: &state.BeginRollout{Service: "svc", NewVersion: "v3", DurationMs: 10_000}})
+	decideTestRollout(t, f.view, state.RolloutCutover, 100)
+	f.refresh()
+	reports, isNew := f.new.gate.RolloutReports()
+	assert.Assert(t, !isNew[0])
+	assert.Equal(t, reports[0].Running, 1)
+	release()
+	assert.NilError(t, <-results)
+	reports, _ = f.new.gate.RolloutReports()
+	assert.Equal(t, reports[0].Running, 0)
+}
