proxy: check version and allowance again for queued requests whose server became new

Cause: a gate checked the allowance only when a request arrived. A request that was queued before the gate learned of the rollout, or whose server was replaced by one of the new version while it waited, ran there without an allowance and was not counted. What callers saw: a new version that gets requests beyond its allowance, up to a queue for each gate, and that are missing in the evidence. Change: the gate gets a new ticket when the slot is granted, if the first one is of another version or rollout. Without an allowance the request is refused as not run (exposure), and its entry sends it elsewhere.

--- a/proxy/gate.go
+++ b/proxy/gate.go
@@ -388,7 +388,7 @@
 	if refusal != nil {
 		return nil, g.completeRefusal(req, refusal, s)
 	}
-	defer ticket.abandon()
+	defer func() { ticket.abandon() }()
 	done, refusal := g.reserveRepeat(req)
 	if refusal != nil {
 		return nil, g.completeRefusal(req, refusal, s)
@@ -398,7 +398,8 @@
 		reason = g.checkSlot(held)
 	}
 	if reason == admission.ReasonNone {
-		if refusal := g.stillAdmitted(req, s); refusal != nil {
+		ticket, refusal = g.admitAtSlot(req, s, ticket)
+		if refusal != nil {
 			done(false)
 			held.release(0, admission.Cancelled)
 			return nil, g.completeRefusal(req, refusal, s)
--- a/proxy/rollouts.go
+++ b/proxy/rollouts.go
@@ -205,10 +205,12 @@
 type versionTicket struct {
 	rollouts *gateRollouts
 	counts   *versionCounts
-	route    string
-	cold     bool
-	sent     bool
-	ended    bool
+	// version is the version of the server that admitVersion checked.
+	version string
+	route   string
+	cold    bool
+	sent    bool
+	ended   bool
 }
 
 // admitVersion checks whether a request may go to a server: its version gets requests, and a new version's allowance is not used
@@ -233,16 +235,23 @@
 		return nil, notRunRefusal(http.StatusServiceUnavailable, ReasonExposure, "gate")
 	}
 	c.waiting++
-	return &versionTicket{rollouts: &g.rollouts, counts: c, route: req.Route}, nil
+	return &versionTicket{rollouts: &g.rollouts, counts: c, version: version, route: req.Route}, nil
 }
 
-// stillAdmitted checks once more when a request gets its slot: the version may have been rolled back while it waited.
-func (g *Gate) stillAdmitted(req *Request, s *server) *Refusal {
+// admitAtSlot checks once more when a request gets its slot, and returns the ticket that counts it. While the request waited, the
+// version may have been rolled back, a rollout may have begun, or a server of another version may have taken the place of the one
+// that it waited for.
+func (g *Gate) admitAtSlot(req *Request, s *server, ticket *versionTicket) (*versionTicket, *Refusal) {
 	view, ok := g.opts.Fleet.Versions(req.Service)
-	if version := s.version(); ok && version != "" && !view.Admits(version) {
-		return notRunRefusal(http.StatusServiceUnavailable, ReasonVersion, "gate")
+	version := s.version()
+	if ok && version != "" && !view.Admits(version) {
+		return ticket, notRunRefusal(http.StatusServiceUnavailable, ReasonVersion, "gate")
+	}
+	if ticket != nil && ticket.version == version && ticket.counts.rollout == view.ID() || ticket == nil && !view.Active() {
+		return ticket, nil
 	}
-	return nil
+	ticket.abandon()
+	return g.admitVersion(req, s)
 }
 
 // send counts that the request is sent to the server.
--- a/proxy/rollouts_test.go
+++ b/proxy/rollouts_test.go
@@ -291,3 +291,50 @@
 	reports, _ = f.new.gate.RolloutReports()
 	assert.Equal(t, reports[0].Running, 0)
 }
+
+// Guards against a queued request that runs at the new version without an allowance, because the rollout began, or a server of
+// the new version took the place of an old one, while it waited.
+func TestQueuedRequestWhoseServerBecomesNew(t *testing.T) {
+	for _, test := range []struct {
+		desc    string
+		replace bool
+	}{{"rollout begins", false}, {"server is replaced", true}} {
+		t.Run(test.desc, func(t *testing.T) {
+			h, release := holdingHandler()
+			defer release()
+			f := newVersionFleet(t, h)
+			m, b := f.new, f.newServer
+			announce := func(instance, version string) {
+				assert.NilError(t, m.gate.Announce(Announcement{Name: "b", Service: "svc", Address: addressOf(b.Server), Instance: instance, Version: version}, time.Now()))
+			}
+			if test.replace {
+				announce("2", "v1")
+				beginTestRollout(t, f.view)
+				f.refresh()
+			}
+			results := f.start(t, m, 4)
+			eventually(t, "a request waits", func() bool { return m.gate.Load("svc").Queued == 1 && b.count() == 3 })
+			if test.replace {
+				announce("3", "v2")
+			} else {
+				beginTestRollout(t, f.view)
+				f.refresh()
+			}
+			release()
+			refused := 0
+			for range cap(results) {
+				if err := <-results; err != nil {
+					assert.Equal(t, asRefusal(err).Reason, ReasonExposure)
+					assert.Equal(t, asRefusal(err).Outcome, OutcomeNotRun)
+					refused++
+				}
+			}
+			assert.Equal(t, refused, 1)
+			assert.Equal(t, b.count(), 3)
+			reports, isNew := m.gate.RolloutReports()
+			assert.Assert(t, len(reports) == 1 && isNew[0])
+			assert.Equal(t, reports[0].Arrived, uint64(0))
+			assert.Equal(t, reports[0].Running, 0)
+		})
+	}
+}
