node: the leader does not repeat a refused AdmitVersions with each step

Cause: the leader proposed AdmitVersions for each service without a record every 100 ms, also when the command is refused (for example because a server announces a version of more than 128 bytes, or there are more than 64) or when a member of the control group does not know it. Change: at most one proposal for each service in two seconds.

--- a/node/domainorders_test.go
+++ b/node/domainorders_test.go
@@ -85,7 +85,7 @@
 	nodes  []*Node
 }
 
-func startOrderFleet(t *testing.T) *orderFleet {
+func startOrderFleet(t *testing.T, options ...func(*Options)) *orderFleet {
 	t.Helper()
 	f := &orderFleet{t: t, holder: newHolder()}
 	for i := range 3 {
@@ -97,6 +97,9 @@
 		if i > 0 {
 			o.Join = []string{f.nodes[0].PeerAddress()}
 		}
+		for _, set := range options {
+			set(&o)
+		}
 		n, err := Start(o)
 		assert.NilError(t, err)
 		t.Cleanup(n.Kill)
--- a/node/rolloutorders_test.go
+++ b/node/rolloutorders_test.go
@@ -17,9 +17,9 @@
 )
 
 // startRolloutFleet returns three control VMs with a service.
-func startRolloutFleet(t *testing.T) *orderFleet {
+func startRolloutFleet(t *testing.T, options ...func(*Options)) *orderFleet {
 	t.Helper()
-	f := startOrderFleet(t)
+	f := startOrderFleet(t, options...)
 	change := config.Change{}
 	change.Services.Set = map[string]config.Service{"svc": {Slots: 1, Connections: 1, FloorPercent: 50}}
 	change.SetDefaults()
--- a/node/rollouts.go
+++ b/node/rollouts.go
@@ -32,6 +32,9 @@
 	rolloutProposeTimeout = time.Second
 	// admitVersionsAfter is how long a leader leads before it records the versions of services, so that gossip names the VMs.
 	admitVersionsAfter = 2 * time.Second
+	// admitRetryInterval is the least time between two proposals of AdmitVersions for a service. A refused one would otherwise
+	// be repeated with each step, and fill the logs of the control group.
+	admitRetryInterval = 2 * time.Second
 	// leaderConfirmedFor is the age, in heartbeat intervals, up to which the last confirmation by a quorum lets a leader give
 	// allowances. A leader that is cut off would give them beside its successor.
 	leaderConfirmedFor = 2
@@ -114,10 +117,14 @@
 	leading      bool
 	// proposing holds the services with a proposal that has not ended.
 	proposing map[string]bool
+	// admitAfter is the earliest time of the next proposal of AdmitVersions, by service.
+	admitAfter map[string]time.Duration
 }
 
 func newRolloutLeader(c *controlRole) *rolloutLeader {
-	return &rolloutLeader{role: c, deciders: map[string]*rollout.Decider{}, proposing: map[string]bool{}}
+	return &rolloutLeader{
+		role: c, deciders: map[string]*rollout.Decider{}, proposing: map[string]bool{}, admitAfter: map[string]time.Duration{},
+	}
 }
 
 // serveReport handles methodRolloutReport.
@@ -168,7 +175,8 @@
 		}
 	}
 	for _, a := range admit {
-		if !l.proposing[a.Service] {
+		if !l.proposing[a.Service] && now >= l.admitAfter[a.Service] {
+			l.admitAfter[a.Service] = now + admitRetryInterval
 			l.propose(a.Service, state.Command{AdmitVersions: &a})
 		}
 	}
