node: a new control leader decides only after it applied its predecessors' entries

Cause: the driver began to decide as soon as raft said that the process leads, on the fleet state as far as it was applied. If that had no decision of a rollout yet, the decider took itself for the first one, and did not wait for a round of reports when the decisions of its predecessor were applied. What callers saw: a new leader could give allowances beside those that gates hold from the earlier one, beyond the bound on exposure. Change: deciders begin when the entries that the log had at the start of the term are applied, and end with the term.

--- a/node/rollouts.go
+++ b/node/rollouts.go
@@ -115,6 +115,9 @@
 	// leadingSince is when this process began to lead; leading is false while it does not.
 	leadingSince time.Duration
 	leading      bool
+	// term is the last term in which step found this process to lead, and leadsFrom the index that it must have applied before
+	// it decides.
+	term, leadsFrom uint64
 	// proposing holds the services with a proposal that has not ended.
 	proposing map[string]bool
 	// admitAfter is the earliest time of the next proposal of AdmitVersions, by service.
@@ -130,7 +133,8 @@
 // serveReport handles methodRolloutReport.
 func (l *rolloutLeader) serveReport(_ context.Context, _ string, report rollout.Report) (rollout.Reply, error) {
 	c := l.role
-	if status := c.groups[groupControl].Status(); status.Role != raft.Leader {
+	status := c.groups[groupControl].Status()
+	if status.Role != raft.Leader {
 		return rollout.Reply{}, c.proposeError(groupControl, &raft.NotLeaderError{Leader: status.Leader})
 	}
 	if !c.heartbeats.confirmedWithin(leaderConfirmedFor * c.node.opts.LeaderHeartbeatInterval) {
@@ -139,7 +143,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	d, ok := l.deciders[report.Service]
-	if !ok || d.Plan().ID != report.Rollout {
+	if !ok || status.Term != l.term || d.Plan().ID != report.Rollout {
 		return rollout.Reply{}, &rpc.RemoteError{Code: rpc.CodeUnavailable, Message: "no such rollout runs"}
 	}
 	return d.Report(c.node.clock(), report), nil
@@ -148,7 +152,7 @@
 // step starts and ends deciders with the rollouts in the fleet state, and proposes what they decide.
 func (l *rolloutLeader) step() {
 	now := l.role.node.clock()
-	leads := l.role.isLeader(groupControl)
+	leads := l.begin(l.role.groups[groupControl].Status())
 	var running []state.Rollout
 	var admit []state.AdmitVersions
 	if leads {
@@ -182,6 +186,22 @@
 	}
 }
 
+// begin reports whether this process leads and has applied what earlier leaders committed. A decider that began with an older plan
+// would take later decisions for its own, and give allowances beside those that an earlier leader gave. For the same reason no
+// decider outlives a term, even if this process leads the next one too.
+func (l *rolloutLeader) begin(status raft.Status) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if status.Role != raft.Leader {
+		return false
+	}
+	if status.Term != l.term {
+		l.term, l.leadsFrom, l.leading = status.Term, status.LastIndex, false
+		clear(l.deciders)
+	}
+	return status.Applied >= l.leadsFrom
+}
+
 // update makes the deciders match the running rollouts. The caller holds mu.
 func (l *rolloutLeader) update(running []state.Rollout, now time.Duration) {
 	plans := map[string]rollout.Plan{}
--- a/node/rollouts_test.go
+++ b/node/rollouts_test.go
@@ -15,6 +15,7 @@
 
 	"rosemaryline.dev/fleet/state"
 	"rosemaryline.dev/proxy"
+	"rosemaryline.dev/raft"
 	"rosemaryline.dev/rollout"
 )
 
@@ -242,3 +243,20 @@
 	time.Sleep(admitRetryInterval / 2)
 	assert.Equal(t, proposals(), 1)
 }
+
+// Guards against a new leader that gives allowances beside those of an earlier one, because it decides before it has applied the
+// earlier decisions or keeps a decider from a term that ended.
+func TestRolloutLeaderBeginsAnewInEachTerm(t *testing.T) {
+	l := newRolloutLeader(nil)
+	leader := func(term, last, applied uint64) raft.Status {
+		return raft.Status{Role: raft.Leader, Term: term, LastIndex: last, Applied: applied}
+	}
+	assert.Assert(t, !l.begin(leader(5, 10, 8)))
+	assert.Assert(t, l.begin(leader(5, 12, 10)))
+	l.deciders["svc"] = rollout.New(rollout.Settings{}, rollout.Plan{ID: "a"}, 0)
+	assert.Assert(t, l.begin(leader(5, 14, 12)))
+	assert.Equal(t, len(l.deciders), 1)
+	assert.Assert(t, !l.begin(raft.Status{Role: raft.Follower, Term: 6}))
+	assert.Assert(t, !l.begin(leader(7, 20, 14)))
+	assert.Equal(t, len(l.deciders), 0)
+}
