proxy: new servers in a failure domain that is out of service take no part in a phase

Cause: the few servers of the loaded phase were chosen among all serving ones, also those in failure domains that were taken out, which get no requests. What operators saw: a loaded phase without requests, and a good version that is rolled back for lack of evidence while a failure domain is out. Change: entries choose among the servers in failure domains that are in service.

--- a/proxy/rollouts.go
+++ b/proxy/rollouts.go
@@ -103,7 +103,7 @@
 		req.side = r.drawSide(view)
 	}
 	if req.side == sideNew {
-		if takingPart := newHosts(admitted, view); len(takingPart) > 0 {
+		if takingPart := newHosts(admitted, view, r.opts.Fleet.OutDomains()); len(takingPart) > 0 {
 			return takingPart
 		}
 		req.side = sideOld
@@ -125,11 +125,12 @@
 	return sideOld
 }
 
-// newHosts returns the VMs with servers of the new version that take part in the rollout's present phase.
-func newHosts(hosts []Peer, view rollout.View) []Peer {
+// newHosts returns the VMs with servers of the new version that take part in the rollout's present phase. VMs in the failure domains
+// that are out of service get no requests, so others take part in their place.
+func newHosts(hosts []Peer, view rollout.View, out map[string]bool) []Peer {
 	var names []string
 	for i := range hosts {
-		if view.IsNew(hosts[i].Version) && hosts[i].State == routing.StateServing {
+		if view.IsNew(hosts[i].Version) && hosts[i].State == routing.StateServing && !out[hosts[i].Domain] {
 			names = append(names, hosts[i].VM)
 		}
 	}
--- a/proxy/rollouts_test.go
+++ b/proxy/rollouts_test.go
@@ -338,3 +338,19 @@
 		})
 	}
 }
+
+// Guards against a loaded phase without evidence, because the VMs that take part are in a failure domain that is out of service.
+func TestServersOutOfServiceTakeNoPart(t *testing.T) {
+	view := rollout.NewView([]string{"v1"}, &rollout.Plan{ID: "a", NewVersion: "v2", Phase: rollout.Loaded, Percent: 10, Servers: 1})
+	var hosts []Peer
+	for i := range 8 {
+		p := newPeer(string(rune('a'+i)), "")
+		p.Version = "v2"
+		if i > 0 {
+			p.Domain = "d2"
+		}
+		hosts = append(hosts, p)
+	}
+	takingPart := newHosts(hosts, view, map[string]bool{"d2": true})
+	assert.Assert(t, len(takingPart) == 1 && takingPart[0].VM == "a", "%v", takingPart)
+}
