--- a/proxy/rollouts.go
+++ b/proxy/rollouts.go
@@ -103,7 +103,7 @@
 		req.side = r.drawSide(view)
 	}
 	if req.side == sideNew {
-		if takingPart := newHosts(admitted, view); len(takingPart) > 0 {
+		if takingPart := newHosts(admitted, view, r.opts.Fleet.OutDomains()); len(takingPart) > 0 {
 			return takingPart
 		}
 		req.side = sideOld
@@ -125,11 +125,12 @@
 	return sideOld
 }
 
-// newHosts returns the VMs with servers of the new version that take part in the rollout's present phase.
-func newHosts(hosts []Peer, view rollout.View) []Peer {
+// newHosts returns the VMs with servers of the new version that take part in the rollout's present phase. VMs in the failure domains
+// that are out of service get no requests, so others take part in their place.
+func newHosts(hosts []Peer, view rollout.View, out map[string]bool) []Peer {
 	var names []string
 	for i := range hosts {
-		if view.IsNew(hosts[i].Version) && hosts[i].State == routing.StateServing {
+		if view.IsNew(hosts[i].Version) && hosts[i].State == routing.StateServing && !out[hosts[i].Domain] {
 			names = append(names, hosts[i].VM)
 		}
 	}
@@ -205,10 +206,12 @@
 type versionTicket struct {
 	rollouts *gateRollouts
 	counts   *versionCounts
-	route    string
-	cold     bool
-	sent     bool
-	ended    bool
+	// version is the version of the server that admitVersion checked.
+	version string
+	route   string
+	cold    bool
+	sent    bool
+	ended   bool
 }
 
 // admitVersion checks whether a request may go to a server: its version gets requests, and a new version's allowance is not used
@@ -233,16 +236,23 @@
 		return nil, notRunRefusal(http.StatusServiceUnavailable, ReasonExposure, "gate")
 	}
 	c.waiting++
-	return &versionTicket{rollouts: &g.rollouts, counts: c, route: req.Route}, nil
+	return &versionTicket{rollouts: &g.rollouts, counts: c, version: version, route: req.Route}, nil
 }
 
-// stillAdmitted checks once more when a request gets its slot: the version may have been rolled back while it waited.
-func (g *Gate) stillAdmitted(req *Request, s *server) *Refusal {
+// admitAtSlot checks once more when a request gets its slot, and returns the ticket that counts it. While the request waited, the
+// version may have been rolled back, a rollout may have begun, or a server of another version may have taken the place of the one
+// that it waited for.
+func (g *Gate) admitAtSlot(req *Request, s *server, ticket *versionTicket) (*versionTicket, *Refusal) {
 	view, ok := g.opts.Fleet.Versions(req.Service)
-	if version := s.version(); ok && version != "" && !view.Admits(version) {
-		return notRunRefusal(http.StatusServiceUnavailable, ReasonVersion, "gate")
+	version := s.version()
+	if ok && version != "" && !view.Admits(version) {
+		return ticket, notRunRefusal(http.StatusServiceUnavailable, ReasonVersion, "gate")
+	}
+	if ticket != nil && ticket.version == version && ticket.counts.rollout == view.ID() || ticket == nil && !view.Active() {
+		return ticket, nil
 	}
-	return nil
+	ticket.abandon()
+	return g.admitVersion(req, s)
 }
 
 // send counts that the request is sent to the server.
@@ -311,10 +321,12 @@
 // counts of the others. isNew tells the reports of new versions.
 func (g *Gate) RolloutReports() (reports []rollout.Report, isNew []bool) {
 	running := g.opts.Fleet.RunningRollouts()
-	slots := map[versionKey]int{}
+	slots, inFlight := map[versionKey]int{}, map[versionKey]int{}
 	for service := range running {
 		for _, s := range g.serversOf(service) {
-			slots[versionKey{service, s.version()}] += s.warmSlots()
+			key := versionKey{service, s.version()}
+			slots[key] += s.warmSlots()
+			inFlight[key] += s.inFlight()
 		}
 	}
 	now := g.opts.Clock()
@@ -331,7 +343,10 @@
 		c.sequence++
 		report := rollout.Report{
 			VM: g.opts.VM, Sequence: c.sequence, Rollout: c.rollout, Service: key.service, Version: key.version,
-			Applied: view.Decision(), Arrived: c.arrived, Running: c.running, Slots: n,
+			Applied: view.Decision(), Arrived: c.arrived, Slots: n,
+			// Requests that were sent before the gate learned of the rollout, or that hold a slot and are about to be sent, count
+			// too: the servers of the old version stop when none is left.
+			Running: max(c.running, inFlight[key]),
 			KnownMs: (now - c.since).Milliseconds(), Routes: map[string]rollout.RouteCounts{},
 		}
 		for route, counts := range c.routes {
@@ -373,6 +388,13 @@
 	return s.gate.Load().Effective
 }
 
+// inFlight returns the number of requests that hold a slot of the server.
+func (s *server) inFlight() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.gate.Load().InFlight
+}
+
 // isCold reports whether the server is cold.
 func (s *server) isCold() bool {
 	s.mu.Lock()
--- a/proxy/rollouts_test.go
+++ b/proxy/rollouts_test.go
@@ -271,3 +271,86 @@
 	}
 	assert.Assert(t, f.allow(t, 1).Arrived <= report.Granted)
 }
+
+// Guards against old servers that stop while a request runs there that was sent before the gate learned of the rollout.
+func TestReportsIncludeEarlierRequests(t *testing.T) {
+	h, release := holdingHandler()
+	defer release()
+	f := newVersionFleet(t, h)
+	f.refresh()
+	results := f.start(t, f.new, 1)
+	eventually(t, "the request runs", func() bool { return f.newServer.count() == 1 })
+	f.view.apply(t, state.Command{Operator: "test", BeginRollout: &state.BeginRollout{Service: "svc", NewVersion: "v3", DurationMs: 10_000}})
+	decideTestRollout(t, f.view, state.RolloutCutover, 100)
+	f.refresh()
+	reports, isNew := f.new.gate.RolloutReports()
+	assert.Assert(t, !isNew[0])
+	assert.Equal(t, reports[0].Running, 1)
+	release()
+	assert.NilError(t, <-results)
+	reports, _ = f.new.gate.RolloutReports()
+	assert.Equal(t, reports[0].Running, 0)
+}
+
+// Guards against a queued request that runs at the new version without an allowance, because the rollout began, or a server of
+// the new version took the place of an old one, while it waited.
+func TestQueuedRequestWhoseServerBecomesNew(t *testing.T) {
+	for _, test := range []struct {
+		desc    string
+		replace bool
+	}{{"rollout begins", false}, {"server is replaced", true}} {
+		t.Run(test.desc, func(t *testing.T) {
+			h, release := holdingHandler()
+			defer release()
+			f := newVersionFleet(t, h)
+			m, b := f.new, f.newServer
+			announce := func(instance, version string) {
+				assert.NilError(t, m.gate.Announce(Announcement{Name: "b", Service: "svc", Address: addressOf(b.Server), Instance: instance, Version: version}, time.Now()))
+			}
+			if test.replace {
+				announce("2", "v1")
+				beginTestRollout(t, f.view)
+				f.refresh()
+			}
+			results := f.start(t, m, 4)
+			eventually(t, "a request waits", func() bool { return m.gate.Load("svc").Queued == 1 && b.count() == 3 })
+			if test.replace {
+				announce("3", "v2")
+			} else {
+				beginTestRollout(t, f.view)
+				f.refresh()
+			}
+			release()
+			refused := 0
+			for range cap(results) {
+				if err := <-results; err != nil {
+					assert.Equal(t, asRefusal(err).Reason, ReasonExposure)
+					assert.Equal(t, asRefusal(err).Outcome, OutcomeNotRun)
+					refused++
+				}
+			}
+			assert.Equal(t, refused, 1)
+			assert.Equal(t, b.count(), 3)
+			reports, isNew := m.gate.RolloutReports()
+			assert.Assert(t, len(reports) == 1 && isNew[0])
+			assert.Equal(t, reports[0].Arrived, uint64(0))
+			assert.Equal(t, reports[0].Running, 0)
+		})
+	}
+}
+
+// Guards against a loaded phase without evidence, because the VMs that take part are in a failure domain that is out of service.
+func TestServersOutOfServiceTakeNoPart(t *testing.T) {
+	view := rollout.NewView([]string{"v1"}, &rollout.Plan{ID: "a", NewVersion: "v2", Phase: rollout.Loaded, Percent: 10, Servers: 1})
+	var hosts []Peer
+	for i := range 8 {
+		p := newPeer(string(rune('a'+i)), "")
+		p.Version = "v2"
+		if i > 0 {
+			p.Domain = "d2"
+		}
+		hosts = append(hosts, p)
+	}
+	takingPart := newHosts(hosts, view, map[string]bool{"d2": true})
+	assert.Assert(t, len(takingPart) == 1 && takingPart[0].VM == "a", "%v", takingPart)
+}
