--- a/proxy/rollouts_test.go
+++ b/proxy/rollouts_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -170,19 +171,19 @@
 // Guards against evidence that blames a version for what its requests did not cause, and against failures of one kind that are
 // counted as another.
 func TestResultsOfVersions(t *testing.T) {
-	status := http.StatusInternalServerError
+	var status atomic.Int32
 	f := newVersionFleet(t, func(w http.ResponseWriter, r *http.Request) {
-		if status == 0 {
+		if status.Load() == 0 {
 			panic(http.ErrAbortHandler)
 		}
-		w.WriteHeader(status)
+		w.WriteHeader(int(status.Load()))
 	})
 	beginTestRollout(t, f.view)
 	decideTestRollout(t, f.view, state.RolloutCanary, 100)
 	f.refresh()
 	f.allow(t, 100)
 	run := func(s int) {
-		status = s
+		status.Store(int32(s))
 		req := newTestRequest(t, "root")
 		req.Forced = true
 		if resp, err := f.new.gate.Run(context.Background(), req); err == nil {
