--- a/proxy/firststate_test.go
+++ b/proxy/firststate_test.go
@@ -21,6 +21,7 @@
 	known := v.s
 	v.s = state.New()
 	m := newSingleVM(t, v, nil)
+	began := time.Now()
 	time.AfterFunc(delay, func() {
 		v.mu.Lock()
 		v.s = known
@@ -28,7 +29,6 @@
 		m.announce(t, "b", addressOf(b.Server), "1")
 		m.fleet.Refresh()
 	})
-	began := time.Now()
 	resp, text, err := sendRequest(t, m.caller, "GET", "/once", nil)
 	assert.NilError(t, err)
 	assert.Assert(t, time.Since(began) >= delay)
