node, proxy: a process that begins to stop tells the gates that run its requests

Cause: in the first 1.4 s after the signal to stop only the process itself knows, and gossip takes up to a second more, so a gate could cancel an overdue request for a retry by an entry that is stopping. Change: the process notifies the gates with its requests at once, and sends later ones as not to be cancelled.

--- a/node/node.go
+++ b/node/node.go
@@ -187,6 +187,7 @@
 func (n *Node) register() {
 	rpc.Register(n.rpc, methodGossip, n.gossip.receive)
 	rpc.Register(n.rpc, methodRecovered, n.receiveRecovered)
+	rpc.Register(n.rpc, methodStopping, n.receiveStopping)
 	rpc.Register(n.rpc, methodExplain, n.serveExplain)
 	rpc.Register(n.rpc, methodGrant, n.limiter.serveGrant)
 	rpc.Register(n.rpc, methodPermit, n.ejections.servePermit)
@@ -250,6 +251,7 @@
 	if n.stopping.Swap(true) {
 		return
 	}
+	n.notifyStopping()
 	for _, s := range n.servers {
 		if s.pipeline != nil {
 			s.pipeline.Stop()
--- a/proxy/gate.go
+++ b/proxy/gate.go
@@ -84,6 +84,8 @@
 	opts    GateOptions
 	leaving atomic.Bool
 	budgets gateBudgets
+	// stoppingEntries has a lock of its own, which is taken last.
+	stoppingEntries stoppingEntries
 	// rollouts has a lock of its own, which is taken last.
 	rollouts gateRollouts
 
@@ -331,6 +333,9 @@
 
 // entryLeaving reports whether the process whose entry accepted a request is stopping gracefully.
 func (g *Gate) entryLeaving(vm string) bool {
+	if g.stoppingEntries.has(vm, g.opts.Clock()) {
+		return true
+	}
 	if vm == g.opts.VM {
 		return g.leaving.Load()
 	}
--- a/proxy/leaving_test.go
+++ b/proxy/leaving_test.go
@@ -54,9 +54,18 @@
 
 // Guards against a stop that ends work in progress: the gate of another VM cancelled an overdue request, so that its entry
 // retries it elsewhere, while the process of that entry was stopping; the caller got a failure although the backend server
-// was at work. With an entry that goes on, the request is cancelled.
+// was at work. With an entry that goes on, the request is cancelled. A process that began to stop tells its gates, also the own
+// one, a second before gossip says that it is leaving.
 func TestOverdueRequestOfALeavingEntryContinues(t *testing.T) {
-	for _, leaving := range []bool{false, true} {
+	for _, test := range []struct {
+		desc              string
+		entry             string
+		leaving, stopping bool
+	}{
+		{"goes on", "vm1", false, false}, {"leaving", "vm1", true, false},
+		{"stopping", "vm1", false, true}, {"stopping beside the gate", "vm2", false, true},
+	} {
+		leaving := test.leaving
 		var ahead atomic.Int64
 		began := time.Now()
 		clock := func() time.Duration { return time.Since(began) + time.Duration(ahead.Load()) }
@@ -73,7 +82,7 @@
 		assert.NilError(t, gate.Announce(Announcement{Name: "b", Service: "svc", Address: addressOf(b.Server), Instance: "1"}, time.Now()))
 		t.Cleanup(func() { gate.Withdraw("b") })
 		req := newTestRequest(t, "root")
-		req.Entry, req.Repeatable, req.MayFail = "vm1", true, true
+		req.Entry, req.Repeatable, req.MayFail = test.entry, true, true
 		type result struct {
 			resp *Response
 			err  error
@@ -85,15 +94,37 @@
 		}()
 		eventually(t, "the request runs", func() bool { return b.count() == 1 })
 		ahead.Store(int64(4 * time.Second)) // more than half of the time to the deadline
+		if test.stopping {
+			gate.EntryStopping(test.entry)
+		}
 		gate.Sweep()
-		if !leaving {
-			assert.Equal(t, asRefusal((<-done).err).Reason, ReasonEjected)
+		if !test.leaving && !test.stopping {
+			assert.Equal(t, asRefusal((<-done).err).Reason, ReasonEjected, test.desc)
 			continue
 		}
 		close(release)
 		r := <-done
-		assert.NilError(t, r.err)
+		assert.NilError(t, r.err, test.desc)
 		assert.Equal(t, r.resp.Status, http.StatusOK)
 		assert.NilError(t, r.resp.Body.Close())
 	}
 }
+
+// Guards against a stop of which the gates with requests of the entry are not told, and against requests of a stopping entry that
+// a gate may cancel for a retry.
+func TestStoppingEntryNamesItsGates(t *testing.T) {
+	release := make(chan struct{})
+	b := newBackend(t, func(http.ResponseWriter, *http.Request) { <-release })
+	entry, _ := newEntryAndGate(t, newFleetView(t, 4), b)
+	assert.Equal(t, len(entry.entry.BeginStop()), 0)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_, _, _ = sendRequest(t, entry.caller, "GET", "/x", nil)
+	}()
+	eventually(t, "the request runs", func() bool { return b.count() == 1 })
+	assert.DeepEqual(t, entry.entry.BeginStop(), []string{"vm2"})
+	assert.Assert(t, !entry.entry.router.mayFail(&Request{Deadline: deadlineIn(5000)}, &attemptHistory{retryReserved: true}))
+	close(release)
+	<-done
+}
--- a/proxy/router.go
+++ b/proxy/router.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"rosemaryline.dev/fleet/state"
@@ -18,6 +19,8 @@
 	policy routing.Policy
 	loads  *loadTable
 	work   *workTable
+	// stopping is set when the process begins a graceful stop.
+	stopping atomic.Bool
 
 	mu              sync.Mutex // guards the fields below
 	paths           *routing.PathHealth
@@ -167,7 +170,7 @@
 // mayFail reports whether the request can be sent elsewhere if the next attempt fails. Only the first attempt may go to
 // a backend server whose circuit breaker has tripped, because a second one there would be as likely to fail.
 func (r *router) mayFail(req *Request, history *attemptHistory) bool {
-	return history.retryReserved && history.reached == 0 && req.MaxAttempts != 1 && req.Body.CanReplay() &&
+	return !r.stopping.Load() && history.retryReserved && history.reached == 0 && req.MaxAttempts != 1 && req.Body.CanReplay() &&
 		time.Until(req.Deadline) > minTrialRemaining
 }
 
