--- a/cmd/rosemarylined/settings.go
+++ b/cmd/rosemarylined/settings.go
@@ -272,6 +272,7 @@
 		MaxKeyedBody:        int64(s.keyedBody),
 		MaxHeaderBytes:      int(s.maxHeader),
 		StopTimeout:         time.Duration(s.stopTimeout),
+		Rollouts:            node.DefaultRollouts(),
 		Log:                 newLogger(s.logLevel, os.Stdout),
 	}
 	var err error
--- a/node/options.go
+++ b/node/options.go
@@ -150,6 +150,12 @@
 	HoldUnknownVersions bool
 }
 
+// DefaultRollouts returns the bounds for fleets whose operators set none: a bad version gets at most a tenth of the requests and 50 more,
+// and none later than 5 s after its 50th bad response.
+func DefaultRollouts() *RolloutOptions {
+	return &RolloutOptions{Settings: rollout.Settings{ExposureShare: 0.1, ExposureSlack: 50, RollbackAfter: 5 * time.Second}}
+}
+
 // Listener describes an additional listener.
 type Listener struct {
 	// Name identifies the listener in logs and errors.
