--- a/cmd/rosemarylined/dev.go
+++ b/cmd/rosemarylined/dev.go
@@ -112,7 +112,7 @@
 
 func (f *devFleet) startNode(i int, vm devVM) error {
 	o := node.Options{
-		Rollouts: node.DefaultRollouts(),
+		Rollouts:     node.DefaultRollouts(),
 		Name:         vm.name,
 		Domain:       vm.domain,
 		CallerListen: "127.0.0.1:0",
