--- a/proxy/stopping.go
+++ b/proxy/stopping.go
@@ -5,9 +5,9 @@
 	"time"
 )
 
-// stoppingEntryFor is how long a gate treats an entry as stopping after its notice. It covers the grace period of a stop; a process that
-// restarts under the same name within it only loses the cancellation of overdue requests for that time.
-const stoppingEntryFor = 15 * time.Second
+// stoppingEntryFor is how long a gate treats an entry as stopping after its notice. Gossip names the VM as leaving by then, and the
+// requests of a process that restarts under the same name must be cancelled again when they are overdue.
+const stoppingEntryFor = 4 * time.Second
 
 // stoppingEntries holds the VMs whose entries said that they are stopping. Load pattern: VMs are restarted one after the other
 // while backend servers are slow, so requests become overdue within the second in which gossip does not yet name the VM.
