--- a/node/domainorders.go
+++ b/node/domainorders.go
@@ -224,6 +224,9 @@
 func (n *Node) orderDomain(ctx context.Context, operator, domain string, out bool) error {
 	version := n.stateVersion()
 	reply, err := n.proposeOrder(ctx, domainOrder{Domain: domain})
+	if err != nil && errors.Is(ctx.Err(), context.Canceled) {
+		return ErrCallerGone // only the token was asked for
+	}
 	if err != nil && !isUnsupported(err) {
 		return err
 	}
