--- a/cmd/rosemarylined/logwriter.go
+++ b/cmd/rosemarylined/logwriter.go
@@ -27,14 +27,20 @@
 // logWriter is a log.Writer that never blocks a request: it drops and counts the lines above its limits and those that
 // find the queue full because the output is slow.
 type logWriter struct {
-	async          *log.AsyncWriter
+	// lines holds copies of the lines that wait for the output. log.AsyncWriter is not used: it reads an entry after it queued it,
+	// while the next line may already reuse the entry.
+	lines          chan []byte
 	lineLimiter    *rate.Limiter
 	warningLimiter *rate.Limiter
 	dropped        atomic.Int64 // lines since the last report
-	queued         atomic.Int64 // lines that wait for the output
 	stop           chan struct{}
 	// stopped is closed when reportDropped has returned.
 	stopped chan struct{}
+	// drain is closed when no more lines are expected.
+	drain chan struct{}
+	// written is closed when the queued lines are written after Close.
+	written chan struct{}
+	err     error // of the first failed write; valid after written is closed
 }
 
 func newLogWriter(output io.Writer) *logWriter {
@@ -43,23 +49,40 @@
 		warningLimiter: rate.NewLimiter(warningsPerSecond, warningBurst),
 		stop:           make(chan struct{}),
 		stopped:        make(chan struct{}),
+		lines:          make(chan []byte, logQueueLines),
+		drain:          make(chan struct{}),
+		written:        make(chan struct{}),
 	}
-	// WriteEntry limits the queue itself, because AsyncWriter does not report the lines that it discards.
-	w.async = &log.AsyncWriter{Writer: &countingWriter{output: output, queued: &w.queued}, ChannelSize: logQueueLines + 1, DiscardOnFull: true}
+	go w.writeLines(output)
 	go w.reportDropped()
 	return w
 }
 
-// countingWriter writes lines to output and decrements queued for each.
-type countingWriter struct {
-	output io.Writer
-	queued *atomic.Int64
-}
-
-// WriteEntry implements log.Writer.
-func (w *countingWriter) WriteEntry(e *log.Entry) (int, error) {
-	w.queued.Add(-1)
-	return w.output.Write(e.Value())
+// writeLines writes the queued lines. After Close it writes those that are left and returns. The queue is not closed, because
+// other goroutines may still log.
+func (w *logWriter) writeLines(output io.Writer) {
+	defer close(w.written)
+	write := func(line []byte) {
+		if _, err := output.Write(line); err != nil && w.err == nil {
+			w.err = err
+		}
+	}
+	for {
+		select {
+		case line := <-w.lines:
+			write(line)
+			continue
+		case <-w.drain:
+		}
+		for {
+			select {
+			case line := <-w.lines:
+				write(line)
+			default:
+				return
+			}
+		}
+	}
 }
 
 // WriteEntry implements log.Writer.
@@ -68,12 +91,18 @@
 	if e.Level >= log.WarnLevel {
 		limiter = w.warningLimiter
 	}
-	if !limiter.Allow() || w.queued.Load() >= logQueueLines {
+	if !limiter.Allow() {
+		w.dropped.Add(1)
+		return 0, nil
+	}
+	line := append([]byte(nil), e.Value()...)
+	select {
+	case w.lines <- line:
+		return len(line), nil
+	default:
 		w.dropped.Add(1)
 		return 0, nil
 	}
-	w.queued.Add(1)
-	return w.async.WriteEntry(e)
 }
 
 // reportDropped logs the number of dropped lines every dropReportInterval until the writer is closed.
@@ -98,5 +127,7 @@
 func (w *logWriter) Close() error {
 	close(w.stop)
 	<-w.stopped
-	return w.async.Close()
+	close(w.drain)
+	<-w.written
+	return w.err
 }
