node: control VMs give up quota shards once other processes have joined

Shards assigned while only control VMs had joined stayed with them for good, and nobody can assign them again once control is lost. The test now waits until no control VM owns a shard, which the former code never reaches then; `rosemaryline members` shows the number of shards of each process.

--- a/cmd/rosemaryline/status.go
+++ b/cmd/rosemaryline/status.go
@@ -79,18 +79,18 @@
 	for _, m := range reply.Gossip {
 		gossip[m.Name] = m
 	}
-	rows := [][]string{row("NAME", "ADDRESS", "DOMAIN", "ROSTER", "STATUS", "INCARNATION")}
+	rows := [][]string{row("NAME", "ADDRESS", "DOMAIN", "ROSTER", "STATUS", "INCARNATION", "SHARDS")}
 	for _, p := range reply.Roster {
 		m, ok := gossip[p.Name]
 		delete(gossip, p.Name)
 		if !ok {
 			m.Status = "unknown"
 		}
-		rows = append(rows, row(p.Name, p.Address, p.Domain, "yes", m.Status, m.Incarnation))
+		rows = append(rows, row(p.Name, p.Address, p.Domain, "yes", m.Status, m.Incarnation, reply.Shards[p.Name]))
 	}
 	for _, m := range reply.Gossip {
 		if _, left := gossip[m.Name]; left {
-			rows = append(rows, row(m.Name, m.Address, m.Domain, "no", m.Status, m.Incarnation))
+			rows = append(rows, row(m.Name, m.Address, m.Domain, "no", m.Status, m.Incarnation, reply.Shards[m.Name]))
 		}
 	}
 	return rows
--- a/cmd/rosemarylined/fleet_test.go
+++ b/cmd/rosemarylined/fleet_test.go
@@ -494,6 +494,23 @@
 	for _, vm := range proxies {
 		f.waitServing(vm, "key-1")
 	}
+	// Nobody assigns the quota shards of control VMs to other processes while control is unavailable.
+	f.eventually("no control VM owns a shard", func() error {
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		var members control.MembersReply
+		if err := f.client.Get(ctx, "/v1/members", nil, &members); err != nil {
+			return err
+		}
+		owned := 0
+		for _, vm := range f.vms[:3] {
+			owned += members.Shards[vm.name]
+		}
+		if owned > 0 || len(members.Shards) == 0 {
+			return fmt.Errorf("control VMs own %d shards", owned)
+		}
+		return nil
+	})
 	for _, vm := range f.vms[:3] {
 		f.kill(vm)
 	}
--- a/control/api_status.go
+++ b/control/api_status.go
@@ -107,7 +107,15 @@
 
 func (a *API) getMembers(w http.ResponseWriter, _ *call) error {
 	var reply MembersReply
-	a.Fleet.View(func(s *state.State) { reply.Roster = s.Roster() })
+	a.Fleet.View(func(s *state.State) {
+		reply.Roster = s.Roster()
+		reply.Shards = map[string]int{}
+		for _, owner := range s.ShardOwners() {
+			if owner != "" {
+				reply.Shards[owner]++
+			}
+		}
+	})
 	if a.Members != nil {
 		reply.Gossip = a.Members.Members()
 	}
--- a/control/types.go
+++ b/control/types.go
@@ -124,6 +124,8 @@
 type MembersReply struct {
 	Roster []state.Process `json:"roster"`
 	Gossip []MemberInfo    `json:"gossip,omitempty"`
+	// Shards is the number of quota shards that each process owns, by its name. Processes without a shard are left out.
+	Shards map[string]int `json:"shards,omitempty"`
 }
 
 // ExplainReply describes how a request would be routed.
--- a/node/roster.go
+++ b/node/roster.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sort"
 	"strconv"
 	"time"
@@ -109,8 +110,8 @@
 	return commands
 }
 
-// shardCommand returns a command that assigns the shards without an owner, and those whose owner is dead or leaving, to
-// new owners. ok is false if there are none.
+// shardCommand returns a command that assigns the shards without an owner, and those whose owner is dead, leaving or a control
+// VM that is no candidate, to new owners. ok is false if there are none.
 func (c *controlRole) shardCommand(members []peerInfo) (state.Command, bool) {
 	now := c.node.clock()
 	if now-c.keeper.changedAt < rosterSettleTime {
@@ -123,7 +124,7 @@
 	owners := map[int]string{}
 	c.machine.View(func(s *state.State) {
 		for shard, owner := range s.ShardOwners() {
-			if c.keepsShard(owner, members, now) {
+			if c.keepsShard(owner, members, candidates, now) {
 				continue
 			}
 			owners[shard] = rendezvous(candidates, shard)
@@ -160,14 +161,20 @@
 	return names
 }
 
-func (c *controlRole) keepsShard(owner string, members []peerInfo, now time.Duration) bool {
+// keepsShard reports whether a shard stays with its owner. A control VM that got shards before any other process had joined
+// gives them up when one is there.
+func (c *controlRole) keepsShard(owner string, members []peerInfo, candidates []string, now time.Duration) bool {
 	if owner == "" {
 		return false
 	}
 	for _, m := range members {
-		if m.Name == owner {
-			return m.Status != membership.StatusLeaving
+		if m.Name != owner {
+			continue
 		}
+		if m.meta.Control != 0 && m.Status == membership.StatusAlive {
+			return slices.Contains(candidates, owner)
+		}
+		return m.Status != membership.StatusLeaving
 	}
 	return c.keeper.deadFor(owner, false, now) < shardOwnerGrace
 }
--- a/node/shards_test.go
+++ b/node/shards_test.go
@@ -150,6 +150,24 @@
 	}
 }
 
+// Guards against shards that stay on control VMs for good because the other processes joined late: when all control VMs are
+// lost, nobody grants the teams of these shards a request.
+func TestControlVMsGiveUpShards(t *testing.T) {
+	const shard = 7
+	f := newFleetFixture(t, "control-1", "proxy-1")
+	f.assign(shard, "control-1")
+	c := &controlRole{machine: &controlMachine{state: f.controlState}, node: &Node{clock: func() time.Duration { return time.Hour }}}
+	control := peerInfo{Member: membership.Member{Name: "control-1", Status: membership.StatusAlive}}
+	control.meta.Control = 1
+	command, ok := c.shardCommand([]peerInfo{control})
+	assert.Assert(t, ok)
+	_, moved := command.AssignShards.Owners[shard]
+	assert.Assert(t, !moved)
+	command, ok = c.shardCommand([]peerInfo{control, {Member: membership.Member{Name: "proxy-1", Status: membership.StatusAlive}}})
+	assert.Assert(t, ok)
+	assert.Equal(t, command.AssignShards.Owners[shard], "proxy-1")
+}
+
 // Guards against moving shards of processes that stay when another process leaves.
 func TestRendezvousMovesOnlyLostShards(t *testing.T) {
 	all := []string{"vm-a", "vm-b", "vm-c", "vm-d"}
