admission: a gate with the adaptive limit refuses requests that would start late at once

Cause: while a service was short of capacity, requests queued for as long as their deadlines allow. Responses were late, and refusals came after most of the caller's time. A new request whose expected wait is over half of the time to its objective is now refused at once. Calls of running requests have no objective of their own at such services: a late call still serves the run that waits for it.

--- a/admission/gate.go
+++ b/admission/gate.go
@@ -93,6 +93,9 @@
 	if r.Deadline != 0 && g.estimateStart(now, r, level)+r.ExpectedDuration >= r.Deadline {
 		return refuse(r.lateReason())
 	}
+	if g.cfg.Adaptive && g.wouldStartLate(now, q, &r) {
+		return refuse(ReasonHopeless)
+	}
 	var displaced []Refusal
 	if q.size >= g.cfg.QueueLength {
 		victim := q.displacementCandidate(r.Priority, r.Team, r.weight())
--- a/admission/late_requests.go
+++ b/admission/late_requests.go
@@ -112,6 +112,18 @@
 	return time.Duration(seconds * float64(time.Second))
 }
 
+// maxWaitShare is the part of the time to its objective that a new request may be expected to wait. More urgent requests that
+// arrive later start first, so a wait is often longer than expected.
+const maxWaitShare = 0.5
+
+// wouldStartLate reports whether a new request is too likely to start after its objective to be queued. Load pattern: a service is
+// short of capacity for seconds. A queue as long as the deadlines allow makes every response late, while one as long as the
+// objectives allow keeps the slots as busy, and what it does not take is refused at once and can be sent elsewhere. A request without
+// an objective may always wait.
+func (g *Gate) wouldStartLate(now time.Duration, q *priorityQueue, r *Request) bool {
+	return r.Objective != 0 && float64(g.estimateQueueWait(now, q, r)) > maxWaitShare*float64(r.Objective-now)
+}
+
 // estimateStart estimates the time at which a new request would start. A request that would become late in the queue
 // is expected to start at the rate of late starts.
 func (g *Gate) estimateStart(now time.Duration, r Request, level int) time.Duration {
--- a/admission/rank_load_test.go
+++ b/admission/rank_load_test.go
@@ -22,8 +22,11 @@
 
 // simulateClasses offers the classes to a backend server with 5 slots for 10 s.
 func simulateClasses(classes []*loadClass) {
+	simulateClassesAt(NewGate(Config{Slots: 5, InitialSlots: 5, QueueLength: 1000, TeamPercent: 100, MaxWait: time.Minute, ColdRate: 1000}), classes)
+}
+
+func simulateClassesAt(g *Gate, classes []*loadClass) {
 	const length, step = 10 * time.Second, 2 * time.Millisecond
-	g := NewGate(Config{Slots: 5, InitialSlots: 5, QueueLength: 1000, TeamPercent: 100, MaxWait: time.Minute, ColdRate: 1000})
 	type request struct {
 		class          *loadClass
 		arrived, since time.Duration
@@ -152,3 +155,17 @@
 	assert.Assert(t, RequestPriority(0, 2) < BackendCallPriority(1))
 	assert.Assert(t, RequestPriority(0, 99) < RequestPriority(1, 0))
 }
+
+// TestLateRequestsAreRefusedAtOnce guards against a queue as long as the deadlines allow: while the load stays above the capacity,
+// responses are late, and requests are refused only after most of their time. Load pattern: twice the capacity for seconds, with
+// objectives of half of the deadlines. Nine of ten served requests must end in time, nine of ten refusals must come within an eighth
+// of the objective, and the slots must stay in use.
+func TestLateRequestsAreRefusedAtOnce(t *testing.T) {
+	g := NewGate(Config{Adaptive: true, Slots: 5, QueueLength: 1000, TeamPercent: 100, MaxWait: time.Minute})
+	c := &loadClass{perSecond: 25, hold: 400 * time.Millisecond, objective: 2 * time.Second, deadline: 4 * time.Second}
+	simulateClassesAt(g, []*loadClass{c})
+	assert.Assert(t, c.ended >= 115, "%d of 125 requests that the slots could serve ended", c.ended)
+	assert.Assert(t, c.inTime >= c.ended*9/10, "%d of %d in time", c.inTime, c.ended)
+	late := c.held[len(c.held)*9/10]
+	assert.Assert(t, late <= c.objective/8, "refused after %s", late)
+}
--- a/proxy/entry.go
+++ b/proxy/entry.go
@@ -192,6 +192,10 @@
 	if route.Access == config.AccessPublic {
 		req.BackendCall = true
 		req.Priority = admission.BackendCallPriority(route.Priority)
+		if e.router.isAdaptive(req.Service) {
+			// A late call still serves the run that waits for it, so only its deadline counts.
+			req.Objective = time.Time{}
+		}
 		return req, e.readBody(r, req)
 	}
 	if refusal := e.authorise(req, route, caller); refusal != nil {
