proxy: an account of the bytes of bodies that a process holds

Nothing limits the sum of the bodies in a process: each request is bounded, but a burst of uploads exceeds the memory of a VM. The new package bytebudget decides, without clock, lock or I/O, what may be held. Reading responses ahead stops at half of the limit, so that slow readers leave room for uploads.

--- /dev/null
+++ b/proxy/bytebudget/bytebudget.go
@@ -0,0 +1,52 @@
+// Package bytebudget accounts for the bytes of bodies that a process holds. It is pure: it has no clock, lock or I/O.
+package bytebudget
+
+const (
+	// MinLimit is the lowest default limit in bytes. It holds some uploads of usual size also in a process that knows of little
+	// memory.
+	MinLimit = 8 << 20
+	// limitShare is the share of the memory of a process that bodies may hold by default: 1/4.
+	limitShare = 4
+	// readAheadShare is the share of the limit up to which responses are read ahead: 1/2. Without it, callers that read slowly
+	// would use up the room for the uploads of others.
+	readAheadShare = 2
+)
+
+// DefaultLimit returns the limit of a process whose memory is limited to the given number of bytes.
+func DefaultLimit(memory int64) int64 { return max(memory/limitShare, MinLimit) }
+
+// Budget decides who may hold bytes. It handles the load pattern in which uploads arrive in a burst while callers and backend
+// servers read slowly: new uploads are refused before they use up the memory, and what has begun continues with little.
+type Budget struct {
+	limit, held int64
+}
+
+// New returns a Budget of limit bytes.
+func New(limit int64) *Budget { return &Budget{limit: max(limit, 0)} }
+
+// Reserve takes n bytes for new work. It takes nothing and returns false if they do not fit.
+func (b *Budget) Reserve(n int64) bool { return b.reserve(n, b.limit) }
+
+// ReserveReadAhead takes n bytes to read a response ahead of its reader. Unlike Reserve, it leaves room for new work.
+func (b *Budget) ReserveReadAhead(n int64) bool { return b.reserve(n, b.limit/readAheadShare) }
+
+func (b *Budget) reserve(n, limit int64) bool {
+	// The difference cannot overflow, whatever length a caller declares.
+	if n < 0 || n > limit-b.held {
+		return false
+	}
+	b.held += n
+	return true
+}
+
+// Take takes n bytes that work in progress cannot do without, also above the limit.
+func (b *Budget) Take(n int64) { b.held += max(n, 0) }
+
+// Release returns n bytes.
+func (b *Budget) Release(n int64) { b.held = max(b.held-max(n, 0), 0) }
+
+// Held returns the bytes held now.
+func (b *Budget) Held() int64 { return b.held }
+
+// Limit returns the limit in bytes.
+func (b *Budget) Limit() int64 { return b.limit }
--- /dev/null
+++ b/proxy/bytebudget/bytebudget_test.go
@@ -0,0 +1,54 @@
+package bytebudget
+
+import (
+	"flag"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+func init() { _ = flag.Set("rapid.seed", "1") }
+
+// Guards against bytes that are never returned, and against reservations beyond the limit: both end in a process that refuses every
+// upload or runs out of memory.
+func TestAccountIsExact(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		limit := rapid.Int64Range(0, 1000).Draw(t, "limit")
+		b := New(limit)
+		var taken []int64
+		sum := int64(0)
+		for range rapid.IntRange(0, 60).Draw(t, "steps") {
+			n := rapid.OneOf(rapid.Int64Range(-5, 400), rapid.Just(int64(1)<<62)).Draw(t, "n")
+			before, ok := sum, false
+			switch rapid.IntRange(0, 3).Draw(t, "kind") {
+			case 0:
+				ok = b.Reserve(n)
+				assert.Equal(t, ok, n >= 0 && n <= limit-before)
+			case 1:
+				ok = b.ReserveReadAhead(n)
+				assert.Equal(t, ok, n >= 0 && n <= limit/2-before)
+			case 2:
+				n = min(n, 400)
+				b.Take(n)
+				n, ok = max(n, 0), true
+			default:
+				if len(taken) > 0 {
+					last := taken[len(taken)-1]
+					taken, sum = taken[:len(taken)-1], sum-last
+					b.Release(last)
+				}
+			}
+			if ok {
+				taken, sum = append(taken, n), sum+n
+			}
+			assert.Equal(t, b.Held(), sum)
+		}
+	})
+}
+
+// Guards against a process of 184 MB that reserves more than a quarter, and against none at all in a small one.
+func TestDefaultLimit(t *testing.T) {
+	assert.Equal(t, DefaultLimit(184<<20), int64(46<<20))
+	assert.Equal(t, DefaultLimit(16<<20), int64(MinLimit))
+}
