admission, fleet: the setting heldBytes of a service

A backend server fails if the bodies of the requests that it holds exceed its memory. With heldBytes, its gate starts no request whose body would exceed the limit; the request queues like one without a slot. Requests without a body overtake it, since they need none of the bytes. A body larger than the limit alone is refused at once. Without the setting nothing changes.

--- a/admission/config.go
+++ b/admission/config.go
@@ -39,6 +39,8 @@
 	TeamPercent int
 	// MaxWait is the maximum time that a request stays in the queue. Default 1s.
 	MaxWait time.Duration
+	// HeldBytes limits the bytes of the bodies of the requests in flight. Default 0: no limit.
+	HeldBytes int64
 }
 
 // withDefaults returns a copy of c with defaults in place of zero and invalid values.
--- a/admission/fair_queue.go
+++ b/admission/fair_queue.go
@@ -21,6 +21,8 @@
 	expiryReason Reason
 	// expectedCost is Request.ExpectedCost.
 	expectedCost time.Duration
+	// bytes is Request.Bytes.
+	bytes int64
 }
 
 // currentRank returns the rank of the waiter in a priorityQueue. It changes when the waiter becomes late.
--- a/admission/gate.go
+++ b/admission/gate.go
@@ -17,7 +17,9 @@
 	running    map[Ticket]runningRequest
 	// inFlight is the number of running requests at each level.
 	inFlight []int
-	waiting  map[Ticket]*waiter
+	// heldBytes is the sum of the bodies of the running requests.
+	heldBytes int64
+	waiting   map[Ticket]*waiter
 	// queues holds one queue for each level. Requests at deeper levels start first.
 	queues      []*priorityQueue
 	coldLimiter coldRateLimiter
@@ -36,6 +38,7 @@
 	depth    int
 	start    startMark
 	priority int
+	bytes    int64
 }
 
 // NewGate returns a Gate for a cold backend server in state Serving.
@@ -65,11 +68,14 @@
 	if r.Deadline != 0 && now+r.ExpectedDuration >= r.Deadline {
 		return refuse(ReasonHopeless)
 	}
+	if g.cfg.HeldBytes > 0 && r.Bytes > g.cfg.HeldBytes {
+		return refuse(ReasonTooLarge)
+	}
 	g.limit.advance(now, len(g.running))
 	level := g.level(r.Depth)
-	if g.queues[level].size == 0 && g.hasFreeSlot(level) && g.coldLimiter.next(now) <= now {
+	if g.mayOvertake(level, r.Bytes) && g.fits(r.Bytes) && g.hasFreeSlot(level) && g.coldLimiter.next(now) <= now {
 		ticket := g.newTicket()
-		g.start(now, ticket, r.Depth, r.Priority, r.ExpectedCost)
+		g.start(now, ticket, runningRequest{depth: r.Depth, priority: r.Priority, bytes: r.Bytes}, r.ExpectedCost)
 		return Decision{Verdict: Admitted, Ticket: ticket}
 	}
 	if r.NoWait {
@@ -114,6 +120,7 @@
 		expiresAt:    now + g.cfg.MaxWait,
 		expiryReason: ReasonMaxWait,
 		expectedCost: r.ExpectedCost,
+		bytes:        r.Bytes,
 	}
 	if last := r.Deadline - r.ExpectedDuration; r.Deadline != 0 && last < w.expiresAt {
 		w.expiresAt = last
@@ -132,6 +139,7 @@
 	}
 	g.limit.advance(now, len(g.running))
 	delete(g.running, ticket)
+	g.heldBytes -= r.bytes
 	g.inFlight[g.level(r.depth)]--
 	g.limit.ended(now, r.start, latency, result)
 	g.recordEarlyFailure(now, latency, result)
@@ -151,6 +159,9 @@
 	}
 	delete(g.waiting, ticket)
 	g.queues[w.depth].remove(w)
+	if g.cfg.HeldBytes > 0 {
+		return g.grant(now) // the others may have waited only for the bytes of this one
+	}
 	return nil
 }
 
@@ -266,7 +277,7 @@
 func (g *Gate) NextGrant(now time.Duration) (time.Duration, bool) {
 	next := g.coldLimiter.next(now)
 	for level, q := range g.queues {
-		if q.size > 0 && g.hasFreeSlot(level) {
+		if g.startable(q) != nil && g.hasFreeSlot(level) {
 			return next, true
 		}
 	}
@@ -315,30 +326,39 @@
 		q := g.queues[level]
 		for q.size > 0 && g.hasFreeSlot(level) && g.coldLimiter.next(now) <= now {
 			g.demoteLate(now, level)
-			w := q.next()
+			w := g.startable(q)
+			if w == nil {
+				break
+			}
 			if now >= w.expiresAt {
 				q.remove(w)
 				delete(g.waiting, w.ticket)
 				g.expired = append(g.expired, Refusal{Ticket: w.ticket, Reason: w.expiryReason})
 				continue
 			}
-			q.pop()
+			if w == q.next() {
+				q.pop()
+			} else {
+				q.remove(w)
+			}
 			delete(g.waiting, w.ticket)
 			if w.late {
 				g.late[level].recordStart(now)
 			}
-			g.start(now, w.ticket, w.depth, w.priority, w.expectedCost)
+			g.start(now, w.ticket, runningRequest{depth: w.depth, priority: w.priority, bytes: w.bytes}, w.expectedCost)
 			grants = append(grants, Grant{Ticket: w.ticket, Wait: now - w.queuedAt})
 		}
 	}
 	return grants
 }
 
-func (g *Gate) start(now time.Duration, ticket Ticket, depth, priority int, cost time.Duration) {
+func (g *Gate) start(now time.Duration, ticket Ticket, r runningRequest, cost time.Duration) {
 	g.coldLimiter.start(now)
 	g.limit.advance(now, len(g.running))
-	g.running[ticket] = runningRequest{depth: depth, start: g.limit.started(cost, len(g.running)+1), priority: priority}
-	g.inFlight[g.level(depth)]++
+	r.start = g.limit.started(cost, len(g.running)+1)
+	g.running[ticket] = r
+	g.heldBytes += r.bytes
+	g.inFlight[g.level(r.depth)]++
 }
 
 // level returns the index into inFlight and queues for a nesting depth. Calls nested deeper than the reserved levels
--- a/admission/types.go
+++ b/admission/types.go
@@ -33,6 +33,8 @@
 	// ExpectedCost is the usual time from the start of such a request to its response. The adaptive limit measures the
 	// time of the request against it. Unlike ExpectedDuration it refuses nothing. 0 means unknown.
 	ExpectedCost time.Duration
+	// Bytes is the length of the body of the request. It counts against Config.HeldBytes.
+	Bytes int64
 }
 
 // Verdict is the outcome of Offer.
@@ -66,6 +68,8 @@
 	ReasonLost     Reason = "lost"
 	// ReasonFull means that no slot was free for a request that does not wait.
 	ReasonFull Reason = "full"
+	// ReasonTooLarge means that the body alone exceeds Config.HeldBytes.
+	ReasonTooLarge Reason = "body-too-large"
 	// ReasonDisplaced means that a queued request gave its place in the full queue to a more urgent one, or to one of
 	// a team with fewer queued requests for its weight.
 	ReasonDisplaced Reason = "displaced"
--- a/fleet/config/document.go
+++ b/fleet/config/document.go
@@ -72,6 +72,9 @@
 	// Placement is how entries choose the VM for a request. Default: "", the same as PlacementTwoChoices. The default is
 	// not written into documents, so that builds that do not know the field can read them.
 	Placement Placement `json:"placement,omitempty"`
+	// HeldBytes limits the bytes of the bodies of the requests that run on one backend server at once. Default: 0, no limit. The
+	// default is not written into documents, so that builds that do not know the field can read them.
+	HeldBytes int `json:"heldBytes,omitempty"`
 }
 
 // Values of Service.Concurrency.
--- a/fleet/config/validate_entry.go
+++ b/fleet/config/validate_entry.go
@@ -15,6 +15,7 @@
 	maxSlots       = 10_000
 	maxConnections = 100_000
 	maxQueueLength = 100_000
+	maxHeldBytes   = 1 << 40
 	maxRate        = 1e8
 	maxBurst       = 100_000_000
 	maxPriority    = 1_000
@@ -106,6 +107,7 @@
 	c.checkPositive(path+".queue.maxWait", s.Queue.MaxWait)
 	c.checkPositive(path+".connectTimeout", s.ConnectTimeout)
 	c.checkPathPrefix(path+".probePath", s.ProbePath)
+	c.checkRange(path+".heldBytes", s.HeldBytes, 0, maxHeldBytes)
 	switch s.Placement {
 	case "", PlacementTwoChoices, PlacementLeastCompletion:
 	default:
