proxy: a caller that leaves during a response is no failure of the backend server

When a caller left while the gate waited for the next bytes of a streamed response, the read that this ended counted as a broken response: the circuit breaker's score rose to 3.6 with one such request. The result is now Cancelled. Also, the slot is free when the response has been read to its end, not only when its last bytes were written, and Close may interrupt a read.

--- a/proxy/run.go
+++ b/proxy/run.go
@@ -115,7 +115,11 @@
 	release := func(whole bool) {
 		stopWatch()
 		g.untrack(req)
-		if !whole {
+		switch {
+		case !whole && callerCtx.Err() != nil:
+			// The caller left and so ended the read.
+			result = admission.Cancelled
+		case !whole:
 			result = admission.Failed
 		}
 		held.version.end(result, !whole, latency-nested)
--- a/proxy/transport.go
+++ b/proxy/transport.go
@@ -86,8 +86,9 @@
 	cancel  context.CancelFunc
 	once    sync.Once
 	release func(whole bool)
-	ended   bool
-	failed  bool
+
+	mu             sync.Mutex // guards the fields below
+	failed, closed bool
 }
 
 // newResponseBody returns a body that breaks off when the next byte does not arrive within bodyIdleTimeout, or at the
@@ -107,27 +108,43 @@
 
 func (b *responseBody) Read(p []byte) (int, error) {
 	n, err := b.inner.Read(p)
-	b.idle.Reset(bodyIdleTimeout)
-	switch {
-	case err == io.EOF:
-		b.ended = true
-	case err != nil:
-		b.failed = true
+	if err == nil {
+		b.idle.Reset(bodyIdleTimeout)
+		return n, nil
+	}
+	b.mu.Lock()
+	// A read that Close interrupts says nothing about the server.
+	b.failed = err != io.EOF && !b.closed
+	b.mu.Unlock()
+	if err == io.EOF {
+		// The server has finished the request, however slowly its last bytes reach the caller.
+		b.finish()
 	}
 	return n, err
 }
 
 // Close frees the slot. A response that was not read to its end counts as complete unless a read failed: the reader may
-// know from the length that nothing follows, or the caller may have left.
+// know from the length that nothing follows, or the caller may have left. Close may be called during a read.
 func (b *responseBody) Close() error {
+	b.mu.Lock()
+	b.closed = true
+	b.mu.Unlock()
 	err := b.inner.Close()
+	b.finish()
+	return err
+}
+
+// finish stops the timers and calls release.
+func (b *responseBody) finish() {
 	b.once.Do(func() {
 		b.idle.Stop()
 		if b.end != nil {
 			b.end.Stop()
 		}
 		b.cancel()
-		b.release(!b.failed)
+		b.mu.Lock()
+		whole := !b.failed
+		b.mu.Unlock()
+		b.release(whole)
 	})
-	return err
 }
