proxy, node: bytes in flight are bounded by a budget of the process

Bodies were bounded for each request (64 KiB, 1 MiB with an Idempotency-Key), but not for the process, and a response longer than 64 KiB held the slot of its backend server until its caller had read it.

Entry and gate now share one budget, by default a quarter of the memory limit. A request with a body that does not fit is refused immediately as not run (503, reason memory, Retry-After 1 s). Responses continue with buffers of 4 KiB. When the reader of a streamed response pauses for 20 ms, the rest is read ahead, up to 1 MiB and half of the budget, and the slot is free at its end. A reader that keeps up is served directly as before. An entry states the length of a body that it sends in chunks, so that a gate reserves no more than that and counts it against heldBytes; a body with another length does not run.

--- a/node/listeners.go
+++ b/node/listeners.go
@@ -158,7 +158,7 @@
 func (n *Node) peerHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle(rpc.Path, n.rpc)
-	mux.Handle(proxy.GatePath, &proxy.GateHandler{Gate: n.gate, MaxBufferedBody: n.opts.MaxBufferedBody, MaxKeyedBody: n.opts.MaxKeyedBody})
+	mux.Handle(proxy.GatePath, &proxy.GateHandler{Gate: n.gate, MaxBufferedBody: n.opts.MaxBufferedBody, MaxKeyedBody: n.opts.MaxKeyedBody, Bytes: n.bytes})
 	return mux
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -37,6 +37,7 @@
 	ejections   *ejections
 	claims      *claims
 	gate        *proxy.Gate
+	bytes       *proxy.ByteBudget
 	announcer   *Announcements
 	entry       *proxy.Entry
 	peers       *proxy.PeerClient
@@ -120,12 +121,14 @@
 	n.groups = &groupClient{node: n, leaders: map[groupName]string{}}
 	claimer := idempotency.Claimer{Process: o.Name, Incarnation: n.incarnation}
 	n.claims = newClaims(claimer, n.clock, n.groups, n.gossip, o.Log, &n.tomb)
+	n.bytes = proxy.NewByteBudget(o.heldBytes())
 	n.gate = proxy.NewGate(proxy.GateOptions{
 		VM: o.Name, Domain: o.Domain, Fleet: n.fleet, Clock: n.clock, Log: o.Log,
 		Claimer: n.claims, Observer: n.ejections, Admitter: n.admitter(),
 		Dialect: o.Dialect, AnnouncementTTL: o.AnnouncementTTL, HoldUnknownServices: o.HoldUnknownServices,
 		AllowCloseDelimited: o.AllowCloseDelimited, OnRecovered: n.notifyRecovered, EntryLeaving: n.directory.isLeaving,
 		RetryRatio: o.gateRetryRatio(), RetryReserve: n.gateRetryReserve,
+		Bytes: n.bytes,
 	})
 	n.ejections.gate = n.gate
 	n.announcer = newAnnouncements(n)
@@ -141,6 +144,7 @@
 		Limiter: n.limiter, Admitter: n.admitter(), Directory: n.directory, Gate: n.gate, Peers: n.peers,
 		Dialect: o.Dialect, CallerService: o.CallerService, RetryRatio: o.entryRetryRatio(),
 		MaxBufferedBody: o.MaxBufferedBody, MaxKeyedBody: o.MaxKeyedBody,
+		Bytes: n.bytes,
 	})
 	n.register()
 }
--- a/node/options.go
+++ b/node/options.go
@@ -134,6 +134,9 @@
 	MaxBufferedBody int64
 	// MaxKeyedBody is the maximum size in bytes of the body of a request with an Idempotency-Key. Default 1 MiB.
 	MaxKeyedBody int64
+	// HeldBytes limits the bytes of bodies that the process holds. Default: a quarter of the memory limit of the process, or of the
+	// memory of the machine where the process has none; at least 8 MiB.
+	HeldBytes int64
 	// MaxHeaderBytes limits the headers of a caller's request. Default 32 KiB.
 	MaxHeaderBytes int
 	// StopTimeout limits a graceful stop. Default 30 s.
--- a/proxy/body.go
+++ b/proxy/body.go
@@ -19,6 +19,10 @@
 	data     []byte
 	buffered bool   // data is the complete body
 	prefix   []byte // the first bytes of a body that is not buffered
+	// declared is the length that the entry stated for a body in chunks, where hasDeclared is true.
+	declared    int64
+	hasDeclared bool
+	charge      *byteCharge // the bytes that the body holds of the process's budget
 
 	mu          sync.Mutex // guards the fields below
 	source      io.Reader
@@ -76,6 +80,7 @@
 	b.data = data
 	b.buffered = true
 	b.length = int64(len(data))
+	b.charge.shrink(b.length)
 }
 
 // Buffer reads the whole body into memory. It fails with ErrBodyTooLarge if the body exceeds limit bytes.
@@ -110,7 +115,11 @@
 		b.mu.Unlock()
 		return errors.Wrap(err, "read body")
 	}
-	if int64(len(data)) <= limit {
+	complete := int64(len(data)) <= limit
+	if b.hasDeclared && (complete && int64(len(data)) != b.declared || int64(len(data)) > b.declared) {
+		return errors.Errorf("body does not have its declared length of %d bytes", b.declared)
+	}
+	if complete {
 		b.setData(data)
 		return nil
 	}
@@ -118,6 +127,29 @@
 	return nil
 }
 
+// expectedLength returns the number of bytes that the sender stated, or -1 where it stated none.
+func (b *Body) expectedLength() int64 {
+	if b.length < 0 && b.hasDeclared {
+		return b.declared
+	}
+	return b.length
+}
+
+// hold makes a charge that of the body. A charge for more than a buffered body holds is reduced.
+func (b *Body) hold(charge *byteCharge) {
+	b.charge = charge
+	if b.buffered {
+		charge.shrink(int64(len(b.data)))
+	}
+}
+
+// release returns the bytes that the body holds of the budget of the process. The body must not be sent afterwards.
+func (b *Body) release() {
+	if b != nil {
+		b.charge.free()
+	}
+}
+
 // Bytes returns the body where it is buffered, and nil otherwise.
 func (b *Body) Bytes() []byte { return b.data }
 
--- a/proxy/client_test.go
+++ b/proxy/client_test.go
@@ -123,7 +123,7 @@
 func TestWritesToCallersAreBounded(t *testing.T) {
 	w := &deadlineWriter{ResponseWriter: httptest.NewRecorder()}
 	body := io.NopCloser(strings.NewReader(strings.Repeat("x", 2*copyBufferBytes)))
-	writeBody(w, "GET", &Response{Status: 200, ContentLength: 2 * copyBufferBytes, Body: body})
+	writeBody(w, "GET", &Response{Status: 200, ContentLength: 2 * copyBufferBytes, Body: body}, nil)
 	assert.DeepEqual(t, w.writes, []bool{true, true})
 	assert.Assert(t, w.deadline.IsZero())
 }
--- a/proxy/entry.go
+++ b/proxy/entry.go
@@ -58,6 +58,8 @@
 	MaxBufferedBody int64
 	// MaxKeyedBody is the largest allowed body in bytes of a request with an Idempotency-Key. Default 1 MiB.
 	MaxKeyedBody int64
+	// Bytes limits the bytes of bodies that the process holds. Default: no limit.
+	Bytes *ByteBudget
 }
 
 // Defaults of EntryOptions.
@@ -140,6 +142,7 @@
 		id = newRequestID()
 	}
 	req, refusal := e.accept(r, id, caller)
+	defer req.releaseBody()
 	if refusal != nil {
 		e.refuse(w, id, req, refusal)
 		return
@@ -162,6 +165,7 @@
 		defer parent.endNested()
 	}
 	req, refusal := e.acceptNested(r, id, parent)
+	defer req.releaseBody()
 	if refusal != nil {
 		e.refuse(w, id, req, refusal)
 		return
@@ -361,17 +365,25 @@
 	if keys := r.Header[HeaderIdempotencyKey]; len(keys) > 1 || len(keys) == 1 && keys[0] == "" || len(req.IdempotencyKey) > maxIdempotencyKeyBytes {
 		return notRunRefusal(http.StatusBadRequest, ReasonBadRequest, "read body")
 	}
+	keyed := req.IdempotencyKey != ""
+	charge, refusal := e.opts.Bytes.reserveBody(requestBytes(r.ContentLength, e.opts.MaxBufferedBody, keyed, e.opts.MaxKeyedBody), "read body")
+	if refusal != nil {
+		return refusal
+	}
 	body, err := NewBody(r.Body, r.ContentLength, e.opts.MaxBufferedBody)
-	if err == nil && req.IdempotencyKey != "" {
+	if err == nil && keyed {
 		// The claim compares the whole body with that of an earlier request with the same key.
 		err = body.Buffer(e.opts.MaxKeyedBody)
 	} else if err == nil {
 		err = body.Prefetch(e.opts.MaxBufferedBody)
 	}
 	req.Body = body
-	switch {
-	case err == nil:
+	if err == nil {
+		body.hold(charge)
 		return nil
+	}
+	charge.free()
+	switch {
 	case errors.Is(err, ErrBodyTooLarge):
 		return notRunRefusal(http.StatusRequestEntityTooLarge, ReasonBodyTooLarge, "read body")
 	default:
@@ -400,7 +412,7 @@
 	countResponse(resp.Status)
 	copyHeader(w.Header(), resp.Header)
 	e.opts.Dialect.ToCaller(w.Header(), req.ID)
-	writeBody(w, req.Method, resp)
+	writeBody(w, req.Method, resp, e.opts.Bytes)
 }
 
 func (e *Entry) refuse(w http.ResponseWriter, id string, req *Request, refusal *Refusal) {
--- a/proxy/gate.go
+++ b/proxy/gate.go
@@ -77,6 +77,8 @@
 	// HoldUnknownServices keeps announcements for services that are not in the configuration yet, instead of refusing
 	// them.
 	HoldUnknownServices bool
+	// Bytes limits the bytes of bodies that the process holds. Default: no limit.
+	Bytes *ByteBudget
 }
 
 // Gate is the only way to the backend servers on this VM.
@@ -117,6 +119,7 @@
 	if opts.AnnouncementTTL <= 0 {
 		opts.AnnouncementTTL = announcementTTL
 	}
+	opts.Bytes = opts.Bytes.orUnlimited()
 	if opts.EntryLeaving == nil {
 		opts.EntryLeaving = func(string) bool { return false }
 	}
@@ -479,6 +482,9 @@
 // admissionRefusal converts the reason of the admission gate to a refusal. The status promises that the request has not run,
 // also where its deadline passed in the queue.
 func admissionRefusal(reason admission.Reason) *Refusal {
+	if reason == admission.ReasonTooLarge {
+		return notRunRefusal(http.StatusRequestEntityTooLarge, ReasonBodyTooLarge, "admission")
+	}
 	return notRunRefusal(http.StatusServiceUnavailable, Reason(reason), "admission")
 }
 
--- a/proxy/gatehttp.go
+++ b/proxy/gatehttp.go
@@ -20,6 +20,8 @@
 	// read before the request runs, because the claim compares it with that of an earlier request. Default 1 MiB. It
 	// must not be lower than EntryOptions.MaxKeyedBody of any entry.
 	MaxKeyedBody int64
+	// Bytes limits the bytes of bodies that the process holds. Default: no limit.
+	Bytes *ByteBudget
 }
 
 // ServeHTTP runs one forwarded request.
@@ -27,9 +29,13 @@
 	// Notify the entry at once that the request arrived, because the response may take long.
 	w.WriteHeader(http.StatusProcessing)
 	req, err := h.parse(r)
+	defer req.releaseBody()
 	if err != nil {
-		refusal := notRunRefusal(http.StatusBadRequest, ReasonBadRequest, "parse")
-		refusal.Err = err
+		var refusal *Refusal
+		if !errors.As(err, &refusal) {
+			refusal = notRunRefusal(http.StatusBadRequest, ReasonBadRequest, "parse")
+			refusal.Err = err
+		}
 		writeGateRefusal(w, r.Header.Get(HeaderRequestID), refusal)
 		return
 	}
@@ -38,7 +44,7 @@
 		writeGateRefusal(w, req.ID, asRefusal(err))
 		return
 	}
-	writeGateResponse(w, req, resp)
+	writeGateResponse(w, req, resp, h.Bytes)
 }
 
 func (h *GateHandler) parse(r *http.Request) (*Request, error) {
@@ -101,6 +107,7 @@
 		req.Objective = time.Now().Add(time.Duration(objective) * time.Millisecond)
 	}
 	if req.ID == "" || req.Service == "" || req.URI == "" {
+		req.releaseBody()
 		return nil, errors.New("request id, service or URI is missing")
 	}
 	return req, nil
@@ -116,20 +123,55 @@
 	return n, errors.Wrap(err, name)
 }
 
+// readBody reserves the bytes of the body and reads it, unless the entry sends it only once the request holds a slot.
 func (h *GateHandler) readBody(r *http.Request) (*Body, error) {
-	if r.Header.Get("Expect") != "" && r.Header.Get(HeaderIdempotencyKey) == "" {
-		// The entry sends the body once the request holds a slot: the first read sends 100 Continue.
-		return NewDeferredBody(r.Body, r.ContentLength), nil
-	}
-	body, err := NewBody(r.Body, r.ContentLength, h.MaxBufferedBody)
-	if err != nil || r.Header.Get(HeaderIdempotencyKey) == "" {
-		return body, err
+	length, declared, err := bodyLength(r)
+	if err != nil {
+		return nil, err
 	}
+	keyed := r.Header.Get(HeaderIdempotencyKey) != ""
 	limit := h.MaxKeyedBody
 	if limit <= 0 {
 		limit = DefaultMaxKeyedBody
 	}
-	return body, body.Buffer(limit)
+	charge, refusal := h.Bytes.reserveBody(requestBytes(length, max(h.MaxBufferedBody, maxBufferedAtGate), keyed, limit), "gate")
+	if refusal != nil {
+		return nil, refusal
+	}
+	if r.Header.Get("Expect") != "" && !keyed {
+		// The entry sends the body once the request holds a slot: the first read sends 100 Continue.
+		body := NewDeferredBody(r.Body, r.ContentLength)
+		body.declared, body.hasDeclared = length, declared
+		body.hold(charge)
+		return body, nil
+	}
+	body, err := NewBody(r.Body, r.ContentLength, h.MaxBufferedBody)
+	if err == nil && keyed {
+		err = body.Buffer(limit)
+	}
+	if err != nil {
+		charge.free()
+		return nil, err
+	}
+	body.hold(charge)
+	return body, nil
+}
+
+// bodyLength returns the length of the body of a forwarded request, -1 where it is not known. declared is true where only
+// headerBodyLength states it.
+func bodyLength(r *http.Request) (length int64, declared bool, err error) {
+	text := r.Header.Get(headerBodyLength)
+	if text == "" {
+		return r.ContentLength, false, nil
+	}
+	length, err = strconv.ParseInt(text, 10, 64)
+	if err != nil {
+		return 0, false, errors.Wrap(err, headerBodyLength)
+	}
+	if length < 0 || r.ContentLength >= 0 && r.ContentLength != length {
+		return 0, false, errors.Errorf("%s: %d does not match Content-Length %d", headerBodyLength, length, r.ContentLength)
+	}
+	return length, r.ContentLength < 0, nil
 }
 
 func forwardedHeaders(from http.Header) http.Header {
@@ -188,7 +230,7 @@
 	}
 }
 
-func writeGateResponse(w http.ResponseWriter, req *Request, resp *Response) {
+func writeGateResponse(w http.ResponseWriter, req *Request, resp *Response, budget *ByteBudget) {
 	defer resp.Body.Close()
 	h := w.Header()
 	copyHeader(h, resp.Header)
@@ -201,5 +243,5 @@
 	}
 	h.Set(headerQueue, formatMicros(resp.Timing.Queue))
 	h.Set(headerBackend, formatMicros(resp.Timing.Backend))
-	writeBody(w, req.Method, resp)
+	writeBody(w, req.Method, resp, budget)
 }
--- a/proxy/headers.go
+++ b/proxy/headers.go
@@ -41,6 +41,8 @@
 	headerTrialInMs     = HeaderPrefix + "Trial-In-Ms"
 	headerReached       = HeaderPrefix + "Reached"
 	headerRetryAfterMs  = HeaderPrefix + "Retry-After-Ms"
+	// headerBodyLength is the length in bytes of a body that an entry sends in chunks although it knows the length.
+	headerBodyLength = HeaderPrefix + "Body-Length"
 
 	// HeaderIdempotencyKey identifies a request that must not run twice.
 	HeaderIdempotencyKey = "Idempotency-Key"
--- a/proxy/message.go
+++ b/proxy/message.go
@@ -74,6 +74,13 @@
 	Body   *Body
 }
 
+// releaseBody returns the bytes that the body holds of the budget of the process.
+func (r *Request) releaseBody() {
+	if r != nil {
+		r.Body.release()
+	}
+}
+
 // Response is the response of a backend server. Closing Body frees the slot.
 type Response struct {
 	Status int
@@ -158,6 +165,8 @@
 	ReasonFaulty        Reason = "faulty"
 	ReasonFailed        Reason = "failed"
 	ReasonPathSilent    Reason = "path-silent"
+	// ReasonMemory means that the process holds too many bytes of other bodies.
+	ReasonMemory Reason = "memory"
 )
 
 // Refusal is a response that a process of the fleet generates itself, instead of one from a backend server.
--- a/proxy/problem.go
+++ b/proxy/problem.go
@@ -55,6 +55,7 @@
 	ReasonExposure:      "The new version had as many requests as its rollout allows for now.",
 	ReasonVersion:       "The version of the backend server gets no requests.",
 	ReasonPathSilent:    "The path to the VM is silent.",
+	ReasonMemory:        "The process holds too many bytes of other requests.",
 	ReasonAnswerNotKept: "The request completed earlier; its answer was too large to keep.",
 
 	Reason(admission.ReasonTeamShare): "The team's share of the queue is full.",
--- a/proxy/remote.go
+++ b/proxy/remote.go
@@ -108,6 +108,9 @@
 		return nil, &sendError{err: err}
 	}
 	if requireContinue {
+		if length := req.Body.Length(); length >= 0 {
+			out.Header.Set(headerBodyLength, strconv.FormatInt(length, 10))
+		}
 		forceChunked(out)
 	}
 	return g.client.client.exchange(out, exchangeOptions{
--- a/proxy/response.go
+++ b/proxy/response.go
@@ -25,7 +25,7 @@
 
 // writeBody writes status and body. If the body breaks off, it aborts the connection, so that the reader cannot mistake
 // the partial body for a complete response.
-func writeBody(w http.ResponseWriter, method string, resp *Response) {
+func writeBody(w http.ResponseWriter, method string, resp *Response, budget *ByteBudget) {
 	if resp.ContentLength >= 0 && method != http.MethodHead && resp.Status != http.StatusNotModified {
 		w.Header().Set("Content-Length", strconv.FormatInt(resp.ContentLength, 10))
 	}
@@ -33,19 +33,19 @@
 	if method == http.MethodHead {
 		return
 	}
-	if err := streamBody(w, resp); err != nil {
+	if err := streamBody(w, resp, budget); err != nil {
 		panic(http.ErrAbortHandler)
 	}
 }
 
-func streamBody(w http.ResponseWriter, resp *Response) error {
-	buffer := copyBuffers.Get().(*[copyBufferBytes]byte)
-	defer copyBuffers.Put(buffer)
+func streamBody(w http.ResponseWriter, resp *Response, budget *ByteBudget) error {
+	buffer, free := budget.copyBuffer()
+	defer free()
 	flush := resp.ContentLength < 0
 	controller := http.NewResponseController(w)
 	defer controller.SetWriteDeadline(time.Time{})
 	for {
-		n, readErr := resp.Body.Read(buffer[:])
+		n, readErr := resp.Body.Read(buffer)
 		if n > 0 {
 			// Only test writers lack write deadlines; the writers of net/http have them.
 			_ = controller.SetWriteDeadline(time.Now().Add(writeStallTimeout))
--- a/proxy/router.go
+++ b/proxy/router.go
@@ -333,7 +333,8 @@
 // isFinal reports whether every other VM would refuse for the same reason.
 func isFinal(reason Reason) bool {
 	switch reason {
-	case ReasonCallerGone, ReasonBadRequest, ReasonRunning, ReasonLost, ReasonKeyReused, ReasonAnswerNotKept, ReasonNoRecords:
+	case ReasonCallerGone, ReasonBadRequest, ReasonRunning, ReasonLost, ReasonKeyReused, ReasonAnswerNotKept, ReasonNoRecords,
+		ReasonBodyTooLarge:
 		return true
 	default:
 		return false
--- a/proxy/run.go
+++ b/proxy/run.go
@@ -62,15 +62,17 @@
 	resp, cancelledForRetry, err := g.sendWatched(ctx, cancel, req, held)
 	var info BackendResponse
 	var body []byte
+	var charge *byteCharge
 	whole := false
 	if err == nil {
 		info = g.opts.Dialect.FromBackend(resp)
-		body, whole, err = bufferBody(resp.Body)
+		body, whole, charge, err = bufferBody(resp, g.opts.Bytes)
 	}
 	latency := g.opts.Clock() - began
 	inTime := timer.Stop()
 	if err == nil && (info.NotRun || info.OtherInstance) {
 		resp.Body.Close()
+		charge.free()
 		cancel()
 		g.untrack(req)
 		tracked.end(admission.Overloaded)
@@ -130,25 +132,42 @@
 		resp.Body.Close()
 		release(true)
 		cancel()
-		return g.bufferedResponse(resp, body, held, latency, req), nil
+		return g.bufferedResponse(resp, body, charge, held, latency, req), nil
 	}
 	// The backend server has responded. Where the caller leaves now, a body without end would hold the slot.
 	stopWatch = context.AfterFunc(callerCtx, cancel)
 	rest := &prefixedBody{Reader: io.MultiReader(bytes.NewReader(body), resp.Body), Closer: resp.Body}
-	return g.response(resp, newResponseBody(rest, req.BodyDeadline, cancel, release), resp.ContentLength, held, latency, req), nil
+	stream := newReadAheadBody(newResponseBody(rest, req.BodyDeadline, cancel, release), charge, req.BodyDeadline)
+	return g.response(resp, stream, resp.ContentLength, held, latency, req), nil
 }
 
 // maxBufferedResponse is the size in bytes up to which a response is read to its end before any of it is passed on. If
 // such a response breaks off, the entry can still retry the request or report the failure to the caller.
 const maxBufferedResponse = 64 << 10
 
-// bufferBody reads a body of up to maxBufferedResponse bytes. whole is false if the body is longer.
-func bufferBody(body io.Reader) (data []byte, whole bool, err error) {
-	data, err = io.ReadAll(io.LimitReader(body, maxBufferedResponse+1))
+// bufferBody reads the body of a response of up to maxBufferedResponse bytes, or less where the process has no room. whole is
+// false if the body is longer. charge is what the data holds of the budget.
+func bufferBody(resp *http.Response, budget *ByteBudget) (data []byte, whole bool, charge *byteCharge, err error) {
+	limit := int64(maxBufferedResponse)
+	if resp.ContentLength >= 0 {
+		limit = min(limit, resp.ContentLength)
+	}
+	charge = budget.reserve(limit)
+	if charge == nil {
+		limit = min(limit, smallBufferBytes)
+		charge = &byteCharge{budget: budget}
+		charge.take(limit)
+	}
+	data, err = io.ReadAll(io.LimitReader(resp.Body, limit+1))
 	if err != nil {
-		return nil, false, &sendError{sent: true, err: errors.Wrap(err, "read response body")}
+		charge.free()
+		return nil, false, nil, &sendError{sent: true, err: errors.Wrap(err, "read response body")}
+	}
+	whole = int64(len(data)) <= limit
+	if whole {
+		charge.shrink(int64(len(data)))
 	}
-	return data, len(data) <= maxBufferedResponse, nil
+	return data, whole, charge, nil
 }
 
 // prefixedBody is a body whose first bytes were already read.
@@ -158,12 +177,13 @@
 }
 
 // bufferedResponse returns the response with a body that was read to its end.
-func (g *Gate) bufferedResponse(resp *http.Response, body []byte, held *slot, latency time.Duration, req *Request) *Response {
+func (g *Gate) bufferedResponse(resp *http.Response, body []byte, charge *byteCharge, held *slot, latency time.Duration, req *Request) *Response {
 	length := int64(len(body))
 	if req.Method == http.MethodHead {
 		length = resp.ContentLength
 	}
-	return g.response(resp, io.NopCloser(bytes.NewReader(body)), length, held, latency, req)
+	stream := &chargedBody{ReadCloser: io.NopCloser(bytes.NewReader(body)), charge: charge}
+	return g.response(resp, stream, length, held, latency, req)
 }
 
 func (g *Gate) response(resp *http.Response, body io.ReadCloser, length int64, held *slot, latency time.Duration, req *Request) *Response {
--- a/proxy/server.go
+++ b/proxy/server.go
@@ -117,6 +117,7 @@
 		MaxWait:          settings.Queue.MaxWait.Std(),
 		ColdRate:         settings.Ramp.Rate,
 		Adaptive:         settings.Concurrency == config.ConcurrencyAdaptive,
+		HeldBytes:        int64(settings.HeldBytes),
 	}
 	if settings.NestedCalls {
 		cfg.NestedLevels = 1
@@ -520,6 +521,7 @@
 	if !req.Objective.IsZero() {
 		offer.Objective = max(now+time.Until(req.Objective)-expected, 1)
 	}
+	offer.Bytes = s.heldBytes(req.Body)
 	decision := s.gate.Offer(now, offer)
 	s.logLimitChanges()
 	s.deliverRefusals(decision.Displaced)
