proxy, node: the requests of one connection hold at most a quarter of the budget

HTTP/2 carries hundreds of requests on one connection, whose uploads could hold the whole budget of the process. The first request of a connection is limited only by the whole budget.

--- a/node/listeners.go
+++ b/node/listeners.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"context"
 	"crypto/tls"
 	"expvar"
 	"fmt"
@@ -104,8 +105,13 @@
 	if name == "caller" {
 		s.ReadTimeout = readTimeout
 	}
-	if pipelined != nil {
-		s.ConnContext = pipelined.ConnContext
+	if name == "caller" {
+		s.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
+			if pipelined != nil {
+				ctx = pipelined.ConnContext(ctx, c)
+			}
+			return proxy.CountConn(ctx)
+		}
 	}
 	if tlsConfig != nil {
 		listener = tls.NewListener(listener, withProtocols(tlsConfig, name == "caller"))
--- a/proxy/bodybytes.go
+++ b/proxy/bodybytes.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"context"
 	"io"
 	"math"
 	"net/http"
@@ -54,10 +55,29 @@
 	return b.account.Held()
 }
 
-// reserve takes n bytes for a new request; nil if they do not fit.
-func (b *ByteBudget) reserve(n int64) *byteCharge {
-	c := &byteCharge{budget: b}
-	if !c.grow(n, (*bytebudget.Budget).Reserve) {
+// connBytes is what the requests of one connection of a caller hold.
+type connBytes struct {
+	held int64 // guarded by the budget's mu
+}
+
+type connBytesKey struct{}
+
+// CountConn returns a context for a connection whose requests are counted together. The limit applies to requests with contexts
+// derived from it.
+func CountConn(ctx context.Context) context.Context {
+	return context.WithValue(ctx, connBytesKey{}, &connBytes{})
+}
+
+// reserve takes n bytes for a new request on a connection, which may be nil; nil if they do not fit.
+func (b *ByteBudget) reserve(n int64, conn *connBytes) *byteCharge {
+	c := &byteCharge{budget: b, conn: conn}
+	fits := func(account *bytebudget.Budget, n int64) bool {
+		if conn == nil {
+			return account.Reserve(n)
+		}
+		return account.ReserveOnConn(n, conn.held)
+	}
+	if !c.grow(n, fits) {
 		return nil
 	}
 	return c
@@ -66,8 +86,9 @@
 // byteCharge is what one request or response holds of a budget. A nil charge holds nothing.
 type byteCharge struct {
 	budget *ByteBudget
-	n      int64 // guarded by the budget's mu
-	freed  bool  // no bytes may be added any more
+	conn   *connBytes // what the caller's connection holds; nil where it is not counted
+	n      int64      // guarded by the budget's mu
+	freed  bool       // no bytes may be added any more
 }
 
 // grow adds n bytes to the charge if the budget allows it.
@@ -79,6 +100,9 @@
 		return false
 	}
 	c.n += n
+	if c.conn != nil {
+		c.conn.held += n
+	}
 	heldBytesGauge.Set(float64(b.account.Held()))
 	return true
 }
@@ -99,6 +123,9 @@
 	if excess := c.n - n; excess > 0 {
 		b.account.Release(excess)
 		c.n = n
+		if c.conn != nil {
+			c.conn.held -= excess
+		}
 		heldBytesGauge.Set(float64(b.account.Held()))
 	}
 }
@@ -140,11 +167,12 @@
 }
 
 // reserveBody reserves the bytes of a new request's body. It returns a refusal if the process has no room for them.
-func (b *ByteBudget) reserveBody(n int64, step string) (*byteCharge, *Refusal) {
+func (b *ByteBudget) reserveBody(ctx context.Context, n int64, step string) (*byteCharge, *Refusal) {
 	if n == 0 {
 		return nil, nil
 	}
-	charge := b.orUnlimited().reserve(n)
+	conn, _ := ctx.Value(connBytesKey{}).(*connBytes)
+	charge := b.orUnlimited().reserve(n, conn)
 	if charge != nil {
 		return charge, nil
 	}
--- a/proxy/bodybytes_test.go
+++ b/proxy/bodybytes_test.go
@@ -97,6 +97,27 @@
 	assert.Equal(t, resp.StatusCode, 200, "the gate learns the length of a small body that it gets in chunks")
 }
 
+// Guards against one connection, as of HTTP/2, whose uploads use up the room of all others.
+func TestOneConnectionHoldsAPartOnly(t *testing.T) {
+	budget, ctx := NewByteBudget(400<<10), CountConn(t.Context())
+	var charges []*byteCharge
+	reserve := func(ctx context.Context, n int64) bool {
+		charge, refusal := budget.reserveBody(ctx, n, "test")
+		charges = append(charges, charge)
+		return refusal == nil
+	}
+	assert.Assert(t, reserve(ctx, 60<<10))
+	assert.Assert(t, !reserve(ctx, 60<<10))
+	assert.Assert(t, reserve(ctx, 40<<10))
+	assert.Assert(t, reserve(CountConn(t.Context()), 200<<10), "another connection, with a large first request")
+	for _, charge := range charges {
+		charge.free()
+	}
+	assert.Equal(t, budget.Held(), int64(0))
+	assert.Assert(t, reserve(ctx, 60<<10))
+	assert.Assert(t, reserve(ctx, 40<<10), "what was freed may be held again")
+}
+
 // Guards against a backend server that fails because the bodies of its requests exceed its memory, and against requests without a
 // body that wait for those with one.
 func TestHeldBytesOfAServer(t *testing.T) {
@@ -107,11 +128,11 @@
 	change.Services.Set = map[string]config.Service{"svc": service}
 	change.SetDefaults()
 	v.apply(t, state.Command{Operator: "test", Apply: &state.ApplyChange{Change: change, ContentHash: change.Hash()}})
-	release := make(chan struct{})
+	ctx, release := context.WithCancel(t.Context()) // ends before the servers are closed, also where a check fails
 	b := newBackend(t, func(w http.ResponseWriter, r *http.Request) {
 		io.Copy(io.Discard, r.Body)
 		if r.ContentLength != 0 {
-			<-release
+			<-ctx.Done()
 		}
 	})
 	entry, gate := newEntryAndGate(t, v, b)
@@ -127,10 +148,12 @@
 	assert.Equal(t, resp.StatusCode, 200)
 	resp, _, _ = sendRequest(t, entry.caller, "POST", "/once", strings.NewReader(strings.Repeat("b", 101<<10)))
 	assert.Equal(t, resp.StatusCode, 413, "it could never start")
-	assert.Equal(t, b.count(), 2)
-	close(release)
+	eventually(t, "the first upload runs", func() bool { return b.count() == 2 })
+	assert.Equal(t, gate.gate.Load("svc").Queued, 1)
+	release()
 	assert.Equal(t, <-results, 200)
 	assert.Equal(t, <-results, 200)
+	assert.Equal(t, b.count(), 3)
 }
 
 // FuzzForwardedRequest guards against input from a peer that runs more than once, is passed on with another length than declared,
--- a/proxy/bytebudget/bytebudget.go
+++ b/proxy/bytebudget/bytebudget.go
@@ -10,6 +10,9 @@
 	// readAheadShare is the share of the limit up to which responses are read ahead: 1/2. Without it, callers that read slowly
 	// would use up the room for the uploads of others.
 	readAheadShare = 2
+	// connShare is the share of the limit that the requests of one connection may hold: 1/4. HTTP/2 carries hundreds of requests on
+	// one connection, which would use up the room of all others.
+	connShare = 4
 )
 
 // DefaultLimit returns the limit of a process whose memory is limited to the given number of bytes.
@@ -39,6 +42,15 @@
 	return true
 }
 
+// ReserveOnConn takes n bytes for new work of a connection that holds connHeld bytes. The first request of a connection is
+// limited only by the whole budget.
+func (b *Budget) ReserveOnConn(n, connHeld int64) bool {
+	if connHeld > 0 && n > b.limit/connShare-connHeld {
+		return false
+	}
+	return b.Reserve(n)
+}
+
 // Take takes n bytes that work in progress cannot do without, also above the limit.
 func (b *Budget) Take(n int64) { b.held += max(n, 0) }
 
--- a/proxy/entry.go
+++ b/proxy/entry.go
@@ -366,7 +366,7 @@
 		return notRunRefusal(http.StatusBadRequest, ReasonBadRequest, "read body")
 	}
 	keyed := req.IdempotencyKey != ""
-	charge, refusal := e.opts.Bytes.reserveBody(requestBytes(r.ContentLength, e.opts.MaxBufferedBody, keyed, e.opts.MaxKeyedBody), "read body")
+	charge, refusal := e.opts.Bytes.reserveBody(r.Context(), requestBytes(r.ContentLength, e.opts.MaxBufferedBody, keyed, e.opts.MaxKeyedBody), "read body")
 	if refusal != nil {
 		return refusal
 	}
--- a/proxy/gatehttp.go
+++ b/proxy/gatehttp.go
@@ -134,7 +134,7 @@
 	if limit <= 0 {
 		limit = DefaultMaxKeyedBody
 	}
-	charge, refusal := h.Bytes.reserveBody(requestBytes(length, max(h.MaxBufferedBody, maxBufferedAtGate), keyed, limit), "gate")
+	charge, refusal := h.Bytes.reserveBody(r.Context(), requestBytes(length, max(h.MaxBufferedBody, maxBufferedAtGate), keyed, limit), "gate")
 	if refusal != nil {
 		return nil, refusal
 	}
--- a/proxy/run.go
+++ b/proxy/run.go
@@ -152,7 +152,7 @@
 	if resp.ContentLength >= 0 {
 		limit = min(limit, resp.ContentLength)
 	}
-	charge = budget.reserve(limit)
+	charge = budget.reserve(limit, nil)
 	if charge == nil {
 		limit = min(limit, smallBufferBytes)
 		charge = &byteCharge{budget: budget}
