--- a/node/listeners.go
+++ b/node/listeners.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"context"
 	"crypto/tls"
 	"expvar"
 	"fmt"
@@ -104,8 +105,13 @@
 	if name == "caller" {
 		s.ReadTimeout = readTimeout
 	}
-	if pipelined != nil {
-		s.ConnContext = pipelined.ConnContext
+	if name == "caller" {
+		s.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
+			if pipelined != nil {
+				ctx = pipelined.ConnContext(ctx, c)
+			}
+			return proxy.CountConn(ctx)
+		}
 	}
 	if tlsConfig != nil {
 		listener = tls.NewListener(listener, withProtocols(tlsConfig, name == "caller"))
@@ -158,7 +164,7 @@
 func (n *Node) peerHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle(rpc.Path, n.rpc)
-	mux.Handle(proxy.GatePath, &proxy.GateHandler{Gate: n.gate, MaxBufferedBody: n.opts.MaxBufferedBody, MaxKeyedBody: n.opts.MaxKeyedBody})
+	mux.Handle(proxy.GatePath, &proxy.GateHandler{Gate: n.gate, MaxBufferedBody: n.opts.MaxBufferedBody, MaxKeyedBody: n.opts.MaxKeyedBody, Bytes: n.bytes})
 	return mux
 }
 
