shares: divide the capacity of a service that is short of it over the fleet

Each gate refuses on its own what it cannot serve, after a hop. The owner of the service's shard now collects demand and capacity from the processes, and entries refuse what is over the share of a team and priority before they send it. The setting "shares: fleet" selects a service; without it nothing changes.

--- a/fleet/config/defaults.go
+++ b/fleet/config/defaults.go
@@ -68,6 +68,9 @@
 	if s.Placement == PlacementTwoChoices {
 		s.Placement = ""
 	}
+	if s.Shares == SharesNone {
+		s.Shares = ""
+	}
 	return s
 }
 
--- a/fleet/config/document.go
+++ b/fleet/config/document.go
@@ -72,8 +72,19 @@
 	// Placement is how entries choose the VM for a request. Default: "", the same as PlacementTwoChoices. The default is
 	// not written into documents, so that builds that do not know the field can read them.
 	Placement Placement `json:"placement,omitempty"`
+	// Shares is who divides the capacity of the service while it is short of it: SharesNone or SharesFleet. Empty means
+	// SharesNone. SetDefaults keeps it empty, as for Placement.
+	Shares string `json:"shares,omitempty"`
 }
 
+// Values of Service.Shares.
+const (
+	// SharesNone leaves it to the gates, each on its own.
+	SharesNone = "none"
+	// SharesFleet divides the capacity among teams and priorities over the whole fleet, at the entries.
+	SharesFleet = "fleet"
+)
+
 // Values of Service.Concurrency.
 const (
 	// ConcurrencyRamp starts a cold backend server with few slots and adds others with successful requests; see Ramp.
--- a/fleet/config/load_test.go
+++ b/fleet/config/load_test.go
@@ -82,6 +82,7 @@
 		{"unknown team of a route", testBase, "routes:\n  home:\n    teams:\n      - red\n      - pink\n", FieldError{"site.yaml", 5, "routes.home.teams[1]", ""}},
 		{"no administrator", testBase, "operators: {ann: {role: viewer, credentialHash: " + HashKey("c") + "}}", FieldError{"site.yaml", 1, "operators", ""}},
 		{"rate that is not finite", testBase, "teams: {red: {rate: .inf}}", FieldError{"site.yaml", 1, "teams.red.rate", ""}},
+		{"unknown shares", testBase, "services: {web: {shares: some}}", FieldError{"site.yaml", 1, "services.web.shares", ""}},
 		{"unknown placement", testBase, "services: {web: {placement: fastest}}", FieldError{"site.yaml", 1, "services.web.placement", ""}},
 		{"list instead of mapping", "- a", "", FieldError{"base.yaml", 1, "", ""}},
 	}
@@ -101,11 +102,12 @@
 // Guards against a default that is written out: processes of an older build would refuse the document.
 func TestDefaultPlacementIsOmitted(t *testing.T) {
 	for overlay, want := range map[string]Placement{
-		"": "", "services: {web: {placement: two-choices}}": "",
+		"": "", "services: {web: {placement: two-choices, shares: none}}": "",
 		"services: {web: {placement: least-completion}}": PlacementLeastCompletion,
 	} {
 		doc, err := Load([]byte(testBase), []byte(overlay), [2]string{"base.yaml", "site.yaml"})
 		assert.NilError(t, err)
 		assert.Equal(t, doc.Services["web"].Placement, want)
+		assert.Equal(t, doc.Services["web"].Shares, "")
 	}
 }
--- a/fleet/config/validate_entry.go
+++ b/fleet/config/validate_entry.go
@@ -111,6 +111,9 @@
 	default:
 		c.fail(path+".placement", "%q is not %s or %s", s.Placement, PlacementTwoChoices, PlacementLeastCompletion)
 	}
+	if s.Shares != "" && s.Shares != SharesNone && s.Shares != SharesFleet {
+		c.fail(path+".shares", "%q is neither %q nor %q", s.Shares, SharesNone, SharesFleet)
+	}
 	if s.ResponseTimeout != 0 {
 		c.checkPositive(path+".responseTimeout", s.ResponseTimeout)
 	}
--- a/node/dependencies.go
+++ b/node/dependencies.go
@@ -69,4 +69,5 @@
 	roleGroupMember = "member of a group"
 	roleLeader      = "control leader"
 	roleEntry       = "entry"
+	roleSharesOwner = "owner of shares"
 )
--- a/node/node.go
+++ b/node/node.go
@@ -35,6 +35,7 @@
 	limiter     *limiter
 	deps        *dependencies
 	ejections   *ejections
+	capacity    *capacityShares
 	claims      *claims
 	gate        *proxy.Gate
 	announcer   *Announcements
@@ -117,6 +118,7 @@
 	n.limiter.provisionalShare = o.ProvisionalRate
 	n.limiter.rateExcess, n.limiter.burstExcess = o.RateExcess, o.BurstExcess
 	n.ejections = newEjections(n)
+	n.capacity = newCapacityShares(n)
 	n.groups = &groupClient{node: n, leaders: map[groupName]string{}}
 	claimer := idempotency.Claimer{Process: o.Name, Incarnation: n.incarnation}
 	n.claims = newClaims(claimer, n.clock, n.groups, n.gossip, o.Log, &n.tomb)
@@ -126,8 +128,9 @@
 		Dialect: o.Dialect, AnnouncementTTL: o.AnnouncementTTL, HoldUnknownServices: o.HoldUnknownServices,
 		AllowCloseDelimited: o.AllowCloseDelimited, OnRecovered: n.notifyRecovered, EntryLeaving: n.directory.isLeaving,
 		RetryRatio: o.gateRetryRatio(), RetryReserve: n.gateRetryReserve,
+		Shares: n.capacity.shares,
 	})
-	n.ejections.gate = n.gate
+	n.ejections.gate, n.capacity.gate = n.gate, n.gate
 	n.announcer = newAnnouncements(n)
 	n.peers = proxy.NewPeerClient(o.PeerClientTLS)
 	if o.Dial != nil {
@@ -140,7 +143,7 @@
 		VM: o.Name, Domain: o.Domain, Fleet: n.fleet, Clock: n.clock, Log: o.Log,
 		Limiter: n.limiter, Admitter: n.admitter(), Directory: n.directory, Gate: n.gate, Peers: n.peers,
 		Dialect: o.Dialect, CallerService: o.CallerService, RetryRatio: o.entryRetryRatio(),
-		MaxBufferedBody: o.MaxBufferedBody, MaxKeyedBody: o.MaxKeyedBody,
+		MaxBufferedBody: o.MaxBufferedBody, MaxKeyedBody: o.MaxKeyedBody, Shares: n.capacity.shares,
 	})
 	n.register()
 }
@@ -190,6 +193,7 @@
 	rpc.Register(n.rpc, methodStopping, n.receiveStopping)
 	rpc.Register(n.rpc, methodExplain, n.serveExplain)
 	rpc.Register(n.rpc, methodGrant, n.limiter.serveGrant)
+	rpc.Register(n.rpc, methodSharesReport, n.capacity.serveReport)
 	rpc.Register(n.rpc, methodPermit, n.ejections.servePermit)
 	rpc.Register(n.rpc, methodPushDigests, n.ejections.receiveDigests)
 	rpc.Register(n.rpc, methodFetchDigests, n.ejections.serveDigests)
@@ -219,6 +223,7 @@
 	n.gossip.start(&n.tomb, n.opts.Join)
 	n.limiter.start()
 	n.ejections.start()
+	n.capacity.start()
 	n.tomb.Go(func() error { return every(&n.tomb, permissionLogInterval, n.permission.refresh) })
 	n.tomb.Go(func() error { return every(&n.tomb, directoryInterval, publisher.run) })
 	n.tomb.Go(func() error { return every(&n.tomb, time.Second, n.entry.Sweep) })
--- a/proxy/entry.go
+++ b/proxy/entry.go
@@ -58,6 +58,8 @@
 	MaxBufferedBody int64
 	// MaxKeyedBody is the largest allowed body in bytes of a request with an Idempotency-Key. Default 1 MiB.
 	MaxKeyedBody int64
+	// Shares refuses new requests over the share of their team of a service that is short of capacity. Default: none are.
+	Shares *Shares
 }
 
 // Defaults of EntryOptions.
@@ -140,6 +142,9 @@
 		id = newRequestID()
 	}
 	req, refusal := e.accept(r, id, caller)
+	if refusal == nil {
+		refusal = e.opts.Shares.admit(req)
+	}
 	if refusal != nil {
 		e.refuse(w, id, req, refusal)
 		return
@@ -162,6 +167,9 @@
 		defer parent.endNested()
 	}
 	req, refusal := e.acceptNested(r, id, parent)
+	if refusal == nil {
+		refusal = e.opts.Shares.admit(req)
+	}
 	if refusal != nil {
 		e.refuse(w, id, req, refusal)
 		return
--- a/proxy/gate.go
+++ b/proxy/gate.go
@@ -77,6 +77,8 @@
 	// HoldUnknownServices keeps announcements for services that are not in the configuration yet, instead of refusing
 	// them.
 	HoldUnknownServices bool
+	// Shares counts the load for the division of capacity over the fleet. Default: it is not counted.
+	Shares *Shares
 }
 
 // Gate is the only way to the backend servers on this VM.
@@ -422,6 +424,7 @@
 	if err != nil {
 		return nil, g.completeRefusal(req, asRefusal(err), s)
 	}
+	g.opts.Shares.ran(req, resp.Timing.Backend)
 	g.opts.Log.Info().Str("request", req.ID).Str("team", req.Team).Str("service", req.Service).
 		Str("server", s.name).Int("status", resp.Status).Dur("queue", held.wait).Dur("took", resp.Timing.Backend).
 		Bool("trial", held.trial).Bool("forced", req.Forced).Msg("gate: request answered.")
@@ -446,6 +449,7 @@
 // delay before a retry.
 func (g *Gate) completeRefusal(req *Request, r *Refusal, s *server) *Refusal {
 	load := g.Load(req.Service)
+	g.opts.Shares.refused(req.Service, r.Reason)
 	r.Load = &load
 	r.Work = g.Work(req.Service, req.Route)
 	entry := g.opts.Log.Info().Str("request", req.ID).Str("team", req.Team).Str("service", req.Service).
--- a/proxy/router.go
+++ b/proxy/router.go
@@ -619,11 +619,15 @@
 	if err != nil {
 		end()
 		refusal := asRefusal(err)
+		r.opts.Shares.refused(req.Service, refusal.Reason)
 		r.updateFromRefusal(vm, req, refusal, now)
 		return nil, refusal
 	}
 	r.loads.report(vm, req.Service, resp.Load, now)
 	r.updateWork(vm, req, resp, now)
+	if vm != r.opts.VM {
+		r.opts.Shares.ran(req, resp.Timing.Backend)
+	}
 	r.recordPathTime(vm, now-began-resp.Timing.Queue-resp.Timing.Backend)
 	countTiming(resp.Timing, now-began)
 	resp.Body = &closeHookBody{ReadCloser: resp.Body, onClose: end}
--- a/proxy/servicedefaults.go
+++ b/proxy/servicedefaults.go
@@ -5,9 +5,10 @@
 // ServiceDefaults fill in settings that the configuration leaves open. They belong to the process and not to the replicated
 // document, because a member of the control group of an earlier build refuses documents with fields that it does not know.
 type ServiceDefaults struct {
-	// Concurrency and Placement apply to services whose backend servers need no warm-up, that is, without a ramp rate or time.
+	// Concurrency, Placement and Shares apply to services whose backend servers need no warm-up, that is, without a ramp rate or time.
 	Concurrency string
 	Placement   config.Placement
+	Shares      string
 }
 
 // apply returns the settings of a service with the defaults.
@@ -21,5 +22,8 @@
 	if s.Placement == "" {
 		s.Placement = d.Placement
 	}
+	if s.Shares == "" {
+		s.Shares = d.Shares
+	}
 	return s
 }
