shares: averages demand over a window, shows the share in explain

An exponential mean of the demand admitted half too much for two seconds after a step of the load. A mean over one second is right after that second. Decisions list only teams whose share makes at least 1% of the limit, because the owner sends them to all entries twice a second.

--- a/control/api_explain.go
+++ b/control/api_explain.go
@@ -34,7 +34,7 @@
 	}
 	if reply.Details != nil && a.Explainer != nil {
 		candidates, err := a.Explainer.Explain(c.Context(), ExplainQuery{
-			Service: reply.Service, Route: reply.Route, Repeatable: reply.Repeatable, VM: q.vm,
+			Service: reply.Service, Route: reply.Route, Repeatable: reply.Repeatable, Team: q.team, VM: q.vm,
 		})
 		if err != nil {
 			return err
--- a/control/fleet.go
+++ b/control/fleet.go
@@ -82,6 +82,8 @@
 	Service    string `json:"service"`
 	Route      string `json:"route"`
 	Repeatable bool   `json:"repeatable"`
+	// Team is the team of the request; empty where there is none.
+	Team string `json:"team,omitempty"`
 	// VM is the VM whose entry is asked; empty means that of this process.
 	VM string `json:"vm,omitempty"`
 }
@@ -98,6 +100,9 @@
 	Reason string `json:"reason"`
 	// Work is nil unless the service has the placement least-completion and the entry knows the cost of the request.
 	Work *CandidateWork `json:"work,omitempty"`
+	// Share is the share of such requests that the entry admits now, 0 to 1; nil where it admits all. It is the same for all
+	// candidates.
+	Share *float64 `json:"share,omitempty"`
 }
 
 // CandidateWork is what an entry expects of a request at a candidate. Times are in milliseconds.
--- a/node/explain.go
+++ b/node/explain.go
@@ -19,11 +19,15 @@
 // explain returns the candidates for a request as the entry of this process sees them.
 func (n *Node) explain(q control.ExplainQuery) []control.Candidate {
 	var list []control.Candidate
+	share, limited := n.entry.Share(q.Service, q.Route, q.Team)
 	for _, e := range n.entry.ExplainRequest(proxy.ExplainQuery{Service: q.Service, Route: q.Route, Repeatable: q.Repeatable}) {
 		c := control.Candidate{
 			VM: e.VM, Domain: e.Domain, Capacity: e.Capacity, InFlight: e.InFlight, Queued: e.Queued,
 			State: e.State.String(), Reason: e.Reason,
 		}
+		if limited {
+			c.Share = &share
+		}
 		if e.Work.Cost > 0 {
 			c.Work = &control.CandidateWork{
 				StartMs: millis(e.ExpectedStart()), Speed: e.ExpectedSpeed(), CostMs: millis(e.Work.Cost),
--- a/node/shares.go
+++ b/node/shares.go
@@ -26,6 +26,9 @@
 	sharesTimeout = 500 * time.Millisecond
 	// deciderSweepInterval is the time between two checks for services that nobody reports any more.
 	deciderSweepInterval = time.Second
+	// announcedInterval is the time between two looks at the announced slots: a large fleet sends hundreds of reports per
+	// second, and its gossip metadata has as many rows.
+	announcedInterval = time.Second
 	// maxSharesReports limits the reports in one message.
 	maxSharesReports = 256
 )
@@ -50,7 +53,13 @@
 	mu sync.Mutex // guards the fields below
 	// inFlight holds the addresses of owners with a report on the way.
 	inFlight map[string]bool
-	deciders map[string]*shares.Decider
+	deciders map[string]*ownedDecider
+}
+
+// ownedDecider is the decider of a service that this process owns.
+type ownedDecider struct {
+	*shares.Decider
+	announcedAt time.Duration
 }
 
 // newCapacityShares returns the driver of n. All other drivers of n except the gate must exist already.
@@ -59,7 +68,7 @@
 		vm: n.opts.Name, incarnation: n.incarnation, clock: n.clock, fleet: n.fleet, client: n.client, ownership: n.shards,
 		deps: n.deps, log: n.opts.Log, tomb: &n.tomb,
 		shares:   proxy.NewShares(n.opts.Name, n.incarnation, n.clock, n.fleet),
-		inFlight: map[string]bool{}, deciders: map[string]*shares.Decider{},
+		inFlight: map[string]bool{}, deciders: map[string]*ownedDecider{},
 	}
 	c.announced = func(service string) map[string]float64 { return announcedSlots(n, service) }
 	return c
@@ -68,13 +77,8 @@
 // announcedSlots returns the slots in service of each VM that gossip counts as alive.
 func announcedSlots(n *Node, service string) map[string]float64 {
 	slots := map[string]float64{}
-	for _, peer := range n.directory.Hosts(service) {
-		slots[peer.VM] = 0
-	}
 	for _, c := range n.ejections.capacity(service) {
-		if _, hosts := slots[c.VM]; hosts {
-			slots[c.VM] += float64(max(c.Slots-c.Out, 0))
-		}
+		slots[c.VM] += float64(max(c.Slots-c.Out, 0))
 	}
 	return slots
 }
@@ -164,17 +168,21 @@
 }
 
 func (c *capacityShares) decideOne(r shares.Report) shares.Decision {
-	announced := c.announced(r.Service)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	d, ok := c.deciders[r.Service]
 	if !ok {
-		d = shares.NewDecider(shares.Config{Service: r.Service, FirstSequence: uint64(time.Now().UnixMilli())})
+		since, _ := c.ownership.ownsProvisionally(state.ShardOf(r.Service))
+		cfg := shares.Config{Service: r.Service, Start: since, FirstSequence: uint64(time.Now().UnixMilli())}
+		d = &ownedDecider{Decider: shares.NewDecider(cfg), announcedAt: -announcedInterval}
 		c.deciders[r.Service] = d
 	}
 	now := c.clock()
 	before := d.Status().Short
-	d.Announce(announced)
+	if now-d.announcedAt >= announcedInterval {
+		d.announcedAt = now
+		d.Announce(c.announced(r.Service))
+	}
 	d.Receive(now, r)
 	decision := d.Decide(now)
 	if decision.Short != before {
--- /dev/null
+++ b/node/shares_test.go
@@ -0,0 +1,136 @@
+package node
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"rosemaryline.dev/fleet/config"
+	"rosemaryline.dev/fleet/state"
+	"rosemaryline.dev/shares"
+	"rosemaryline.dev/standin"
+)
+
+const (
+	sharesTestSlots = 2
+	sharesTestTime  = 50 * time.Millisecond
+)
+
+// startSharesFleet starts a fleet with a service of four backend servers that run 160 requests per second.
+func startSharesFleet(t *testing.T) *isolationFleet {
+	t.Helper()
+	f := &isolationFleet{t: t, network: &network{cut: map[[2]string]bool{}}}
+	f.control = f.startNode("control", filepath.Join(t.TempDir(), "data"))
+	for i := range 4 {
+		f.proxies = append(f.proxies, f.startNode(fmt.Sprintf("proxy-%d", i), ""))
+	}
+	change := config.Change{}
+	change.Domains.Set = map[string]config.Domain{"dom": {Region: "region"}}
+	change.Services.Set = map[string]config.Service{"svc": {Slots: sharesTestSlots, Connections: 100, FloorPercent: 50,
+		Concurrency: config.ConcurrencyAdaptive, Placement: config.PlacementLeastCompletion, Shares: config.SharesFleet}}
+	change.Routes.Set = map[string]config.Route{"root": {Path: "/", Service: "svc", Access: config.AccessOpen, Deadline: config.Duration(time.Second)}}
+	change.Teams.Set = map[string]config.Team{}
+	for _, team := range []string{"team", "quiet"} {
+		key := strings.Replace(team, "team", "key", 1)
+		change.Teams.Set[team] = config.Team{Rate: 2000, Burst: 2000, KeyHashes: []string{config.HashKey(key)}}
+	}
+	change.SetDefaults()
+	f.propose(state.Command{ChangeID: "configure", Apply: &state.ApplyChange{Change: change, ContentHash: change.Hash()}})
+	for i, n := range f.proxies {
+		s, err := standin.Start(standin.Options{Name: fmt.Sprintf("svc-%d", i), Service: "svc", Listen: "127.0.0.1:0",
+			Slots: sharesTestSlots, ServiceTime: sharesTestTime, Announce: "http://" + n.LocalAddress(), Seed: 1})
+		assert.NilError(t, err)
+		t.Cleanup(func() { assert.NilError(t, s.Stop()) })
+		f.waitServing(n)
+	}
+	return f
+}
+
+// loadResult counts the requests of one team by result.
+type loadResult struct{ sent, served, byShare, other int }
+
+// load sends requests of a team at a rate through all proxies in turn, for a time, and counts those sent after warm.
+func (f *isolationFleet) load(key string, rate int, warm, length time.Duration) loadResult {
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	var result loadResult
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 500}}
+	defer client.CloseIdleConnections()
+	began := time.Now()
+	for i := 0; time.Since(began) < length; i++ {
+		time.Sleep(time.Until(began.Add(time.Duration(i) * time.Second / time.Duration(rate))))
+		counts := time.Since(began) >= warm
+		wg.Go(func() {
+			req, _ := http.NewRequest(http.MethodGet, "http://"+f.proxies[i%len(f.proxies)].CallerAddress()+"/x", nil)
+			req.Header.Set("Authorization", "Bearer "+key)
+			resp, err := client.Do(req)
+			status, body := 0, []byte(nil)
+			if err == nil {
+				body, _ = io.ReadAll(resp.Body)
+				status = resp.StatusCode
+				resp.Body.Close()
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			if !counts {
+				return
+			}
+			result.sent++
+			switch {
+			case status == http.StatusOK:
+				result.served++
+			case strings.Contains(string(body), `"reason":"share"`):
+				result.byShare++
+			default:
+				result.other++
+			}
+		})
+	}
+	wg.Wait()
+	return result
+}
+
+// Guards against shares that do not reach the entries: a team with three times the capacity of a service then displaces one
+// with a quarter of it, and refusals cost a hop each. Afterwards the entries must admit everything again, and must do so too
+// while the owner of the service is cut off.
+func TestSharesReachTheEntries(t *testing.T) {
+	f := startSharesFleet(t)
+	var loud, quiet loadResult
+	var wg sync.WaitGroup
+	const warm, length = 2 * time.Second, 5 * time.Second
+	wg.Go(func() { loud = f.load("key", 480, warm, length) })
+	wg.Go(func() { quiet = f.load("quiet", 40, warm, length) })
+	wg.Wait()
+	t.Logf("loud %+v, quiet %+v", loud, quiet)
+	assert.Assert(t, loud.byShare > loud.other, "most refusals are made at the entry")
+	assert.Assert(t, quiet.served*loud.sent > loud.served*quiet.sent, "the team within its share is served more often")
+	for _, n := range f.proxies {
+		eventually(t, "end of the shortage at "+n.opts.Name, func() error {
+			if share, short := n.capacity.shares.Share("svc", "team", 0); short {
+				return fmt.Errorf("the share is %.2f", share)
+			}
+			return nil
+		})
+	}
+}
+
+// Guards against a message of a process that does not own a service, or for a service that is not selected, that decides.
+func TestSharesAreDecidedByTheOwner(t *testing.T) {
+	f := startSharesFleet(t)
+	owners := 0
+	for _, n := range f.proxies {
+		decisions, err := n.capacity.serveReport(t.Context(), "", []shares.Report{{Service: "svc", VM: "vm", Sequence: 1, PeriodMs: 500}, {Service: "none"}})
+		assert.NilError(t, err)
+		owners += len(decisions)
+	}
+	assert.Assert(t, owners <= 1, "%d processes decide", owners)
+	_, err := f.control.capacity.serveReport(t.Context(), "", make([]shares.Report, maxSharesReports+1))
+	assert.ErrorContains(t, err, "too many")
+}
--- a/proxy/servicedefaults_test.go
+++ b/proxy/servicedefaults_test.go
@@ -11,7 +11,7 @@
 
 // Guards against defaults that change services with a warm-up, or that override what the configuration says.
 func TestServiceDefaults(t *testing.T) {
-	d := ServiceDefaults{Concurrency: config.ConcurrencyAdaptive, Placement: config.PlacementLeastCompletion}
+	d := ServiceDefaults{Concurrency: config.ConcurrencyAdaptive, Placement: config.PlacementLeastCompletion, Shares: config.SharesFleet}
 	for _, test := range []struct {
 		desc        string
 		service     config.Service
@@ -26,5 +26,6 @@
 		s := d.apply(test.service)
 		assert.Equal(t, s.Concurrency, test.concurrency, test.desc)
 		assert.Equal(t, s.Placement, test.placement, test.desc)
+		assert.Equal(t, s.Shares == config.SharesFleet, s.Ramp == config.Ramp{}, test.desc)
 	}
 }
--- a/proxy/shares.go
+++ b/proxy/shares.go
@@ -12,6 +12,7 @@
 
 	"rosemaryline.dev/admission"
 	"rosemaryline.dev/fleet/config"
+	"rosemaryline.dev/fleet/state"
 	"rosemaryline.dev/outlier"
 	"rosemaryline.dev/shares"
 	"rosemaryline.dev/workload"
@@ -27,7 +28,7 @@
 	reportInterval = 500 * time.Millisecond
 	// quietPeriod is the time after which the counts of a service that is not under pressure start again, so that the first
 	// report says what happens now.
-	quietPeriod = time.Second
+	quietPeriod = 300 * time.Millisecond
 	// unknownSlotTime is the assumed slot time of a request until the first one of the service was answered.
 	unknownSlotTime = 100 * time.Millisecond
 	// maxReportedDemands limits the pairs of team and priority in one report.
@@ -326,6 +327,27 @@
 	return state.admitter.Share(s.clock(), team, priority), true
 }
 
+// Share returns the share of the requests of a team on a route that this entry admits now. ok is false if it admits all of
+// them.
+func (e *Entry) Share(service, route, team string) (share float64, ok bool) {
+	priority := 0
+	e.opts.Fleet.Read(func(s *state.State) {
+		r := s.Config().Routes[route]
+		if ok = r.Access == config.AccessOpen; !ok {
+			return
+		}
+		p := r.Priority
+		if t := s.Config().Teams[team].Priority; t != nil {
+			p = *t
+		}
+		priority = admission.RequestPriority(p, r.Priority)
+	})
+	if !ok {
+		return 1, false
+	}
+	return e.opts.Shares.Share(service, team, priority)
+}
+
 // shareLoads returns the load of the backend servers of each service that runs requests here. A backend server whose
 // circuit breaker has tripped has no slots, but its queue counts.
 func (g *Gate) shareLoads() map[string]Load {
--- a/shares/decider.go
+++ b/shares/decider.go
@@ -1,7 +1,6 @@
 package shares
 
 import (
-	"math"
 	"slices"
 	"time"
 )
@@ -11,8 +10,9 @@
 	reportLifetime = 2 * time.Second
 	// forgetAfter is the age of its last report at which nothing is known of a process any more.
 	forgetAfter = 10 * time.Second
-	// smoothing is the time constant of the smoothed demand and calls.
-	smoothing = time.Second
+	// demandWindow is the time over which demand and calls are averaged. Unlike an exponential mean, it gives the right demand
+	// once a new load has lasted that long; the admitted work would be half too high then.
+	demandWindow = time.Second
 	// minDecisionInterval is the least time between two decisions, so that "two consecutive decisions" are not a matter of
 	// a few milliseconds in a large fleet.
 	minDecisionInterval = 100 * time.Millisecond
@@ -24,8 +24,8 @@
 	minLimitShare = 0.05
 	// shortDecisions is the number of consecutive decisions with too much demand after which the service is short.
 	shortDecisions = 2
-	// settleTime is the time after the first report in which the service does not count as short, because only some
-	// processes have reported.
+	// settleTime is the time after Config.Start in which the service does not count as short, because only some processes
+	// have reported to a new owner.
 	settleTime = time.Second
 	// recoveredShare and recoveredTime end a shortage: demand below this share of the limit for this time.
 	recoveredShare = 0.9
@@ -34,8 +34,6 @@
 	maxReporters = 4096
 	maxDemands   = 1024
 	maxRanks     = 64
-	// maxPeriod limits the period of a report. A longer one would replace the smoothed demand by a mean of the past.
-	maxPeriod = 10 * time.Second
 )
 
 // demandKey identifies the requests of one team with one priority.
@@ -57,18 +55,24 @@
 	}
 }
 
-// demandRate is a smoothed demand in slots: slot seconds per second.
+// demandRate is a demand in slots, that is, slot seconds per second.
 type demandRate struct {
 	slots, weight float64
 }
 
+// period is what one report says of the work that arrived in its period.
+type period struct {
+	length, calls time.Duration
+	demand        []Demand
+}
+
 // reporter is what is known of one process.
 type reporter struct {
 	incarnation, sequence uint64
 	at                    time.Duration
 	slots, busy, queued   float64 // queued is in slot seconds
-	calls                 float64 // in slots
-	demand                map[demandKey]demandRate
+	// periods are the latest reports, oldest first, that together cover demandWindow.
+	periods []period
 	// toldShort is true if the reply to the last report said that the service is short. Such a process keeps reporting, so
 	// its silence means that it is cut off or gone.
 	toldShort bool
@@ -79,7 +83,6 @@
 type Decider struct {
 	cfg       Config
 	began     bool
-	startedAt time.Duration
 	reporters map[string]*reporter
 	announced map[string]float64
 	decidedAt time.Duration
@@ -131,49 +134,58 @@
 		p = &reporter{}
 		d.reporters[r.VM] = p
 	}
-	fresh := !ok || now-p.at > reportLifetime
+	if now-p.at > reportLifetime {
+		p.periods = nil
+	}
 	p.incarnation, p.sequence, p.at = r.Incarnation, r.Sequence, now
 	p.slots, p.busy = finite(r.Slots), finite(r.Busy)
-	p.queued = float64(max(r.QueuedMs, 0)) / 1000
+	p.queued = millis(r.QueuedMs).Seconds()
 	p.toldShort = d.decision.Short
-	period := min(time.Duration(max(r.PeriodMs, 1))*time.Millisecond, maxPeriod)
-	// The first report after a pause replaces what was known.
-	weight := 1.0
-	if !fresh {
-		weight = 1 - math.Exp(-period.Seconds()/smoothing.Seconds())
+	p.periods = append(p.periods, period{length: millis(max(r.PeriodMs, 1)), calls: millis(r.CallsMs), demand: r.Demand[:min(len(r.Demand), maxDemands)]})
+	covered := time.Duration(0)
+	for i := len(p.periods) - 1; i >= 0; i-- {
+		if covered >= demandWindow {
+			p.periods = slices.Delete(p.periods, 0, i+1)
+			break
+		}
+		covered += p.periods[i].length
 	}
-	p.calls += weight * (slotsOf(r.CallsMs, period) - p.calls)
-	p.receiveDemand(r.Demand, period, weight)
 }
 
-func (p *reporter) receiveDemand(demands []Demand, period time.Duration, weight float64) {
-	// Demands with too small a rate to matter are dropped.
-	const least = 1e-4
-	next := make(map[demandKey]demandRate, len(p.demand))
-	for key, rate := range p.demand {
-		rate.slots *= 1 - weight
-		if rate.slots > least {
-			next[key] = rate
-		}
+// addDemand adds the demand of the process to total and returns its calls in slots.
+func (p *reporter) addDemand(total map[demandKey]demandRate) (calls float64) {
+	covered := time.Duration(0)
+	for i := range p.periods {
+		covered += p.periods[i].length
 	}
-	for _, r := range demands {
-		key := demandKey{r.Priority, r.Team}
-		rate, known := next[key]
-		if !known && len(next) >= maxDemands {
-			continue
-		}
-		rate.slots += weight * slotsOf(r.WorkMs, period)
-		rate.weight = 1
-		if w := finite(r.Weight); w > 0 {
-			rate.weight = max(w, minWeight)
+	for i := range p.periods {
+		calls += p.periods[i].calls.Seconds() / covered.Seconds()
+		for _, r := range p.periods[i].demand {
+			key := demandKey{r.Priority, r.Team}
+			sum, known := total[key]
+			if !known && len(total) >= maxDemands {
+				continue
+			}
+			sum.slots += millis(r.WorkMs).Seconds() / covered.Seconds()
+			sum.weight = max(sum.weight, weightOf(r.Weight))
+			total[key] = sum
 		}
-		next[key] = rate
 	}
-	p.demand = next
+	return calls
+}
+
+// weightOf returns a weight that is safe to divide by.
+func weightOf(w float64) float64 {
+	if w = finite(w); w > 0 {
+		return max(w, minWeight)
+	}
+	return 1
 }
 
-func slotsOf(workMs int64, period time.Duration) float64 {
-	return float64(max(workMs, 0)) / 1000 / period.Seconds()
+// millis converts milliseconds from a report. The limit keeps sums from overflowing.
+func millis(ms int64) time.Duration {
+	const largest = int64(time.Hour / time.Millisecond)
+	return time.Duration(min(max(ms, 0), largest)) * time.Millisecond
 }
 
 // minWeight is the least weight of a team; a rate of 0 requests has the weight 1.
@@ -190,7 +202,7 @@
 
 func (d *Decider) begin(now time.Duration) {
 	if !d.began {
-		d.began, d.startedAt, d.decidedAt = true, now, now-minDecisionInterval
+		d.began, d.decidedAt = true, now-minDecisionInterval
 	}
 }
 
@@ -250,14 +262,8 @@
 		s.OldestReport = max(s.OldestReport, age)
 		s.Capacity += p.slots
 		s.Busy += p.busy
-		s.Calls += p.calls
+		s.Calls += p.addDemand(total)
 		s.Queued += time.Duration(p.queued * float64(time.Second))
-		for key, rate := range p.demand {
-			sum := total[key]
-			sum.slots += rate.slots
-			sum.weight = max(sum.weight, rate.weight)
-			total[key] = sum
-		}
 	}
 	for _, vm := range sortedKeys(d.announced) {
 		p, reports := d.reporters[vm]
@@ -298,7 +304,7 @@
 		d.excess = 0
 	}
 	if !s.Short {
-		s.Short = d.excess >= shortDecisions && now-d.startedAt >= settleTime
+		s.Short = d.excess >= shortDecisions && now-d.cfg.Start >= settleTime
 		d.easySince = -1
 		return
 	}
--- a/shares/divide.go
+++ b/shares/divide.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 )
 
@@ -11,8 +12,13 @@
 	floorShare = 0.3
 	// maxListedTeams limits the teams with a share of their own in one rank of a decision, and thereby its size.
 	maxListedTeams = 16
-	// listedDifference is the least difference from the share of the rank with which a team is listed.
+	// listedDifference is the least difference from the share of the rank with which a team is listed, and listedWork the least
+	// work that this difference makes, relative to the limit. The owner sends each decision to all entries twice a second, and
+	// its link carries 4.6 Mbit/s.
 	listedDifference = 0.02
+	listedWork       = 0.01
+	// sharePrecision is the number of steps of a share in a decision.
+	sharePrecision = 1000
 	// fillSteps is the number of bisection steps, which give the water level to a part in 10^12.
 	fillSteps = 40
 )
@@ -50,7 +56,7 @@
 		extra := min(rest, (1-floor)*sum)
 		rest -= extra
 		admitted := fill(rank, floor, floor*sum+extra)
-		ranks = append(ranks, newRank(rank, admitted))
+		ranks = append(ranks, newRank(rank, admitted, listedWork*limit))
 		refused += max((1-floor)*sum-extra, 0)
 	}
 	return ranks, refused
@@ -85,8 +91,9 @@
 	return admitted
 }
 
-// newRank returns the rank with the teams that have the lowest shares listed. The others have one share together.
-func newRank(rank []demandEntry, admitted []float64) Rank {
+// newRank returns the rank with the teams that have the lowest shares listed, where that makes at least the given work. The others
+// have one share together.
+func newRank(rank []demandEntry, admitted []float64, least float64) Rank {
 	type teamShare struct {
 		TeamShare
 		demand, admitted float64
@@ -108,15 +115,20 @@
 		if rest > 0 {
 			result.Share = clampShare(restAdmitted / rest)
 		}
-		if len(result.Teams) == maxListedTeams || t.Share > result.Share-listedDifference {
+		difference := result.Share - t.Share
+		if len(result.Teams) == maxListedTeams || difference < listedDifference || difference*t.demand < least {
 			break
 		}
+		t.Share = roundShare(t.Share)
 		result.Teams = append(result.Teams, t.TeamShare)
 		rest -= t.demand
 		restAdmitted -= t.admitted
 	}
+	result.Share = roundShare(result.Share)
 	slices.SortFunc(result.Teams, func(a, b TeamShare) int { return cmp.Compare(a.Team, b.Team) })
 	return result
 }
 
+func roundShare(share float64) float64 { return math.Round(share*sharePrecision) / sharePrecision }
+
 func clampShare(share float64) float64 { return min(max(share, 0), 1) }
--- a/shares/shares.go
+++ b/shares/shares.go
@@ -68,6 +68,8 @@
 	// FirstSequence is the sequence of the decisions before the first one. A wall clock in milliseconds makes the decisions of a
 	// new owner newer than those of its predecessor.
 	FirstSequence uint64
+	// Start is when the process became the owner of the service.
+	Start time.Duration
 	// ValidFor is how long an entry uses a decision after its arrival. Default: 1.5 s, three reports.
 	ValidFor time.Duration
 }
