shares: uses idle slots where expected slot times are too high

Slot times are means with a half-life of a minute. After a time in which backend servers were slow they are too high, and the limit on work left up to a quarter of the slots idle while requests were refused.

--- a/shares/decider.go
+++ b/shares/decider.go
@@ -20,6 +20,11 @@
 	queueTarget = 100 * time.Millisecond
 	// queueCorrection is the time in which the queue returns to its target.
 	queueCorrection = time.Second
+	// idleShare is the share of busy slots below which a service that is short, with less queued than the target, has idle slots:
+	// the expected slot times are too high then. gainRate is the change of the gain per second, maxGain its limit.
+	idleShare = 0.95
+	gainRate  = 0.3
+	maxGain   = 3
 	// minLimitShare is the least limit for new work relative to the capacity. With a limit of 0 the floors would be 0 too.
 	minLimitShare = 0.05
 	// shortDecisions is the number of consecutive decisions with too much demand after which the service is short.
@@ -88,7 +93,9 @@
 	decidedAt time.Duration
 	decision  Decision
 	status    Status
-	excess    int // consecutive decisions with too much demand
+	// gain is the expected slot time relative to the true one, as far as idle slots show it; at least 1.
+	gain   float64
+	excess int // consecutive decisions with too much demand
 	// easySince is when the demand was first below recoveredShare of the limit; negative if it is not.
 	easySince time.Duration
 	returns   returns
@@ -111,7 +118,7 @@
 func NewDecider(cfg Config) *Decider {
 	cfg = cfg.withDefaults()
 	return &Decider{
-		cfg: cfg, reporters: map[string]*reporter{}, easySince: -1,
+		cfg: cfg, reporters: map[string]*reporter{}, easySince: -1, gain: 1,
 		decision: Decision{Service: cfg.Service, Sequence: cfg.FirstSequence},
 	}
 }
@@ -232,7 +239,7 @@
 	elapsed := now - d.decidedAt
 	d.decidedAt = now
 	d.forget(now)
-	demand := d.sum(now)
+	demand := d.sum(now, elapsed)
 	d.updateShort(now)
 	next := Decision{Service: d.cfg.Service, Sequence: d.decision.Sequence + 1, Short: d.status.Short}
 	refused := 0.0
@@ -248,7 +255,7 @@
 }
 
 // sum adds up the reports and sets the status. It returns the demand sorted by priority and team.
-func (d *Decider) sum(now time.Duration) []demandEntry {
+func (d *Decider) sum(now, elapsed time.Duration) []demandEntry {
 	s := Status{Short: d.status.Short}
 	total := map[demandKey]demandRate{}
 	// The order of the sums is fixed, because sums of floats depend on it.
@@ -280,12 +287,27 @@
 		s.Demand += e.slots
 	}
 	target := s.Capacity * queueTarget.Seconds()
-	s.Limit = s.Capacity + (target-s.Queued.Seconds())/queueCorrection.Seconds() - s.Calls
+	d.updateGain(&s, target, elapsed)
+	s.Limit = d.gain*s.Capacity + (target-s.Queued.Seconds())/queueCorrection.Seconds() - s.Calls
 	s.Limit = max(s.Limit, minLimitShare*s.Capacity)
 	d.status = s
 	return list
 }
 
+// updateGain raises the gain while a service that is short has idle slots, and lowers it while more than the target is queued. It
+// handles the load pattern in which slot times were learned while backend servers were slow.
+func (d *Decider) updateGain(s *Status, target float64, elapsed time.Duration) {
+	change := gainRate * min(elapsed, time.Second).Seconds()
+	switch queued := s.Queued.Seconds(); {
+	case !s.Short:
+		d.gain = 1
+	case s.Busy < idleShare*s.Capacity && queued < target:
+		d.gain = min(d.gain*(1+change), maxGain)
+	case queued > target:
+		d.gain = max(d.gain*(1-change), 1)
+	}
+}
+
 func sortedKeys[V any](m map[string]V) []string {
 	keys := make([]string, 0, len(m))
 	for key := range m {
--- a/shares/model_test.go
+++ b/shares/model_test.go
@@ -45,8 +45,12 @@
 	loss, returning float64
 	// requestTime is the slot time of a request in seconds; with 0 the load is a fluid.
 	requestTime float64
+	// estimate is the expected slot time relative to the true one.
+	estimate float64
 	// settled is the time after the load pattern at which nothing is refused any more, length that of the run.
 	settled, length time.Duration
+	// steady is the time from the begin of the load pattern to the steady state.
+	steady time.Duration
 
 	rnd      *rand.Rand
 	deciders map[int]*Decider
@@ -181,7 +185,7 @@
 		QueuedMs: int64(v.queue * 1000), CallsMs: int64(v.calls * 1000)}
 	for team, work := range v.demand {
 		if _, priority := m.load(at, team); work > 0 {
-			r.Demand = append(r.Demand, Demand{Team: teamNames[team], Priority: priority, WorkMs: int64(work*1000 + m.rnd.Float64())})
+			r.Demand = append(r.Demand, Demand{Team: teamNames[team], Priority: priority, WorkMs: int64(work*1000*m.estimate + m.rnd.Float64())})
 		}
 	}
 	v.reset(at)
@@ -243,7 +247,7 @@
 	usual := 0.85 * float64(vms*modelSlots) / modelTeams
 	base := func() *model {
 		return &model{
-			vms: vms, settled: 10 * time.Second, length: modelLength,
+			vms: vms, estimate: 1, steady: 3 * time.Second, settled: 10 * time.Second, length: modelLength,
 			load:  func(time.Duration, int) (float64, int) { return usual, 0 },
 			slots: func(time.Duration, int) float64 { return modelSlots },
 			calls: func(time.Duration) float64 { return 0 },
@@ -282,6 +286,10 @@
 		m.calls = func(time.Duration) float64 { return 0.1 * float64(vms*modelSlots) }
 	})
 	add("half of the backend servers, single requests", func(m *model) { m.slots, m.requestTime = half, 0.5 })
+	add("half of the backend servers, slot times too high", func(m *model) {
+		// The gain rises by 0.3 per second.
+		m.slots, m.estimate, m.steady = half, 1.5, 5*time.Second
+	})
 	add("uploads", func(m *model) {
 		m.load = func(at time.Duration, team int) (float64, int) {
 			slots, _ := loud(2.6)(at, team%2)
@@ -301,7 +309,7 @@
 			}
 			t.Run(fmt.Sprintf("%d VMs, %s", vms, name), func(t *testing.T) {
 				m.run()
-				from, to := burstFrom+3*time.Second, burstTo
+				from, to := burstFrom+m.steady, burstTo
 				capacity := m.sum(from, to, func(t modelTick) float64 { return t.capacity })
 				served := m.sum(from, to, func(t modelTick) float64 { return t.served })
 				demand, admitted := m.work(from, to)
