--- a/fleet/config/document.go
+++ b/fleet/config/document.go
@@ -75,8 +75,19 @@
 	// HeldBytes limits the bytes of the bodies of the requests that run on one backend server at once. Default: 0, no limit. The
 	// default is not written into documents, so that builds that do not know the field can read them.
 	HeldBytes int `json:"heldBytes,omitempty"`
+	// Shares is who divides the capacity of the service while it is short of it: SharesNone or SharesFleet. Empty means
+	// SharesNone. SetDefaults keeps it empty, as for Placement.
+	Shares string `json:"shares,omitempty"`
 }
 
+// Values of Service.Shares.
+const (
+	// SharesNone leaves it to the gates, each on its own.
+	SharesNone = "none"
+	// SharesFleet divides the capacity among teams and priorities over the whole fleet, at the entries.
+	SharesFleet = "fleet"
+)
+
 // Values of Service.Concurrency.
 const (
 	// ConcurrencyRamp starts a cold backend server with few slots and adds others with successful requests; see Ramp.
--- a/proxy/entry.go
+++ b/proxy/entry.go
@@ -60,6 +60,8 @@
 	MaxKeyedBody int64
 	// Bytes limits the bytes of bodies that the process holds. Default: no limit.
 	Bytes *ByteBudget
+	// Shares refuses new requests over the share of their team of a service that is short of capacity. Default: none are.
+	Shares *Shares
 }
 
 // Defaults of EntryOptions.
@@ -143,6 +145,9 @@
 	}
 	req, refusal := e.accept(r, id, caller)
 	defer req.releaseBody()
+	if refusal == nil {
+		refusal = e.opts.Shares.admit(req)
+	}
 	if refusal != nil {
 		e.refuse(w, id, req, refusal)
 		return
@@ -166,6 +171,9 @@
 	}
 	req, refusal := e.acceptNested(r, id, parent)
 	defer req.releaseBody()
+	if refusal == nil {
+		refusal = e.opts.Shares.admit(req)
+	}
 	if refusal != nil {
 		e.refuse(w, id, req, refusal)
 		return
