--- a/shares/decider.go
+++ b/shares/decider.go
@@ -16,8 +16,9 @@
 	// minDecisionInterval is the least time between two decisions, so that "two consecutive decisions" are not a matter of
 	// a few milliseconds in a large fleet.
 	minDecisionInterval = 100 * time.Millisecond
-	// queueTarget is the work that may be queued for each slot. Without any queue, slots would idle between requests.
-	queueTarget = 100 * time.Millisecond
+	// queueTarget is the work that may be queued for each slot: about one request of a few hundred milliseconds. With less, slots
+	// idle where the work of requests varies widely.
+	queueTarget = 300 * time.Millisecond
 	// queueCorrection is the time in which the queue returns to its target.
 	queueCorrection = time.Second
 	// idleShare is the share of busy slots below which a service that is short, with less queued than the target, has idle slots:
