node: reports of rollouts reach the leader beside control VMs that hang

A gate called one control VM after the other, with 500 ms for each, and its reports waited for each other. Each report now has its own goroutine and 500 ms in all; after 100 ms without a reply of the last known leader all control VMs are called at once.

TestReportFindsTheNextLeaderOfAFleet failed before (no reply after 500 ms).

--- a/node/rollouts.go
+++ b/node/rollouts.go
@@ -24,8 +24,11 @@
 	rolloutReportInterval = 250 * time.Millisecond
 	// slowRolloutReports is the number of these intervals between two reports of other gates.
 	slowRolloutReports = 4
-	// rolloutReportTimeout limits one report. A lost one is replaced by the next.
+	// rolloutReportTimeout limits one report, with all calls for it. A lost one is replaced by the next.
 	rolloutReportTimeout = 500 * time.Millisecond
+	// rolloutHedgeDelay is how long a report waits for the process that replied last before it goes to all control VMs. It leaves
+	// most of rolloutReportTimeout to the call of another leader.
+	rolloutHedgeDelay = 100 * time.Millisecond
 	// rolloutStepInterval is the time between two steps of the leader.
 	rolloutStepInterval = 100 * time.Millisecond
 	// rolloutProposeTimeout limits the proposal of a decision, which the decider repeats.
@@ -40,16 +43,18 @@
 	leaderConfirmedFor = 2
 )
 
-// rolloutReporter reports what the gate of this process counted to the control leader while rollouts run. Only one goroutine
-// uses it.
+// rolloutReporter reports what the gate of this process counted to the control leader while rollouts run.
 type rolloutReporter struct {
-	node   *Node
-	ticks  int
+	node *Node
+	// ticks is used by run only.
+	ticks int
+
+	mu sync.Mutex // guards leader
+	// leader is the control VM that replied last.
 	leader string
-	// tried is the index of the control VM that is asked next while the leader is not known.
-	tried int
 }
 
+// run sends the reports that are due. It does not wait for replies: a control VM that hangs must not delay the next reports.
 func (r *rolloutReporter) run() {
 	running := r.node.fleet.RunningRollouts()
 	if len(running) == 0 {
@@ -63,31 +68,92 @@
 			continue
 		}
 		reports[i].Incarnation = r.node.incarnation
-		r.send(&reports[i])
+		spawn(&r.node.tomb, func() { r.send(&reports[i]) })
 	}
 }
 
-// send sends a report to the control leader, and to the process that it names if another one leads.
+// send sends a report to the control leader, and to the other control VMs if it does not reply soon.
 func (r *rolloutReporter) send(report *rollout.Report) {
-	if r.leader == "" {
-		r.leader = r.nextControlVM()
+	ctx, cancel := context.WithTimeout(r.node.tomb.Context(context.Background()), rolloutReportTimeout)
+	defer cancel()
+	r.mu.Lock()
+	leader := r.leader
+	r.mu.Unlock()
+	others := func() []string { return r.node.groups.candidates(groupControl, "") }
+	reply, from := firstReply(ctx, leader, others, func(ctx context.Context, address string) (rollout.Reply, error) {
+		return r.call(ctx, address, report)
+	})
+	if from == "" {
+		return
+	}
+	r.mu.Lock()
+	r.leader = from
+	r.mu.Unlock()
+	r.node.gate.RolloutReplied(report, reply)
+}
+
+// firstReply returns the first reply of a control VM and its address; the address is empty without one. The load pattern is a
+// control VM that accepts calls and does not reply: others are called, all at once, when leader is empty, fails or has not replied
+// after rolloutHedgeDelay. A process that an error names as the leader is called too.
+func firstReply(
+	ctx context.Context, leader string, others func() []string, call func(context.Context, string) (rollout.Reply, error),
+) (reply rollout.Reply, from string) {
+	type result struct {
+		reply rollout.Reply
+		from  string
+		err   error
 	}
-	for range 2 {
-		if r.leader == "" {
+	ctx, cancel := context.WithCancel(ctx)
+	var calls sync.WaitGroup
+	defer calls.Wait()
+	defer cancel()
+	results := make(chan result)
+	called, pending := map[string]bool{"": true}, 0
+	start := func(address string) {
+		if called[address] {
 			return
 		}
-		reply, err := r.call(r.leader, report)
-		if err == nil {
-			r.node.gate.RolloutReplied(report, reply)
-			return
+		called[address] = true
+		pending++
+		calls.Go(func() {
+			reply, err := call(ctx, address)
+			select {
+			case results <- result{reply, address, err}:
+			case <-ctx.Done():
+			}
+		})
+	}
+	startOthers := sync.OnceFunc(func() {
+		for _, address := range others() {
+			start(address)
+		}
+	})
+	hedge := time.NewTimer(rolloutHedgeDelay)
+	defer hedge.Stop()
+	start(leader)
+	for {
+		if pending == 0 {
+			startOthers()
+		}
+		if pending == 0 {
+			return reply, ""
+		}
+		select {
+		case r := <-results:
+			pending--
+			if r.err == nil {
+				return r.reply, r.from
+			}
+			start(leaderHint(r.err))
+		case <-hedge.C:
+			startOthers()
+		case <-ctx.Done():
+			return reply, ""
 		}
-		r.leader = leaderHint(err)
 	}
 }
 
-func (r *rolloutReporter) call(address string, report *rollout.Report) (reply rollout.Reply, err error) {
-	ctx, cancel := context.WithTimeout(r.node.tomb.Context(context.Background()), rolloutReportTimeout)
-	defer cancel()
+func (r *rolloutReporter) call(ctx context.Context, address string, report *rollout.Report) (reply rollout.Reply, err error) {
 	if r.node.control != nil && address == r.node.opts.PeerAddress {
 		return r.node.control.rollouts.serveReport(ctx, "", *report)
 	}
@@ -95,16 +161,6 @@
 	return reply, err
 }
 
-// nextControlVM returns the address of one control VM after the other.
-func (r *rolloutReporter) nextControlVM() string {
-	addresses := r.node.groups.candidates(groupControl, "")
-	if len(addresses) == 0 {
-		return ""
-	}
-	r.tried++
-	return addresses[r.tried%len(addresses)]
-}
-
 // rolloutLeader decides about the running rollouts while this process leads the control group.
 type rolloutLeader struct {
 	role *controlRole
--- a/node/rollouts_test.go
+++ b/node/rollouts_test.go
@@ -1,13 +1,16 @@
 package node
 
 import (
+	"context"
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/pkg/errors"
@@ -17,6 +20,7 @@
 	"rosemaryline.dev/proxy"
 	"rosemaryline.dev/raft"
 	"rosemaryline.dev/rollout"
+	"rosemaryline.dev/rpc"
 )
 
 func withRollouts(o *Options) {
@@ -132,12 +136,12 @@
 }
 
 // report sends the reports of all gates at once.
-func (m *rolloutModel) report(now time.Duration, view rollout.View, from *Node, leader string) {
+func (m *rolloutModel) report(t *testing.T, now time.Duration, view rollout.View, from *Node, leader string) {
 	var wait sync.WaitGroup
 	for _, g := range m.gates {
 		wait.Go(func() {
 			r := g.next(now, view)
-			if reply, err := (&rolloutReporter{node: from}).call(leader, &r); err == nil {
+			if reply, err := (&rolloutReporter{node: from}).call(t.Context(), leader, &r); err == nil {
 				g.replied(r.Sequence, reply)
 			}
 		})
@@ -204,7 +208,7 @@
 		if leader != nil && reporting.CompareAndSwap(false, true) {
 			at := now()
 			reports.Go(func() {
-				model.report(at, view, survivor, leader.PeerAddress())
+				model.report(t, at, view, survivor, leader.PeerAddress())
 				time.Sleep(rolloutReportInterval)
 				reporting.Store(false)
 			})
@@ -216,6 +220,58 @@
 	t.Logf("%s after %s: %s", last.Phase, now(), last.Reason)
 }
 
+// Guards against a report that a control VM delays or swallows because it accepts calls and does not reply.
+func TestReportReachesTheLeaderBesideHungControlVMs(t *testing.T) {
+	for _, leader := range []string{"", "hung-1", "refuses", "leader"} {
+		t.Run("known leader "+leader, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				call := func(ctx context.Context, address string) (rollout.Reply, error) {
+					switch address {
+					case "leader":
+						time.Sleep(50 * time.Millisecond)
+						return rollout.Reply{Allowed: 7}, nil
+					case "refuses":
+						return rollout.Reply{}, &rpc.RemoteError{Code: rpc.CodeUnavailable}
+					}
+					<-ctx.Done()
+					return rollout.Reply{}, ctx.Err()
+				}
+				others := func() []string { return []string{"hung-1", "hung-2", "refuses", "leader"} }
+				ctx, cancel := context.WithTimeout(t.Context(), rolloutReportTimeout)
+				defer cancel()
+				began := time.Now()
+				reply, from := firstReply(ctx, leader, others, call)
+				assert.Equal(t, from, "leader")
+				assert.Equal(t, reply.Allowed, uint64(7))
+				assert.Assert(t, time.Since(began) < 500*time.Millisecond)
+			})
+		})
+	}
+}
+
+// Guards against reports of a gate that wait for each other while the last known leader hangs, in a fleet.
+func TestReportFindsTheNextLeaderOfAFleet(t *testing.T) {
+	f := startRolloutFleet(t, withRollouts)
+	f.propose(state.Command{AdmitVersions: &state.AdmitVersions{Service: "svc", Versions: []string{"v1"}}})
+	order := testOrder
+	order.Duration = 30 * time.Second
+	assert.Assert(t, f.begin(f.nodes[0], "operator", order) == nil)
+	first := f.rollout(f.nodes[0])
+	hung, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer hung.Close()
+	r := &rolloutReporter{node: f.nodes[1], leader: hung.Addr().String()}
+	eventually(t, "the leader has the report", func() error {
+		began := time.Now()
+		r.leader = hung.Addr().String()
+		r.send(&rollout.Report{VM: "vm", Incarnation: 1, Sequence: 1, Rollout: first.ID, Service: "svc", Version: "v1"})
+		if took := time.Since(began); r.leader != f.leader().PeerAddress() || took >= 500*time.Millisecond {
+			return errors.Errorf("%q replied, %v", r.leader, took)
+		}
+		return nil
+	})
+}
+
 // Guards against a command that is proposed several times a second although it is refused, which fills the logs of the group.
 func TestRefusedAdmitVersionsIsNotRepeatedAtOnce(t *testing.T) {
 	f := startRolloutFleet(t, withRollouts)
