--- a/cmd/rosemarylined/soaklink_test.go
+++ b/cmd/rosemarylined/soaklink_test.go
@@ -34,6 +34,8 @@
 	mu    sync.Mutex // guards the fields below
 	fault linkFault
 	conns map[net.Conn]struct{}
+	// drop, if set, selects accepted connections whose bytes are dropped.
+	drop func(net.Conn) bool
 }
 
 func newLink(t *testing.T, target string) *link {
@@ -61,6 +63,14 @@
 
 // forward copies both directions between an accepted connection and the process.
 func (l *link) forward(in net.Conn) {
+	l.mu.Lock()
+	drop := l.drop
+	l.mu.Unlock()
+	if drop != nil && drop(in) {
+		l.add(in)
+		_, _ = io.Copy(io.Discard, in)
+		return
+	}
 	out, err := net.Dial("tcp", l.target)
 	if err != nil || !l.add(in, out) {
 		resetConnection(in)
--- a/standin/announce.go
+++ b/standin/announce.go
@@ -23,6 +23,7 @@
 	Address  string `json:"address"`
 	Instance string `json:"instance"`
 	Slots    int    `json:"slots"`
+	Version  string `json:"version,omitempty"`
 	Draining bool   `json:"draining,omitempty"`
 }
 
@@ -65,6 +66,7 @@
 		Address:  s.Address(),
 		Instance: s.instance,
 		Slots:    s.opts.Slots,
+		Version:  s.opts.Version,
 		Draining: draining,
 	})
 	if err != nil {
--- a/standin/server.go
+++ b/standin/server.go
@@ -44,6 +44,8 @@
 	Slots int
 	// ServiceTime is the time that one request takes without faults.
 	ServiceTime time.Duration
+	// Version is the announced version of the software. Empty means that none is announced.
+	Version string
 	// Announce is the URL of the local listener of the VM's process, for announcements and nested calls. Empty means no
 	// announcement.
 	Announce string
