node: a repeated decision of a rollout is logged at most every 10 s

A decision whose proposal fails was logged with each repetition, twice a second, and so was the failure. Both lines now have the number of repetitions since the last one. The metric still counts each proposal.

--- a/node/rollouts.go
+++ b/node/rollouts.go
@@ -178,11 +178,55 @@
 	proposing map[string]bool
 	// admitAfter is the earliest time of the next proposal of AdmitVersions, by service.
 	admitAfter map[string]time.Duration
+	// decided and failed limit the lines about decisions and about failed proposals, by service.
+	decided, failed map[string]*repeatedLine
+}
+
+// repeatedLogInterval is the least time between two lines about a decision that is proposed again.
+const repeatedLogInterval = 10 * time.Second
+
+// repeatedLine limits the log lines about one decision. The load pattern is a control group without a quorum, in which a decision
+// is repeated twice a second.
+type repeatedLine struct {
+	key      string
+	loggedAt time.Duration
+	// repeats counts the occurrences since the last line.
+	repeats int
+}
+
+// next counts an occurrence. It reports whether to log it, and how many were not logged before.
+func (r *repeatedLine) next(key string, now time.Duration) (repeats int, ok bool) {
+	if key == r.key && now-r.loggedAt < repeatedLogInterval {
+		r.repeats++
+		return 0, false
+	}
+	if key == r.key {
+		repeats = r.repeats
+	}
+	*r = repeatedLine{key: key, loggedAt: now}
+	return repeats, true
+}
+
+// lineOf returns the service's entry in lines.
+func lineOf(lines map[string]*repeatedLine, service string) *repeatedLine {
+	if lines[service] == nil {
+		lines[service] = &repeatedLine{}
+	}
+	return lines[service]
+}
+
+// decisionKey identifies a decision in the log: a repeated one differs in its time and in the counts of its reason only.
+func decisionKey(c *state.Command) string {
+	if d := c.DecideRollout; d != nil {
+		return fmt.Sprint(d.ID, " ", d.Previous, " ", d.Phase)
+	}
+	return string(c.Kind())
 }
 
 func newRolloutLeader(c *controlRole) *rolloutLeader {
 	return &rolloutLeader{
 		role: c, deciders: map[string]*rollout.Decider{}, proposing: map[string]bool{}, admitAfter: map[string]time.Duration{},
+		decided: map[string]*repeatedLine{}, failed: map[string]*repeatedLine{},
 	}
 }
 
@@ -330,9 +374,13 @@
 		err := l.commit(ctx, command)
 		l.mu.Lock()
 		delete(l.proposing, service)
-		l.mu.Unlock()
+		repeats, logged := 0, false
 		if err != nil {
-			l.role.node.opts.Log.Warn().Err(err).Str("service", service).Str("kind", string(command.Kind())).
+			repeats, logged = lineOf(l.failed, service).next(decisionKey(&command), l.role.node.clock())
+		}
+		l.mu.Unlock()
+		if logged {
+			l.role.node.opts.Log.Warn().Err(err).Str("service", service).Str("kind", string(command.Kind())).Int("repeats", repeats).
 				Msg("rollout: proposal failed.")
 		}
 	})
@@ -352,16 +400,22 @@
 	return err
 }
 
-// logDecision logs a decision with the counts of both versions. The caller holds mu.
+// logDecision logs a decision with the counts of both versions, and a repeated one at most every repeatedLogInterval. The caller
+// holds mu.
 func (l *rolloutLeader) logDecision(d *rollout.Decider, decision rollout.Decision, now time.Duration) {
 	plan := d.Plan()
 	before, after := d.Counts(now)
+	metrics.GetOrCreateCounter(fmt.Sprintf("rosemaryline_rollout_decisions_total{service=%q,phase=%q}", plan.Service, string(decision.Phase))).Inc()
+	command := decideCommand(plan, decision)
+	repeats, ok := lineOf(l.decided, plan.Service).next(decisionKey(&command), now)
+	if !ok {
+		return
+	}
 	l.role.node.opts.Log.Info().Str("service", plan.Service).Str("version", plan.NewVersion).Str("phase", string(decision.Phase)).
 		Int("percent", decision.Percent).Int("servers", decision.Servers).Dur("elapsed", decision.Elapsed).
 		Uint64("oldArrived", before.Arrived).Uint64("oldBad", before.Bad()).Uint64("newArrived", after.Arrived).
 		Uint64("newBad", after.Bad()).Int("oldSlots", before.Slots).Int("newSlots", after.Slots).
-		Str("reason", decision.Reason).Msg("rollout: decided.")
-	metrics.GetOrCreateCounter(fmt.Sprintf("rosemaryline_rollout_decisions_total{service=%q,phase=%q}", plan.Service, string(decision.Phase))).Inc()
+		Int("repeats", repeats).Str("reason", decision.Reason).Msg("rollout: decided.")
 }
 
 // confirmedWithin reports whether a quorum confirmed during the last d that this process leads.
--- a/node/rollouts_test.go
+++ b/node/rollouts_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -13,6 +14,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/phuslu/log"
 	"github.com/pkg/errors"
 	"gotest.tools/v3/assert"
 
@@ -30,6 +32,9 @@
 	}
 }
 
+// repeatInterval is the time after which a decider returns a decision again that was not applied.
+const repeatInterval = 500 * time.Millisecond
+
 const (
 	modelServers = 30                     // of each version
 	modelSlots   = 5                      // of each server
@@ -300,6 +305,19 @@
 	assert.Equal(t, proposals(), 1)
 }
 
+// Guards against a log line for each repetition of a decision whose proposal fails.
+func TestRepeatedDecisionIsLoggedEveryTenSeconds(t *testing.T) {
+	var lines bytes.Buffer
+	l := newRolloutLeader(&controlRole{node: &Node{opts: Options{Log: &log.Logger{Writer: &log.IOWriter{Writer: &lines}}}}})
+	d := rollout.New(rollout.Settings{}, rollout.Plan{ID: "a", Service: "svc"}, 0)
+	for now := time.Duration(0); now < 25*time.Second; now += repeatInterval {
+		l.logDecision(d, rollout.Decision{Phase: rollout.RolledBack, Elapsed: now, Reason: now.String()}, now)
+	}
+	l.logDecision(d, rollout.Decision{Previous: 1, Phase: rollout.RolledBack}, 25*time.Second)
+	assert.Equal(t, strings.Count(lines.String(), "rollout: decided."), 4, lines.String())
+	assert.Equal(t, strings.Count(lines.String(), `"repeats":19`), 2, lines.String())
+}
+
 // Guards against a new leader that gives allowances beside those of an earlier one, because it decides before it has applied the
 // earlier decisions or keeps a decider from a term that ended.
 func TestRolloutLeaderBeginsAnewInEachTerm(t *testing.T) {
