rollout, proxy: shed requests count for neither version; explain leaves out versions that are not admitted

Requests that a server declined as not run stayed started without a result, so they counted as running and, once older than a slow response, as slow. Gates report them as shed. They still count against the bound on exposure, as they reached the version.

explain and the wait for a first host took VMs for candidates whose version gets no requests. explain lists such VMs last, with the reason. It explains a request that was not drawn for the new version.

--- a/proxy/entry.go
+++ b/proxy/entry.go
@@ -129,7 +129,8 @@
 // Explain returns the VMs that host a service as the routing policy sees them now, the index of the VM that the policy
 // would choose (-1 if none), and the reason for the choice.
 func (e *Entry) Explain(service string) ([]routing.Candidate, int, routing.Reason) {
-	return e.router.rank(e.opts.Directory.Hosts(service), service, "", nil)
+	hosts, _ := e.router.explainHosts(service, e.opts.Directory.Hosts(service))
+	return e.router.rank(hosts, service, "", nil)
 }
 
 // ServeHTTP serves the caller listener.
@@ -244,10 +245,10 @@
 	}
 }
 
-// awaitHost waits for the first VM that hosts a service, if the process started less than stateWait ago. Gossip names the VMs
+// awaitHost waits for the first VM that hosts a service with an admitted version, if the process started less than stateWait ago. Gossip names the VMs
 // a moment after the process has its state.
 func (e *Entry) awaitHost(ctx context.Context, service string) {
-	for len(e.opts.Directory.Hosts(service)) == 0 {
+	for len(e.router.admittedHosts(service, e.opts.Directory.Hosts(service))) == 0 {
 		wait := min(e.startedAt+stateWait-e.opts.Clock(), hostCheckInterval)
 		if wait <= 0 {
 			return
--- a/proxy/explain.go
+++ b/proxy/explain.go
@@ -22,10 +22,12 @@
 	Reason string
 }
 
-// ExplainRequest returns the candidates for a request as this entry sees them now. It sends nothing, and it takes no trial
+// ExplainRequest returns the candidates for a request as this entry sees them now, and after them the VMs whose version keeps
+// them from being candidates. It sends nothing, and it takes no trial
 // of a circuit breaker.
 func (e *Entry) ExplainRequest(q ExplainQuery) []Explained {
-	hosts := e.opts.Directory.Hosts(q.Service)
+	all := e.opts.Directory.Hosts(q.Service)
+	hosts, excluded := e.router.explainHosts(q.Service, all)
 	req := &Request{Service: q.Service, Route: q.Route, Repeatable: q.Repeatable, MayFail: q.Repeatable}
 	avoid := e.router.withTrippedBreakers(req, hosts, nil)
 	candidates, chosen, reason := e.router.rank(hosts, q.Service, q.Route, avoid)
@@ -45,6 +47,11 @@
 			list[i].Reason = notChosen(&candidates[i], &candidates[chosen], reason, e.opts.Domain)
 		}
 	}
+	for _, h := range all {
+		if reason, ok := excluded[h.VM]; ok {
+			list = append(list, Explained{Candidate: routing.Candidate{VM: h.VM, Domain: h.Domain, State: h.State}, Reason: reason})
+		}
+	}
 	return list
 }
 
--- a/proxy/rollouts.go
+++ b/proxy/rollouts.go
@@ -90,13 +90,13 @@
 // hosts returns the VMs whose servers may get a request. While a rollout runs, a request goes either to the new version or to
 // the old ones. Load pattern: entries that see a request or two a second each, of which a few percent go to the new version.
 func (r *router) hosts(req *Request) []Peer {
-	hosts := r.opts.Directory.Hosts(req.Service)
+	return r.hostsAmong(req, r.opts.Directory.Hosts(req.Service))
+}
+
+func (r *router) hostsAmong(req *Request, hosts []Peer) []Peer {
+	admitted := r.admittedHosts(req.Service, hosts)
 	view, ok := r.opts.Fleet.Versions(req.Service)
-	if !ok {
-		return hosts
-	}
-	admitted := slices.DeleteFunc(slices.Clone(hosts), func(h Peer) bool { return h.Version != "" && !view.Admits(h.Version) })
-	if !view.Active() {
+	if !ok || !view.Active() {
 		return admitted
 	}
 	if req.side == sideUndrawn {
@@ -116,6 +116,33 @@
 	return old
 }
 
+// admittedHosts returns those VMs whose servers have a version that gets requests.
+func (r *router) admittedHosts(service string, hosts []Peer) []Peer {
+	view, ok := r.opts.Fleet.Versions(service)
+	if !ok {
+		return hosts
+	}
+	return slices.DeleteFunc(slices.Clone(hosts), func(h Peer) bool { return h.Version != "" && !view.Admits(h.Version) })
+}
+
+// explainHosts returns those VMs among which a request that was not drawn for the new version is placed, and the reason for each
+// other VM. It draws nothing, so that an explanation is repeatable.
+func (r *router) explainHosts(service string, all []Peer) (hosts []Peer, excluded map[string]string) {
+	hosts = r.hostsAmong(&Request{Service: service, side: sideOld}, all)
+	view, _ := r.opts.Fleet.Versions(service)
+	excluded = map[string]string{}
+	for _, h := range all {
+		switch {
+		case slices.ContainsFunc(hosts, func(other Peer) bool { return other.VM == h.VM }):
+		case view.IsNew(h.Version):
+			excluded[h.VM] = "not a candidate: version " + h.Version + " gets only the requests that its rollout draws for it"
+		default:
+			excluded[h.VM] = "not a candidate: version " + h.Version + " is not admitted"
+		}
+	}
+	return hosts, excluded
+}
+
 func (r *router) drawSide(view rollout.View) versionSide {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -311,6 +338,8 @@
 		routes.Broken++
 	case result == admission.Failed:
 		routes.Failed++
+	case result == admission.Overloaded:
+		routes.Shed++
 	default:
 		return
 	}
--- a/proxy/rollouts_test.go
+++ b/proxy/rollouts_test.go
@@ -129,6 +129,57 @@
 	assert.Equal(t, asRefusal(err).Reason, ReasonVersion)
 }
 
+// Guards against a request that a server declined and that counts as started without a result, which makes its version look slow.
+func TestShedRequestsCountForNeitherSide(t *testing.T) {
+	f := newVersionFleet(t, func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(HeaderRequestID, r.Header.Get(HeaderRequestID))
+		w.Header().Set("Not-Run", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	})
+	f.new.gate.opts.Dialect = sheddingDialect{}
+	beginTestRollout(t, f.view)
+	decideTestRollout(t, f.view, state.RolloutCanary, 100)
+	f.refresh()
+	f.allow(t, 1)
+	_, err := f.new.gate.Run(t.Context(), newTestRequest(t, "root"))
+	assert.Equal(t, asRefusal(err).Reason, ReasonShed)
+	counts := f.allow(t, 1).Routes["root"]
+	assert.Equal(t, counts, rollout.RouteCounts{Started: 1, Shed: 1})
+}
+
+// Guards against an explanation, and a wait for a first host, that take VMs for candidates whose version gets no requests.
+func TestExplainLeavesOutVersionsThatGetNoRequests(t *testing.T) {
+	f := newVersionFleet(t, nil)
+	explain := func(phase string, candidate string, reason string) {
+		t.Helper()
+		f.refresh()
+		candidates, _, _ := f.entry.entry.Explain("svc")
+		assert.Equal(t, len(candidates), 1, phase)
+		assert.Equal(t, candidates[0].VM, candidate, phase)
+		list := f.entry.entry.ExplainRequest(ExplainQuery{Service: "svc"})
+		assert.Equal(t, len(list), 2, phase)
+		assert.Assert(t, list[0].Chosen && list[0].VM == candidate && !list[1].Chosen, phase)
+		assert.Equal(t, list[1].Reason, "not a candidate: version "+reason, phase)
+	}
+	f.view.apply(t, state.Command{Operator: "test", AdmitVersions: &state.AdmitVersions{Service: "svc", Versions: []string{"v1"}}})
+	explain("no rollout", "old", "v2 is not admitted")
+	f.view.apply(t, state.Command{Operator: "test", BeginRollout: &state.BeginRollout{Service: "svc", NewVersion: "v2", DurationMs: 10_000}})
+	decideTestRollout(t, f.view, state.RolloutCanary, 5)
+	explain("canary", "old", "v2 gets only the requests that its rollout draws for it")
+	decideTestRollout(t, f.view, state.RolloutCutover, 100)
+	explain("cutover", "new", "v1 is not admitted")
+
+	g := newVersionFleet(t, nil)
+	g.view.apply(t, state.Command{Operator: "test", AdmitVersions: &state.AdmitVersions{Service: "svc", Versions: []string{"v0"}}})
+	g.refresh()
+	began := time.Now()
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	g.entry.entry.startedAt = g.entry.entry.opts.Clock()
+	g.entry.entry.awaitHost(ctx, "svc")
+	assert.Assert(t, time.Since(began) >= 50*time.Millisecond, "no wait, though no version is admitted")
+}
+
 // Guards against a queued request that runs at a version which was rolled back while it waited.
 func TestQueuedRequestOfRolledBackVersion(t *testing.T) {
 	release := make(chan struct{})
--- a/rollout/collection.go
+++ b/rollout/collection.go
@@ -138,7 +138,10 @@
 
 func (c *RouteCounts) ended() int { return int(c.Succeeded) + int(c.Failed) + int(c.Broken) }
 
-func (c *RouteCounts) unended() int { return max(0, int(c.Started)-c.ended()) }
+// settled returns the requests that no longer run.
+func (c *RouteCounts) settled() int { return c.ended() + int(c.Shed) }
+
+func (c *RouteCounts) unended() int { return max(0, int(c.Started)-c.settled()) }
 
 // unended returns the requests of a route without a result. Those that surely have run for longer than limit are overdue:
 // they arrived before and have no result yet. Without them, a version of which half of the requests do not end within the
@@ -157,9 +160,9 @@
 			break
 		}
 	}
-	u.Young = max(0, counts.ended()-started)
+	u.Young = max(0, counts.settled()-started)
 	if g.last.Slots > 0 {
-		u.Overdue = max(0, min(started-counts.ended(), u.Running)-g.coldRunning[route])
+		u.Overdue = max(0, min(started-counts.settled(), u.Running)-g.coldRunning[route])
 	}
 	return u
 }
@@ -289,6 +292,7 @@
 	total.Succeeded += more.Succeeded
 	total.Failed += more.Failed
 	total.Broken += more.Broken
+	total.Shed += more.Shed
 	for i, n := range more.Latency {
 		total.Latency[i] += n
 	}
@@ -307,6 +311,7 @@
 	delta.Succeeded = sub(now.Succeeded, before.Succeeded)
 	delta.Failed = sub(now.Failed, before.Failed)
 	delta.Broken = sub(now.Broken, before.Broken)
+	delta.Shed = sub(now.Shed, before.Shed)
 	for i := range now.Latency {
 		delta.Latency[i] = sub(now.Latency[i], before.Latency[i])
 	}
--- a/rollout/collection_test.go
+++ b/rollout/collection_test.go
@@ -39,6 +39,19 @@
 	assert.Equal(t, c.arrived(), uint64(0))
 }
 
+// Requests that the servers did not run must not count as running or overdue beside others that run.
+func TestShedRequestsAreNotOverdue(t *testing.T) {
+	c := newCollection(Plan{ID: "1", Service: "s", NewVersion: "v2", Duration: time.Minute})
+	counts := RouteCounts{Started: 10, Succeeded: 4, Shed: 5}
+	for i := range 8 {
+		c.add(time.Duration(i)*250*time.Millisecond, Report{VM: "a", Incarnation: 1, Sequence: uint64(i + 1), Rollout: "1", Service: "s",
+			Version: "v2", Slots: 4, Arrived: 14, Running: 4, Routes: map[string]RouteCounts{"/": counts, "/b": {Started: 3}}}, 0.5)
+	}
+	samples := c.samples(map[string]time.Duration{"/": time.Second})
+	unended := samples[len(samples)-1].Unended["/"]
+	assert.Equal(t, unended, Unended{Running: 1, Overdue: 1})
+}
+
 // A request without a result counts as slow only once a slow response would have ended, and not if it arrived at a cold server.
 func TestOverdue(t *testing.T) {
 	for _, cold := range []bool{false, true} {
--- a/rollout/rollout.go
+++ b/rollout/rollout.go
@@ -70,6 +70,8 @@
 	Failed uint32 `json:"failed,omitempty"`
 	// Broken counts requests without a complete response: reset, cut, wrong or missing.
 	Broken uint32 `json:"broken,omitempty"`
+	// Shed counts requests that the servers certainly did not run. They have no result, so they are evidence for neither version.
+	Shed uint32 `json:"shed,omitempty"`
 	// Latency counts the successful responses of servers that are not cold by the time at the server.
 	Latency [LatencyBuckets]uint32 `json:"latency,omitzero"`
 }
