rollout: a bad version can be recognised at three or four servers

The evidence of one server counts up to a quarter (a third with three servers) of what a verdict needs. With three or four servers these limits add up to the threshold, and the mean over the effects stays below it, so the verdict was never bad and the version stayed until two thirds of the duration. Now all servers but one suffice there.

--- a/rollout/verdict.go
+++ b/rollout/verdict.go
@@ -44,7 +44,7 @@
 	minOldSamples = 20
 	// A unit of more responses is scaled down: the distribution is known only at the points of shares.
 	maxUnit = 40
-	// independentVMs is the least number of servers from which the evidence of a bad version must come, if there are that many,
+	// independentVMs is the least number of servers from which the evidence of a bad version must come, if there are more,
 	// since single servers of a good one also fail.
 	independentVMs = 4
 	// recentSlices is the number of slices that show a version that turns bad late.
@@ -356,7 +356,7 @@
 	}
 	sort.Strings(routes)
 	threshold := badLikelihood + math.Log(float64(len(routes)))
-	limit := threshold / float64(max(1, min(independentVMs, len(newVMs))))
+	limit := threshold / float64(supportingVMs(len(newVMs)))
 	verdict := Verdict{Judgement: Good, Likely: true, Likelihood: math.Inf(-1)}
 	var good string
 	for m := range measures {
@@ -397,6 +397,15 @@
 	return verdict
 }
 
+// supportingVMs returns how many servers a verdict needs of those with responses. Of three or four it needs all but one: the mean
+// over the effects is below the sum of the limits, so limits that reach the threshold only with all servers never reach it.
+func supportingVMs(vms int) int {
+	if vms > 2 {
+		vms--
+	}
+	return max(1, min(independentVMs, vms))
+}
+
 func totalOf(byRoute map[string]int) (n int) {
 	for _, c := range byRoute {
 		n += c
