--- a/node/rollouts.go
+++ b/node/rollouts.go
@@ -24,8 +24,11 @@
 	rolloutReportInterval = 250 * time.Millisecond
 	// slowRolloutReports is the number of these intervals between two reports of other gates.
 	slowRolloutReports = 4
-	// rolloutReportTimeout limits one report. A lost one is replaced by the next.
+	// rolloutReportTimeout limits one report, with all calls for it. A lost one is replaced by the next.
 	rolloutReportTimeout = 500 * time.Millisecond
+	// rolloutHedgeDelay is how long a report waits for the process that replied last before it goes to all control VMs. It leaves
+	// most of rolloutReportTimeout to the call of another leader.
+	rolloutHedgeDelay = 100 * time.Millisecond
 	// rolloutStepInterval is the time between two steps of the leader.
 	rolloutStepInterval = 100 * time.Millisecond
 	// rolloutProposeTimeout limits the proposal of a decision, which the decider repeats.
@@ -40,16 +43,18 @@
 	leaderConfirmedFor = 2
 )
 
-// rolloutReporter reports what the gate of this process counted to the control leader while rollouts run. Only one goroutine
-// uses it.
+// rolloutReporter reports what the gate of this process counted to the control leader while rollouts run.
 type rolloutReporter struct {
-	node   *Node
-	ticks  int
+	node *Node
+	// ticks is used by run only.
+	ticks int
+
+	mu sync.Mutex // guards leader
+	// leader is the control VM that replied last.
 	leader string
-	// tried is the index of the control VM that is asked next while the leader is not known.
-	tried int
 }
 
+// run sends the reports that are due. It does not wait for replies: a control VM that hangs must not delay the next reports.
 func (r *rolloutReporter) run() {
 	running := r.node.fleet.RunningRollouts()
 	if len(running) == 0 {
@@ -63,31 +68,92 @@
 			continue
 		}
 		reports[i].Incarnation = r.node.incarnation
-		r.send(&reports[i])
+		spawn(&r.node.tomb, func() { r.send(&reports[i]) })
 	}
 }
 
-// send sends a report to the control leader, and to the process that it names if another one leads.
+// send sends a report to the control leader, and to the other control VMs if it does not reply soon.
 func (r *rolloutReporter) send(report *rollout.Report) {
-	if r.leader == "" {
-		r.leader = r.nextControlVM()
+	ctx, cancel := context.WithTimeout(r.node.tomb.Context(context.Background()), rolloutReportTimeout)
+	defer cancel()
+	r.mu.Lock()
+	leader := r.leader
+	r.mu.Unlock()
+	others := func() []string { return r.node.groups.candidates(groupControl, "") }
+	reply, from := firstReply(ctx, leader, others, func(ctx context.Context, address string) (rollout.Reply, error) {
+		return r.call(ctx, address, report)
+	})
+	if from == "" {
+		return
 	}
-	for range 2 {
-		if r.leader == "" {
+	r.mu.Lock()
+	r.leader = from
+	r.mu.Unlock()
+	r.node.gate.RolloutReplied(report, reply)
+}
+
+// firstReply returns the first reply of a control VM and its address; the address is empty without one. The load pattern is a
+// control VM that accepts calls and does not reply: others are called, all at once, when leader is empty, fails or has not replied
+// after rolloutHedgeDelay. A process that an error names as the leader is called too.
+func firstReply(
+	ctx context.Context, leader string, others func() []string, call func(context.Context, string) (rollout.Reply, error),
+) (reply rollout.Reply, from string) {
+	type result struct {
+		reply rollout.Reply
+		from  string
+		err   error
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	var calls sync.WaitGroup
+	defer calls.Wait()
+	defer cancel()
+	results := make(chan result)
+	called, pending := map[string]bool{"": true}, 0
+	start := func(address string) {
+		if called[address] {
 			return
 		}
-		reply, err := r.call(r.leader, report)
-		if err == nil {
-			r.node.gate.RolloutReplied(report, reply)
-			return
+		called[address] = true
+		pending++
+		calls.Go(func() {
+			reply, err := call(ctx, address)
+			select {
+			case results <- result{reply, address, err}:
+			case <-ctx.Done():
+			}
+		})
+	}
+	startOthers := sync.OnceFunc(func() {
+		for _, address := range others() {
+			start(address)
+		}
+	})
+	hedge := time.NewTimer(rolloutHedgeDelay)
+	defer hedge.Stop()
+	start(leader)
+	for {
+		if pending == 0 {
+			startOthers()
+		}
+		if pending == 0 {
+			return reply, ""
+		}
+		select {
+		case r := <-results:
+			pending--
+			if r.err == nil {
+				return r.reply, r.from
+			}
+			start(leaderHint(r.err))
+		case <-hedge.C:
+			startOthers()
+		case <-ctx.Done():
+			return reply, ""
 		}
-		r.leader = leaderHint(err)
 	}
 }
 
-func (r *rolloutReporter) call(address string, report *rollout.Report) (reply rollout.Reply, err error) {
-	ctx, cancel := context.WithTimeout(r.node.tomb.Context(context.Background()), rolloutReportTimeout)
-	defer cancel()
+func (r *rolloutReporter) call(ctx context.Context, address string, report *rollout.Report) (reply rollout.Reply, err error) {
 	if r.node.control != nil && address == r.node.opts.PeerAddress {
 		return r.node.control.rollouts.serveReport(ctx, "", *report)
 	}
@@ -95,16 +161,6 @@
 	return reply, err
 }
 
-// nextControlVM returns the address of one control VM after the other.
-func (r *rolloutReporter) nextControlVM() string {
-	addresses := r.node.groups.candidates(groupControl, "")
-	if len(addresses) == 0 {
-		return ""
-	}
-	r.tried++
-	return addresses[r.tried%len(addresses)]
-}
-
 // rolloutLeader decides about the running rollouts while this process leads the control group.
 type rolloutLeader struct {
 	role *controlRole
@@ -122,11 +178,55 @@
 	proposing map[string]bool
 	// admitAfter is the earliest time of the next proposal of AdmitVersions, by service.
 	admitAfter map[string]time.Duration
+	// decided and failed limit the lines about decisions and about failed proposals, by service.
+	decided, failed map[string]*repeatedLine
+}
+
+// repeatedLogInterval is the least time between two lines about a decision that is proposed again.
+const repeatedLogInterval = 10 * time.Second
+
+// repeatedLine limits the log lines about one decision. The load pattern is a control group without a quorum, in which a decision
+// is repeated twice a second.
+type repeatedLine struct {
+	key      string
+	loggedAt time.Duration
+	// repeats counts the occurrences since the last line.
+	repeats int
+}
+
+// next counts an occurrence. It reports whether to log it, and how many were not logged before.
+func (r *repeatedLine) next(key string, now time.Duration) (repeats int, ok bool) {
+	if key == r.key && now-r.loggedAt < repeatedLogInterval {
+		r.repeats++
+		return 0, false
+	}
+	if key == r.key {
+		repeats = r.repeats
+	}
+	*r = repeatedLine{key: key, loggedAt: now}
+	return repeats, true
+}
+
+// lineOf returns the service's entry in lines.
+func lineOf(lines map[string]*repeatedLine, service string) *repeatedLine {
+	if lines[service] == nil {
+		lines[service] = &repeatedLine{}
+	}
+	return lines[service]
+}
+
+// decisionKey identifies a decision in the log: a repeated one differs in its time and in the counts of its reason only.
+func decisionKey(c *state.Command) string {
+	if d := c.DecideRollout; d != nil {
+		return fmt.Sprint(d.ID, " ", d.Previous, " ", d.Phase)
+	}
+	return string(c.Kind())
 }
 
 func newRolloutLeader(c *controlRole) *rolloutLeader {
 	return &rolloutLeader{
 		role: c, deciders: map[string]*rollout.Decider{}, proposing: map[string]bool{}, admitAfter: map[string]time.Duration{},
+		decided: map[string]*repeatedLine{}, failed: map[string]*repeatedLine{},
 	}
 }
 
@@ -274,9 +374,13 @@
 		err := l.commit(ctx, command)
 		l.mu.Lock()
 		delete(l.proposing, service)
-		l.mu.Unlock()
+		repeats, logged := 0, false
 		if err != nil {
-			l.role.node.opts.Log.Warn().Err(err).Str("service", service).Str("kind", string(command.Kind())).
+			repeats, logged = lineOf(l.failed, service).next(decisionKey(&command), l.role.node.clock())
+		}
+		l.mu.Unlock()
+		if logged {
+			l.role.node.opts.Log.Warn().Err(err).Str("service", service).Str("kind", string(command.Kind())).Int("repeats", repeats).
 				Msg("rollout: proposal failed.")
 		}
 	})
@@ -296,16 +400,22 @@
 	return err
 }
 
-// logDecision logs a decision with the counts of both versions. The caller holds mu.
+// logDecision logs a decision with the counts of both versions, and a repeated one at most every repeatedLogInterval. The caller
+// holds mu.
 func (l *rolloutLeader) logDecision(d *rollout.Decider, decision rollout.Decision, now time.Duration) {
 	plan := d.Plan()
 	before, after := d.Counts(now)
+	metrics.GetOrCreateCounter(fmt.Sprintf("rosemaryline_rollout_decisions_total{service=%q,phase=%q}", plan.Service, string(decision.Phase))).Inc()
+	command := decideCommand(plan, decision)
+	repeats, ok := lineOf(l.decided, plan.Service).next(decisionKey(&command), now)
+	if !ok {
+		return
+	}
 	l.role.node.opts.Log.Info().Str("service", plan.Service).Str("version", plan.NewVersion).Str("phase", string(decision.Phase)).
 		Int("percent", decision.Percent).Int("servers", decision.Servers).Dur("elapsed", decision.Elapsed).
 		Uint64("oldArrived", before.Arrived).Uint64("oldBad", before.Bad()).Uint64("newArrived", after.Arrived).
 		Uint64("newBad", after.Bad()).Int("oldSlots", before.Slots).Int("newSlots", after.Slots).
-		Str("reason", decision.Reason).Msg("rollout: decided.")
-	metrics.GetOrCreateCounter(fmt.Sprintf("rosemaryline_rollout_decisions_total{service=%q,phase=%q}", plan.Service, string(decision.Phase))).Inc()
+		Int("repeats", repeats).Str("reason", decision.Reason).Msg("rollout: decided.")
 }
 
 // confirmedWithin reports whether a quorum confirmed during the last d that this process leads.
