node: tokens of a grant go to waiting requests in the order of their arrival

Traces show requests that wait through 10 to 30 grants: all waiting requests are woken at a grant, and those that arrive later take its tokens first. The next grant request then asks for one token, because the first one that wakes sends it before the others are counted. It happens when processor time is short.

Waiting requests now stand in a list by arrival. A grant serves them in this order under the limiter's lock, and all that remain count in the next grant request.

TestTokensGoToWaitingRequestsInTheirOrder fails before (the next grant request is missing).

--- a/node/limiter.go
+++ b/node/limiter.go
@@ -64,10 +64,10 @@
 	// grants nothing in that time.
 	provisionalShare float64
 
-	mu           sync.Mutex // guards the fields below
-	holder       *quota.Holder
-	rateOwners   map[int]*quota.Owner // by shard
-	grantSignals map[string]chan struct{}
+	mu         sync.Mutex // guards the fields below
+	holder     *quota.Holder
+	rateOwners map[int]*quota.Owner // by shard
+	waiters    tokenWaiters
 	// pollAt is the time for which the ticker is set.
 	pollAt time.Duration
 	// wakeTicker makes the ticker check when the next poll is due.
@@ -76,18 +76,18 @@
 
 func newLimiter(cfg quota.Config, clock proxy.Clock, fleet *proxy.Fleet, client *rpc.Client, o shardOwnership, t *tomb.Tomb) *limiter {
 	return &limiter{
-		clock:        clock,
-		fleet:        fleet,
-		client:       client,
-		ownership:    o,
-		tomb:         t,
-		vm:           cfg.Process,
-		parts:        newRateParts(defaultRateParts, cfg.Process),
-		cfg:          cfg,
-		holder:       quota.NewHolder(cfg),
-		rateOwners:   map[int]*quota.Owner{},
-		grantSignals: map[string]chan struct{}{},
-		wakeTicker:   make(chan struct{}, 1),
+		clock:      clock,
+		fleet:      fleet,
+		client:     client,
+		ownership:  o,
+		tomb:       t,
+		vm:         cfg.Process,
+		parts:      newRateParts(defaultRateParts, cfg.Process),
+		cfg:        cfg,
+		holder:     quota.NewHolder(cfg),
+		rateOwners: map[int]*quota.Owner{},
+		waiters:    tokenWaiters{},
+		wakeTicker: make(chan struct{}, 1),
 	}
 }
 
@@ -150,13 +150,24 @@
 		remaining := began + maxWait - l.clock()
 		wait := min(max(retryAfter, time.Millisecond), remaining)
 		if wait <= 0 || progress.exhausted && retryAfter > remaining || !waitForTokens(ctx, granted, wait) {
-			return false, retryAfter
+			return l.stopWaiting(&progress), retryAfter
 		}
 		ok, retryAfter, granted = l.spend(parts, &progress)
 	}
 	return true, 0
 }
 
+// stopWaiting removes a request from the waiting ones. It returns true if the request got a token in the meantime.
+func (l *limiter) stopWaiting(progress *partProgress) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if progress.waiter == nil {
+		return false
+	}
+	l.waiters.remove(progress.waiter)
+	return progress.waiter.served
+}
+
 // partProgress records how many parts of a team's rate were asked for tokens for one request.
 type partProgress struct {
 	// asked is the number of parts that were asked.
@@ -165,6 +176,8 @@
 	exhausted bool
 	began     time.Duration
 	delay     time.Duration
+	// waiter is the request among those that wait; nil before it found no token.
+	waiter *tokenWaiter
 }
 
 // shouldAskNext reports whether the next part should be asked: none was asked yet, the last one has no tokens
@@ -174,18 +187,27 @@
 }
 
 // spend takes a token from the first part that has one. If none has, it requests one from the next part when that is
-// due. It then returns the minimum time until a retry is worthwhile and a channel that is closed at the team's next
-// grant.
+// due. It then returns the minimum time until a retry is worthwhile and a channel that receives a value at the team's next
+// grant, at which the request may get its token.
 func (l *limiter) spend(parts []string, progress *partProgress) (bool, time.Duration, <-chan struct{}) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	defer l.reschedule()
 	now := l.clock()
+	if progress.waiter != nil && progress.waiter.served {
+		return true, 0, nil
+	}
 	for _, part := range parts {
 		if l.holder.Spend(now, part) {
+			l.served(progress)
 			return true, 0, nil
 		}
 	}
+	if progress.waiter == nil {
+		progress.waiter = l.waiters.add(l.parts.teamOf(parts[0]))
+	}
+	counted := progress.waiter.counted
+	progress.waiter.counted = false
 	progress.exhausted = false
 	minRetryAfter := time.Duration(0)
 	for i, part := range parts {
@@ -198,8 +220,12 @@
 			tryTake = l.holder.Take
 			progress.asked++
 		}
-		ok, retryAfter := tryTake(now, part)
+		ok, retryAfter := false, progress.waiter.retryAfter
+		if !counted || i >= len(progress.waiter.parts) {
+			ok, retryAfter = tryTake(now, part)
+		}
 		if ok {
+			l.served(progress)
 			return true, 0, nil
 		}
 		if i == 0 || retryAfter < minRetryAfter {
@@ -210,7 +236,16 @@
 	for _, part := range parts {
 		progress.exhausted = progress.exhausted && l.holder.Blocked(now, part)
 	}
-	return false, minRetryAfter, l.grantSignal(l.parts.teamOf(parts[0]))
+	progress.waiter.parts = parts[:progress.asked]
+	return false, minRetryAfter, progress.waiter.wake
+}
+
+// served ends the wait of a request that has taken a token itself. The caller holds mu.
+func (l *limiter) served(progress *partProgress) {
+	if progress.waiter != nil {
+		l.waiters.remove(progress.waiter)
+		progress.waiter.served = true
+	}
 }
 
 // waitForTokens waits until tokens are granted or d has passed. It returns false if ctx ended before.
@@ -226,16 +261,6 @@
 	return true
 }
 
-// grantSignal returns the channel that is closed at the team's next grant. The caller holds mu.
-func (l *limiter) grantSignal(team string) <-chan struct{} {
-	c, ok := l.grantSignals[team]
-	if !ok {
-		c = make(chan struct{})
-		l.grantSignals[team] = c
-	}
-	return c
-}
-
 // poll sends the grant requests that are due, with one call for each owner.
 func (l *limiter) poll() {
 	l.mu.Lock()
@@ -285,13 +310,10 @@
 func (l *limiter) receiveGrant(reply quota.GrantReply) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.holder.Receive(l.clock(), reply)
+	now := l.clock()
+	l.holder.Receive(now, reply)
+	l.waiters.serve(now, l.holder, l.parts.teamOf(reply.Team), reply.Team)
 	l.reschedule()
-	team := l.parts.teamOf(reply.Team)
-	if c, ok := l.grantSignals[team]; ok {
-		close(c)
-		delete(l.grantSignals, team)
-	}
 }
 
 // serveGrant decides a peer's grant requests for teams whose shards this process owns.
--- a/node/limiter_test.go
+++ b/node/limiter_test.go
@@ -107,3 +107,45 @@
 	assert.Assert(t, !ok && progress.exhausted)
 	assert.Equal(t, retryAfter, time.Second)
 }
+
+// Guards against a request that finds no token although its team stays below its rate: later requests took the tokens of each
+// grant before it woke up, and the grant requests asked for one token only, however many requests waited.
+func TestTokensGoToWaitingRequestsInTheirOrder(t *testing.T) {
+	now := time.Duration(0)
+	l := newLimiter(quota.Config{Process: "vm-a", Incarnation: 1}, func() time.Duration { return now }, nil, nil, nil, nil)
+	parts := l.parts.partNames("team", 30)
+	request := func() *partProgress { return &partProgress{began: now, delay: testPartDelay} }
+	has := func(p *partProgress) bool {
+		ok, _, _ := l.spend(parts, p)
+		return ok
+	}
+	first, second, third, late := request(), request(), request(), request()
+	assert.Assert(t, !has(first))
+	r := l.holder.Poll(now)[0]
+	assert.Assert(t, !has(second) && !has(third))
+	l.receiveGrant(quota.GrantReply{Process: r.Process, Incarnation: r.Incarnation, Team: r.Team, ID: r.ID, Granted: 1})
+	requests := l.holder.Poll(now)
+	assert.Equal(t, len(requests), 1)
+	assert.Equal(t, requests[0].Need, 2)
+	assert.Assert(t, !has(late), "a request that arrived after the grant got its token")
+	assert.Assert(t, has(first))
+	assert.Assert(t, !has(second) && !has(third))
+	r = requests[0]
+	l.receiveGrant(quota.GrantReply{Process: r.Process, Incarnation: r.Incarnation, Team: r.Team, ID: r.ID, Granted: 2})
+	assert.Assert(t, !has(late) && has(second) && has(third))
+}
+
+// Guards against a token that is lost, or given twice, when its request stops to wait.
+func TestRequestThatStopsToWait(t *testing.T) {
+	now := time.Duration(0)
+	l := newLimiter(quota.Config{Process: "vm-a", Incarnation: 1}, func() time.Duration { return now }, nil, nil, nil, nil)
+	parts := l.parts.partNames("team", 30)
+	gone, next := &partProgress{delay: testPartDelay}, &partProgress{delay: testPartDelay}
+	l.spend(parts, gone)
+	l.spend(parts, next)
+	r := l.holder.Poll(now)[0]
+	assert.Assert(t, !l.stopWaiting(gone))
+	l.receiveGrant(quota.GrantReply{Process: r.Process, Incarnation: r.Incarnation, Team: r.Team, ID: r.ID, Granted: 1})
+	assert.Assert(t, l.stopWaiting(next), "the token went to a request that no longer waits")
+	assert.Equal(t, len(l.waiters), 0)
+}
