--- a/bench/processes/speed.go
+++ b/bench/processes/speed.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -47,9 +48,9 @@
 }
 
 // measureSpeed measures requests to a backend server that go directly, through the process on its VM, and through another
-// process first. It prints the throughput of the paths through processes in a closed loop, and the latency of all paths at
+// process first. It records the throughput of the paths through processes in a closed loop, and the latency of all paths at
 // half of the throughput of the longest one. d is the duration of each step.
-func (f *fleet) measureSpeed(ctx context.Context, d time.Duration) error {
+func (f *fleet) measureSpeed(ctx context.Context, d time.Duration, result speedResult) error {
 	first, second := f.processes[0], f.processes[1]
 	backend, err := standin.Start(standin.Options{
 		Name: "speed-1", Service: "speed", Listen: "127.0.0.1:0", Slots: speedSlots, Announce: "http://" + first.local,
@@ -71,7 +72,7 @@
 	}
 	longestPathRate := 0.0
 	for _, p := range paths[1:] {
-		rate, err := closedLoop(client, p, d)
+		rate, err := closedLoop(client, p, d, result)
 		if err != nil {
 			return errors.Wrap(err, p.name)
 		}
@@ -79,10 +80,14 @@
 	}
 	for _, p := range paths {
 		histogram, failed := openLoop(client, p.url, longestPathRate/2, d)
-		fmt.Printf("speed: %-14s at %.0f req/s: p50 %v, p95 %v, p99 %v of %d answered, %d failed\n", p.name, longestPathRate/2,
+		fmt.Fprintf(os.Stderr, "speed: %-14s at %.0f req/s: p50 %v, p95 %v, p99 %v of %d answered, %d failed\n", p.name, longestPathRate/2,
 			quantile(histogram, 50), quantile(histogram, 95), quantile(histogram, 99), histogram.TotalCount(), failed)
+		for _, q := range []float64{50, 95, 99} {
+			result.set(fmt.Sprintf("%s: p%.0f", p.name, q), "us", float64(histogram.ValueAtQuantile(q)))
+		}
+		result.add(failedRequests, "", float64(failed))
 	}
-	return first.measureConnections()
+	return first.measureConnections(result)
 }
 
 // quantile returns a percentile, from 0 to 100, of a histogram in microseconds.
@@ -112,9 +117,9 @@
 }
 
 // closedLoop sends requests from speedCallers callers, each of which sends the next one after the response to the last one.
-// It prints and returns the rate of answered requests per second, and prints the processor time of the processes on the
+// It records and returns the rate of answered requests per second, and records the processor time of the processes on the
 // path.
-func closedLoop(client *http.Client, p requestPath, d time.Duration) (rate float64, err error) {
+func closedLoop(client *http.Client, p requestPath, d time.Duration, result speedResult) (rate float64, err error) {
 	before, err := cpuTime(p.processes)
 	if err != nil {
 		return 0, err
@@ -139,10 +144,17 @@
 	if err != nil {
 		return 0, err
 	}
+	if answered.Load() == 0 {
+		// The rate of the open loop is derived from this one.
+		return 0, errors.Errorf("no request was answered, %d failed", failed.Load())
+	}
 	rate = float64(answered.Load()) / elapsed.Seconds()
 	cpu := after - before
-	fmt.Printf("speed: %s, %d callers: %.0f req/s, %d failed, %v of processor time a request in its processes, %.0f requests a second and core\n",
-		p.name, speedCallers, rate, failed.Load(), (cpu / time.Duration(max(answered.Load(), 1))).Round(time.Microsecond),
+	result.set(p.name+": throughput", "req/s", rate)
+	result.set(p.name+": processor time of a request", "us", cpu.Seconds()*1e6/float64(answered.Load()))
+	result.add(failedRequests, "", float64(failed.Load()))
+	fmt.Fprintf(os.Stderr, "speed: %s, %d callers: %.0f req/s, %d failed, %v of processor time a request in its processes, %.0f requests a second and core\n",
+		p.name, speedCallers, rate, failed.Load(), (cpu / time.Duration(answered.Load())).Round(time.Microsecond),
 		float64(answered.Load())/cpu.Seconds())
 	return rate, nil
 }
@@ -185,8 +197,8 @@
 	return histogram, failed
 }
 
-// measureConnections prints the memory that an idle connection of a caller takes in the process.
-func (p *process) measureConnections() error {
+// measureConnections records the memory that an idle connection of a caller takes in the process.
+func (p *process) measureConnections(result speedResult) error {
 	before, err := p.usage()
 	if err != nil {
 		return err
@@ -213,7 +225,8 @@
 		return err
 	}
 	grown := max(int64(after.rss)-int64(before.rss), 0)
-	fmt.Printf("memory: %.1f MB resident before and %.1f MB after %d idle connections, %.1f KB each\n",
+	result.set("idle connection: memory", "KB", float64(grown)/idleConnections/1e3)
+	fmt.Fprintf(os.Stderr, "memory: %.1f MB resident before and %.1f MB after %d idle connections, %.1f KB each\n",
 		float64(before.rss)/1e6, float64(after.rss)/1e6, idleConnections, float64(grown)/idleConnections/1e3)
 	return nil
 }
