proxy/pipeline: a connection is read ahead only once its client pipelines

Each connection of a caller had a goroutine that read ahead, with its stack and a buffer of 4 KB, also while it was idle and where the client never pipelined. net/http now reads the connection directly. As it reads one byte while it serves a request, a second request is noticed there; the goroutine starts then and stays until the connection ends. The parser of heads has its buffer from a pool.

--- a/proxy/pipeline/conn.go
+++ b/proxy/pipeline/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"os"
@@ -18,7 +19,8 @@
 	readBytes = 4 << 10
 )
 
-// conn is a client's connection that is read ahead.
+// conn is a client's connection. It is read by net/http directly, without a buffer and a goroutine of its own, until the client
+// sends something behind a request that has not ended. From then on it is read ahead.
 type conn struct {
 	net.Conn
 	pipeline *Pipeline
@@ -33,6 +35,8 @@
 	deadline time.Time  // for Read
 	expiry   *time.Timer
 	closed   bool
+	ahead    bool // the connection is read ahead
+	serving  bool // net/http serves a request
 	splitter splitter
 	// requests are those that net/http has not finished, the oldest first.
 	requests []*request
@@ -50,7 +54,6 @@
 	c := &conn{Conn: inner, pipeline: p}
 	c.gone, c.end = context.WithCancel(context.Background())
 	c.changed = sync.NewCond(&c.mu)
-	go c.readAhead()
 	return c
 }
 
@@ -82,11 +85,16 @@
 	defer c.mu.Unlock()
 	c.unread = append(c.unread, data...)
 	c.readErr = err
+	c.find(data)
+	c.changed.Broadcast()
+}
+
+// find looks for requests in received bytes and starts those that may start. The caller holds mu.
+func (c *conn) find(data []byte) {
 	for _, r := range c.splitter.feed(data) {
 		c.requests = append(c.requests, &request{Request: r.Request, ambiguous: r.ambiguous})
 	}
 	c.startEarly()
-	c.changed.Broadcast()
 }
 
 // startEarly starts the requests that may run beside the oldest one. The caller holds mu.
@@ -112,6 +120,7 @@
 func (c *conn) begin(r *http.Request) *request {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.serving = true
 	if len(c.requests) == 0 {
 		return nil
 	}
@@ -125,10 +134,14 @@
 	return oldest
 }
 
-// finish ends the request that begin returned. The caller holds no lock.
+// finish ends the request that begin returned, which may be nil. The caller holds no lock.
 func (c *conn) finish(r *request) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.serving = false
+	if r == nil {
+		return
+	}
 	if r.early != nil {
 		r.early.cancel()
 	}
@@ -151,6 +164,45 @@
 
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) {
+	c.mu.Lock()
+	ahead := c.ahead
+	c.mu.Unlock()
+	if ahead {
+		return c.readReceived(p)
+	}
+	return c.readDirectly(p)
+}
+
+// readDirectly reads from the client. net/http does so also while it serves a request, to notice that the client has left.
+func (c *conn) readDirectly(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.find(p[:n])
+	switch {
+	case err != nil && !errors.Is(err, os.ErrDeadlineExceeded):
+		c.end()
+	case err == nil && !c.closed && c.pipelines():
+		c.ahead = true
+		// readAhead must not end at the deadline, which readReceived observes from now on.
+		_ = c.Conn.SetReadDeadline(time.Time{})
+		c.setExpiry()
+		go c.readAhead()
+	}
+	return n, err
+}
+
+// pipelines reports whether the client has sent something behind a request that has not ended. Where requests are no longer
+// found, it counts what the client sends while one is served. The caller holds mu.
+func (c *conn) pipelines() bool {
+	if c.splitter.opaque {
+		return c.serving
+	}
+	return len(c.requests) > 1 || len(c.requests) == 1 && len(c.splitter.head) > 0
+}
+
+// readReceived returns bytes that were read ahead.
+func (c *conn) readReceived(p []byte) (int, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for len(c.unread) == 0 && c.readErr == nil && !c.closed && !c.expired() {
@@ -176,19 +228,28 @@
 // expired reports whether the deadline for Read has passed. The caller holds mu.
 func (c *conn) expired() bool { return !c.deadline.IsZero() && !time.Now().Before(c.deadline) }
 
-// SetReadDeadline implements net.Conn. It is kept here, because readAhead must not end at it.
+// SetReadDeadline implements net.Conn. Where the connection is read ahead it is kept here, because readAhead must not end at
+// it.
 func (c *conn) SetReadDeadline(deadline time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.deadline = deadline
+	if !c.ahead {
+		return c.Conn.SetReadDeadline(deadline)
+	}
+	c.setExpiry()
+	c.changed.Broadcast()
+	return nil
+}
+
+// setExpiry makes readReceived check the deadline when it has passed. The caller holds mu.
+func (c *conn) setExpiry() {
 	if c.expiry != nil {
 		c.expiry.Stop()
 	}
-	if wait := time.Until(deadline); !deadline.IsZero() && wait > 0 {
+	if wait := time.Until(c.deadline); !c.deadline.IsZero() && wait > 0 {
 		c.expiry = time.AfterFunc(wait, c.wake)
 	}
-	c.changed.Broadcast()
-	return nil
 }
 
 func (c *conn) wake() {
--- a/proxy/pipeline/pipeline.go
+++ b/proxy/pipeline/pipeline.go
@@ -74,9 +74,7 @@
 	defer cancel()
 	defer context.AfterFunc(c.gone, cancel)()
 	oldest := c.begin(r)
-	if oldest != nil {
-		defer c.finish(oldest)
-	}
+	defer c.finish(oldest)
 	if oldest != nil && oldest.ambiguous {
 		// Another process on the way may have read another body, so nothing behind this request can be trusted either.
 		w.Header().Set("Connection", "close")
--- a/proxy/pipeline/pipeline_test.go
+++ b/proxy/pipeline/pipeline_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -291,6 +292,35 @@
 	assert.Equal(t, err, io.EOF)
 }
 
+// Guards against a goroutine and a buffer for each connection whose client sends one request at a time.
+func TestConnectionWithoutPipeliningHasOneGoroutine(t *testing.T) {
+	const conns = 50
+	_, first := serve(t, func(w http.ResponseWriter, r *http.Request) { fmt.Fprint(w, r.URL.Path) })
+	write(t, first, get("/1"))
+	readBodies(t, bufio.NewReader(first), 1)
+	before := runtime.NumGoroutine()
+	clients := []net.Conn{first}
+	for range conns {
+		c, err := net.Dial("tcp", first.RemoteAddr().String())
+		assert.NilError(t, err)
+		defer c.Close()
+		assert.NilError(t, c.SetDeadline(time.Now().Add(testTimeout)))
+		clients = append(clients, c)
+	}
+	for _, c := range clients {
+		reader := bufio.NewReader(c)
+		for range 3 {
+			write(t, c, get("/1"))
+			assert.DeepEqual(t, readBodies(t, reader, 1), []string{"/1"})
+			write(t, c, post("/2", "body"))
+			assert.DeepEqual(t, readBodies(t, reader, 1), []string{"/2"})
+		}
+	}
+	// net/http has one goroutine for each connection, and those that noticed a client's departure may still be ending.
+	grown := runtime.NumGoroutine() - before
+	assert.Assert(t, grown <= conns+conns/10, "%d goroutines more for %d connections", grown, conns)
+}
+
 func errorsAs(err error, target *net.Error) bool {
 	e, ok := err.(net.Error)
 	*target = e
--- a/proxy/pipeline/splitter.go
+++ b/proxy/pipeline/splitter.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"slices"
 	"strings"
+	"sync"
 )
 
 // maxHeadBytes is the largest head of a request that is looked for. Behind a larger one no request is started early.
@@ -94,9 +95,15 @@
 	withBody = []string{http.MethodPost, http.MethodPut, http.MethodPatch, http.MethodDelete}
 )
 
+// headReaders are the readers of parse, each with a buffer of 4 KB.
+var headReaders = sync.Pool{New: func() any { return bufio.NewReader(nil) }}
+
 // parse returns the request with the given head, or nil if net/http may read it differently.
 func (s *splitter) parse(head []byte) *http.Request {
-	r, err := http.ReadRequest(bufio.NewReader(bytes.NewReader(head)))
+	reader := headReaders.Get().(*bufio.Reader)
+	defer headReaders.Put(reader)
+	reader.Reset(bytes.NewReader(head))
+	r, err := http.ReadRequest(reader)
 	if err != nil || !r.ProtoAtLeast(1, 1) || r.ProtoMajor != 1 {
 		s.opaque = true
 		return nil
@@ -106,6 +113,7 @@
 		s.opaque = true // the request itself is served; what follows it is not looked at
 	}
 	s.bodyLeft = max(r.ContentLength, 0)
+	r.Body = http.NoBody // a body would be read from reader
 	return r
 }
 
