proxy/pipeline: a client that leaves before its body was read is noticed again; reading ahead ends when idle

Since the connection is read directly, net/http alone noticed that a client had left, and it does not before the body was read: a request that waits for a slot went on for a client that had gone. A connection is now read ahead while a request with a body runs. The goroutine ends when no request is left, so that clients that pipeline or send bodies have none while they are idle either.

TestRequestWithUnreadBodyEndsWithItsClient fails before.

--- a/proxy/pipeline/conn.go
+++ b/proxy/pipeline/conn.go
@@ -20,7 +20,7 @@
 )
 
 // conn is a client's connection. It is read by net/http directly, without a buffer and a goroutine of its own, until the client
-// sends something behind a request that has not ended. From then on it is read ahead.
+// sends something behind a request that has not ended, or a request has a body. It is then read ahead until it is idle.
 type conn struct {
 	net.Conn
 	pipeline *Pipeline
@@ -57,11 +57,55 @@
 	return c
 }
 
-// readAhead reads from the client until the connection ends.
+// startAhead begins to read ahead. The caller holds mu, and no other Read of the client's connection is running.
+func (c *conn) startAhead() {
+	c.ahead = true
+	// readAhead must not end at the deadline, which readReceived observes from now on.
+	_ = c.Conn.SetReadDeadline(time.Time{})
+	c.setExpiry()
+	go c.readAhead()
+}
+
+// idle reports whether nothing is known of a further request. The caller holds mu.
+func (c *conn) idle() bool {
+	return !c.serving && len(c.requests) == 0 && len(c.unread) == 0 && len(c.splitter.head) == 0
+}
+
+// stopAhead asks readAhead to end if the connection is idle. The caller holds mu.
+func (c *conn) stopAhead() {
+	if c.ahead && !c.closed && c.readErr == nil && c.idle() {
+		_ = c.Conn.SetReadDeadline(time.Unix(1, 0)) // wakes readAhead
+	}
+}
+
+// stopped reports whether readAhead, whose read was ended by stopAhead, must end. It need not if a request has arrived since.
+func (c *conn) stopped() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.idle() {
+		_ = c.Conn.SetReadDeadline(time.Time{})
+		return false
+	}
+	c.ahead = false
+	if c.expiry != nil {
+		c.expiry.Stop()
+	}
+	_ = c.Conn.SetReadDeadline(c.deadline)
+	c.changed.Broadcast()
+	return true
+}
+
+// readAhead reads from the client until the connection ends or is idle.
 func (c *conn) readAhead() {
 	buffer := make([]byte, readBytes)
 	for c.waitForRoom() {
 		n, err := c.Conn.Read(buffer)
+		if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) {
+			if c.stopped() {
+				return
+			}
+			continue
+		}
 		c.received(buffer[:n], err)
 		if err != nil {
 			c.end()
@@ -121,6 +165,10 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.serving = true
+	if r.Body != http.NoBody && !c.ahead && !c.closed {
+		// net/http does not notice that the client has left before the body was read.
+		c.startAhead()
+	}
 	if len(c.requests) == 0 {
 		return nil
 	}
@@ -139,6 +187,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.serving = false
+	defer c.stopAhead()
 	if r == nil {
 		return
 	}
@@ -164,11 +213,8 @@
 
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) {
-	c.mu.Lock()
-	ahead := c.ahead
-	c.mu.Unlock()
-	if ahead {
-		return c.readReceived(p)
+	if n, ok, err := c.readReceived(p); ok {
+		return n, err
 	}
 	return c.readDirectly(p)
 }
@@ -183,11 +229,7 @@
 	case err != nil && !errors.Is(err, os.ErrDeadlineExceeded):
 		c.end()
 	case err == nil && !c.closed && c.pipelines():
-		c.ahead = true
-		// readAhead must not end at the deadline, which readReceived observes from now on.
-		_ = c.Conn.SetReadDeadline(time.Time{})
-		c.setExpiry()
-		go c.readAhead()
+		c.startAhead()
 	}
 	return n, err
 }
@@ -201,28 +243,30 @@
 	return len(c.requests) > 1 || len(c.requests) == 1 && len(c.splitter.head) > 0
 }
 
-// readReceived returns bytes that were read ahead.
-func (c *conn) readReceived(p []byte) (int, error) {
+// readReceived returns bytes that were read ahead. ok is false if the connection is not read ahead, or no longer.
+func (c *conn) readReceived(p []byte) (n int, ok bool, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for len(c.unread) == 0 && c.readErr == nil && !c.closed && !c.expired() {
+	for c.ahead && len(c.unread) == 0 && c.readErr == nil && !c.closed && !c.expired() {
 		c.changed.Wait()
 	}
 	switch {
+	case !c.ahead:
+		return 0, false, nil
 	case c.closed:
-		return 0, net.ErrClosed
+		return 0, true, net.ErrClosed
 	case c.expired():
-		return 0, os.ErrDeadlineExceeded
+		return 0, true, os.ErrDeadlineExceeded
 	case len(c.unread) == 0:
-		return 0, c.readErr
+		return 0, true, c.readErr
 	}
-	n := copy(p, c.unread)
+	n = copy(p, c.unread)
 	c.unread = c.unread[n:]
 	if len(c.unread) == 0 {
 		c.unread = nil
 	}
 	c.changed.Broadcast()
-	return n, nil
+	return n, true, nil
 }
 
 // expired reports whether the deadline for Read has passed. The caller holds mu.
--- a/proxy/pipeline/pipeline_test.go
+++ b/proxy/pipeline/pipeline_test.go
@@ -156,6 +156,24 @@
 	cancelled.Wait()
 }
 
+// Guards against a request whose body was not read and that goes on running after its client has left.
+func TestRequestWithUnreadBodyEndsWithItsClient(t *testing.T) {
+	started, cancelled := make(chan struct{}), make(chan struct{})
+	_, c := serve(t, func(_ http.ResponseWriter, r *http.Request) {
+		close(started)
+		<-r.Context().Done()
+		close(cancelled)
+	})
+	write(t, c, post("/1", "body"))
+	<-started
+	c.Close()
+	select {
+	case <-cancelled:
+	case <-time.After(testTimeout):
+		t.Fatal("the request was not cancelled")
+	}
+}
+
 // Guards against memory that grows with a client that sends requests and reads no response.
 func TestClientThatNeverReadsIsBounded(t *testing.T) {
 	var started atomic.Int32
