--- a/proxy/pipeline/conn.go
+++ b/proxy/pipeline/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"os"
@@ -18,7 +19,8 @@
 	readBytes = 4 << 10
 )
 
-// conn is a client's connection that is read ahead.
+// conn is a client's connection. It is read by net/http directly, without a buffer and a goroutine of its own, until the client
+// sends something behind a request that has not ended, or a request has a body. It is then read ahead until it is idle.
 type conn struct {
 	net.Conn
 	pipeline *Pipeline
@@ -33,6 +35,8 @@
 	deadline time.Time  // for Read
 	expiry   *time.Timer
 	closed   bool
+	ahead    bool // the connection is read ahead
+	serving  bool // net/http serves a request
 	splitter splitter
 	// requests are those that net/http has not finished, the oldest first.
 	requests []*request
@@ -50,15 +54,58 @@
 	c := &conn{Conn: inner, pipeline: p}
 	c.gone, c.end = context.WithCancel(context.Background())
 	c.changed = sync.NewCond(&c.mu)
-	go c.readAhead()
 	return c
 }
 
-// readAhead reads from the client until the connection ends.
+// startAhead begins to read ahead. The caller holds mu, and no other Read of the client's connection is running.
+func (c *conn) startAhead() {
+	c.ahead = true
+	// readAhead must not end at the deadline, which readReceived observes from now on.
+	_ = c.Conn.SetReadDeadline(time.Time{})
+	c.setExpiry()
+	go c.readAhead()
+}
+
+// idle reports whether nothing is known of a further request. The caller holds mu.
+func (c *conn) idle() bool {
+	return !c.serving && len(c.requests) == 0 && len(c.unread) == 0 && len(c.splitter.head) == 0
+}
+
+// stopAhead asks readAhead to end if the connection is idle. The caller holds mu.
+func (c *conn) stopAhead() {
+	if c.ahead && !c.closed && c.readErr == nil && c.idle() {
+		_ = c.Conn.SetReadDeadline(time.Unix(1, 0)) // wakes readAhead
+	}
+}
+
+// stopped reports whether readAhead, whose read was ended by stopAhead, must end. It need not if a request has arrived since.
+func (c *conn) stopped() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.idle() {
+		_ = c.Conn.SetReadDeadline(time.Time{})
+		return false
+	}
+	c.ahead = false
+	if c.expiry != nil {
+		c.expiry.Stop()
+	}
+	_ = c.Conn.SetReadDeadline(c.deadline)
+	c.changed.Broadcast()
+	return true
+}
+
+// readAhead reads from the client until the connection ends or is idle.
 func (c *conn) readAhead() {
 	buffer := make([]byte, readBytes)
 	for c.waitForRoom() {
 		n, err := c.Conn.Read(buffer)
+		if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) {
+			if c.stopped() {
+				return
+			}
+			continue
+		}
 		c.received(buffer[:n], err)
 		if err != nil {
 			c.end()
@@ -82,11 +129,16 @@
 	defer c.mu.Unlock()
 	c.unread = append(c.unread, data...)
 	c.readErr = err
+	c.find(data)
+	c.changed.Broadcast()
+}
+
+// find looks for requests in received bytes and starts those that may start. The caller holds mu.
+func (c *conn) find(data []byte) {
 	for _, r := range c.splitter.feed(data) {
 		c.requests = append(c.requests, &request{Request: r.Request, ambiguous: r.ambiguous})
 	}
 	c.startEarly()
-	c.changed.Broadcast()
 }
 
 // startEarly starts the requests that may run beside the oldest one. The caller holds mu.
@@ -112,6 +164,11 @@
 func (c *conn) begin(r *http.Request) *request {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.serving = true
+	if r.Body != http.NoBody && !c.ahead && !c.closed {
+		// net/http does not notice that the client has left before the body was read.
+		c.startAhead()
+	}
 	if len(c.requests) == 0 {
 		return nil
 	}
@@ -125,10 +182,15 @@
 	return oldest
 }
 
-// finish ends the request that begin returned. The caller holds no lock.
+// finish ends the request that begin returned, which may be nil. The caller holds no lock.
 func (c *conn) finish(r *request) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.serving = false
+	defer c.stopAhead()
+	if r == nil {
+		return
+	}
 	if r.early != nil {
 		r.early.cancel()
 	}
@@ -151,44 +213,87 @@
 
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) {
+	if n, ok, err := c.readReceived(p); ok {
+		return n, err
+	}
+	return c.readDirectly(p)
+}
+
+// readDirectly reads from the client. net/http does so also while it serves a request, to notice that the client has left.
+func (c *conn) readDirectly(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.find(p[:n])
+	switch {
+	case err != nil && !errors.Is(err, os.ErrDeadlineExceeded):
+		c.end()
+	case err == nil && !c.closed && c.pipelines():
+		c.startAhead()
+	}
+	return n, err
+}
+
+// pipelines reports whether the client has sent something behind a request that has not ended. Where requests are no longer
+// found, it counts what the client sends while one is served. The caller holds mu.
+func (c *conn) pipelines() bool {
+	if c.splitter.opaque {
+		return c.serving
+	}
+	return len(c.requests) > 1 || len(c.requests) == 1 && len(c.splitter.head) > 0
+}
+
+// readReceived returns bytes that were read ahead. ok is false if the connection is not read ahead, or no longer.
+func (c *conn) readReceived(p []byte) (n int, ok bool, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for len(c.unread) == 0 && c.readErr == nil && !c.closed && !c.expired() {
+	for c.ahead && len(c.unread) == 0 && c.readErr == nil && !c.closed && !c.expired() {
 		c.changed.Wait()
 	}
 	switch {
+	case !c.ahead:
+		return 0, false, nil
 	case c.closed:
-		return 0, net.ErrClosed
+		return 0, true, net.ErrClosed
 	case c.expired():
-		return 0, os.ErrDeadlineExceeded
+		return 0, true, os.ErrDeadlineExceeded
 	case len(c.unread) == 0:
-		return 0, c.readErr
+		return 0, true, c.readErr
 	}
-	n := copy(p, c.unread)
+	n = copy(p, c.unread)
 	c.unread = c.unread[n:]
 	if len(c.unread) == 0 {
 		c.unread = nil
 	}
 	c.changed.Broadcast()
-	return n, nil
+	return n, true, nil
 }
 
 // expired reports whether the deadline for Read has passed. The caller holds mu.
 func (c *conn) expired() bool { return !c.deadline.IsZero() && !time.Now().Before(c.deadline) }
 
-// SetReadDeadline implements net.Conn. It is kept here, because readAhead must not end at it.
+// SetReadDeadline implements net.Conn. Where the connection is read ahead it is kept here, because readAhead must not end at
+// it.
 func (c *conn) SetReadDeadline(deadline time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.deadline = deadline
+	if !c.ahead {
+		return c.Conn.SetReadDeadline(deadline)
+	}
+	c.setExpiry()
+	c.changed.Broadcast()
+	return nil
+}
+
+// setExpiry makes readReceived check the deadline when it has passed. The caller holds mu.
+func (c *conn) setExpiry() {
 	if c.expiry != nil {
 		c.expiry.Stop()
 	}
-	if wait := time.Until(deadline); !deadline.IsZero() && wait > 0 {
+	if wait := time.Until(c.deadline); !c.deadline.IsZero() && wait > 0 {
 		c.expiry = time.AfterFunc(wait, c.wake)
 	}
-	c.changed.Broadcast()
-	return nil
 }
 
 func (c *conn) wake() {
--- a/proxy/pipeline/pipeline_test.go
+++ b/proxy/pipeline/pipeline_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -155,6 +156,24 @@
 	cancelled.Wait()
 }
 
+// Guards against a request whose body was not read and that goes on running after its client has left.
+func TestRequestWithUnreadBodyEndsWithItsClient(t *testing.T) {
+	started, cancelled := make(chan struct{}), make(chan struct{})
+	_, c := serve(t, func(_ http.ResponseWriter, r *http.Request) {
+		close(started)
+		<-r.Context().Done()
+		close(cancelled)
+	})
+	write(t, c, post("/1", "body"))
+	<-started
+	c.Close()
+	select {
+	case <-cancelled:
+	case <-time.After(testTimeout):
+		t.Fatal("the request was not cancelled")
+	}
+}
+
 // Guards against memory that grows with a client that sends requests and reads no response.
 func TestClientThatNeverReadsIsBounded(t *testing.T) {
 	var started atomic.Int32
@@ -291,6 +310,35 @@
 	assert.Equal(t, err, io.EOF)
 }
 
+// Guards against a goroutine and a buffer for each connection whose client sends one request at a time.
+func TestConnectionWithoutPipeliningHasOneGoroutine(t *testing.T) {
+	const conns = 50
+	_, first := serve(t, func(w http.ResponseWriter, r *http.Request) { fmt.Fprint(w, r.URL.Path) })
+	write(t, first, get("/1"))
+	readBodies(t, bufio.NewReader(first), 1)
+	before := runtime.NumGoroutine()
+	clients := []net.Conn{first}
+	for range conns {
+		c, err := net.Dial("tcp", first.RemoteAddr().String())
+		assert.NilError(t, err)
+		defer c.Close()
+		assert.NilError(t, c.SetDeadline(time.Now().Add(testTimeout)))
+		clients = append(clients, c)
+	}
+	for _, c := range clients {
+		reader := bufio.NewReader(c)
+		for range 3 {
+			write(t, c, get("/1"))
+			assert.DeepEqual(t, readBodies(t, reader, 1), []string{"/1"})
+			write(t, c, post("/2", "body"))
+			assert.DeepEqual(t, readBodies(t, reader, 1), []string{"/2"})
+		}
+	}
+	// net/http has one goroutine for each connection, and those that noticed a client's departure may still be ending.
+	grown := runtime.NumGoroutine() - before
+	assert.Assert(t, grown <= conns+conns/10, "%d goroutines more for %d connections", grown, conns)
+}
+
 func errorsAs(err error, target *net.Error) bool {
 	e, ok := err.(net.Error)
 	*target = e
