--- a/node/tokenwaiters.go
+++ b/node/tokenwaiters.go
@@ -46,8 +46,8 @@
 	ws[team] = list
 }
 
-// serve gives the tokens that holder has of a part of a team's rate to the team's waiting requests and wakes them. Those that get none count in the next
-// grant request, which would otherwise ask only for the one that sends it.
+// serve gives the tokens that holder has of a part of a team's rate to the team's waiting requests and wakes them. Those that get
+// none count in the next grant request, which would otherwise ask only for the one that sends it.
 func (ws tokenWaiters) serve(now time.Duration, holder *quota.Holder, team, part string) {
 	waiting := ws[team]
 	kept := waiting[:0]
--- a/proxy/concurrency_test.go
+++ b/proxy/concurrency_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync"
 	"testing"
@@ -62,3 +63,23 @@
 	assert.Equal(t, statuses[200], 2)
 	assert.Equal(t, statuses[500], 1)
 }
+
+// Guards against calls of running requests that a gate refuses because they would miss the objective of their own route, although
+// the run that waits for them would still end in time.
+func TestCallsOfRunsHaveNoObjective(t *testing.T) {
+	for _, adaptive := range []bool{false, true} {
+		v := newFleetView(t, 1)
+		change := config.Change{}
+		change.Routes.Set = map[string]config.Route{"call": {Path: "/call", Service: "svc", Access: config.AccessPublic,
+			Deadline: config.Duration(2 * time.Second), Objective: config.Duration(time.Second)}}
+		change.SetDefaults()
+		v.apply(t, state.Command{Operator: "test", Apply: &state.ApplyChange{Change: change, ContentHash: change.Hash()}})
+		if adaptive {
+			setAdaptive(t, v)
+		}
+		vm := newVM(t, "vm1", v, directory{newPeer("vm1", "")})
+		req, refusal := vm.entry.accept(httptest.NewRequest(http.MethodGet, "/call", nil), "call-1", Caller{})
+		assert.Assert(t, refusal == nil)
+		assert.Equal(t, req.Objective.IsZero(), adaptive)
+	}
+}
