--- a/shares/returns.go
+++ b/shares/returns.go
@@ -16,7 +16,7 @@
 	now int64 // index of the present bucket
 	// refused and due hold slot seconds by bucket: refused work, and that of refused requests that were asked to come back.
 	refused, due [returnBuckets]float64
-	// known is true after the first second of a shortage.
+	// known is how long requests have been refused without a break. Before the first second of it, the delay is not known.
 	known time.Duration
 }
 
