--- a/replica/cluster_test.go
+++ b/replica/cluster_test.go
@@ -122,6 +122,7 @@
 
 	calls           atomic.Int64
 	added           int // members since the start
+	settles         int // calls of waitUntilApplied
 	started         uint64
 	snapshotEntries uint64
 	tick            time.Duration
@@ -348,17 +349,32 @@
 	assert.NilError(c.t, c.propose(c.t.Context(), command))
 }
 
+// settleCommand is the command that waitUntilApplied proposes.
+const settleCommand = "settle"
+
+func count(commands []string, command string) int {
+	n := 0
+	for _, c := range commands {
+		if c == command {
+			n++
+		}
+	}
+	return n
+}
+
 // waitUntilApplied proposes a command, waits until all given members have applied all committed entries, and checks that
 // their lists of commands are equal. It returns the list.
 func (c *cluster) waitUntilApplied(members ...*member) []string {
 	c.t.Helper()
-	c.mustPropose("settle")
+	c.mustPropose(settleCommand)
+	c.settles++
 	var longest uint64
 	for _, g := range c.running() {
 		longest = max(longest, g.Status().Commit)
 	}
 	for _, m := range members {
-		for m.group.Status().Applied < longest {
+		// Status can be a moment older than the result of the proposal, so Commit alone does not cover the proposed command.
+		for m.group.Status().Applied < longest || count(m.machine.copy(), settleCommand) < c.settles {
 			assert.NilError(c.t, c.t.Context().Err())
 			time.Sleep(testTick)
 		}
