--- a/proxy/explain.go
+++ b/proxy/explain.go
@@ -23,8 +23,7 @@
 }
 
 // ExplainRequest returns the candidates for a request as this entry sees them now, and after them the VMs whose version keeps
-// them from being candidates. It sends nothing, and it takes no trial
-// of a circuit breaker.
+// them from being candidates. It sends nothing, and it takes no trial of a circuit breaker.
 func (e *Entry) ExplainRequest(q ExplainQuery) []Explained {
 	all := e.opts.Directory.Hosts(q.Service)
 	hosts, excluded := e.router.explainHosts(q.Service, all)
