replica: proposals of a deposed leader end once a newer term is applied

A waiter was only resolved by an entry at its own index. If a leader without a quorum had appended several entries, the empty entry of the next leader took the index of the first one, and the waiters behind it stayed until somebody else proposed something: callers without a deadline waited forever, the others got an unknown outcome although the command had certainly not been applied. Change: a waiter whose term is older than that of an applied entry ends with NotLeaderError. Terms never decrease along the log, so its entry was discarded.

--- a/replica/apply.go
+++ b/replica/apply.go
@@ -134,7 +134,7 @@
 	}
 	a.applied.Store(snap.Index)
 	a.snapshotIndex = snap.Index
-	a.waiters.failUpTo(snap.Index)
+	a.waiters.failUpTo(snap.Index, snap.Term)
 	return nil
 }
 
--- a/replica/group_test.go
+++ b/replica/group_test.go
@@ -200,19 +200,67 @@
 	assert.DeepEqual(t, m.machine.copy(), []string{"a", "b", "c"})
 }
 
+// TestDiscardedProposalsEnd guards against a caller who waits forever for an entry that was discarded: a leader without
+// a quorum appends more entries than the next leader's log has, and nobody proposes anything after the change.
+func TestDiscardedProposalsEnd(t *testing.T) {
+	c := newCluster(t, 3)
+	c.mustPropose("first")
+	leaders := func() (found []*member) {
+		for _, m := range c.members {
+			if m.group.Status().Role == raft.Leader {
+				found = append(found, m)
+			}
+		}
+		return found
+	}
+	for len(leaders()) != 1 {
+		time.Sleep(testTick)
+	}
+	old := leaders()[0]
+	for _, other := range c.members {
+		c.cutPath(old, other)
+		c.cutPath(other, old)
+	}
+	const proposals = 3
+	outcomes := make(chan error, proposals)
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	for i := range proposals {
+		go func() {
+			_, err := old.group.Propose(ctx, fmt.Append(nil, "discarded", i))
+			outcomes <- err
+		}()
+	}
+	for len(leaders()) == 0 || leaders()[0] == old {
+		assert.NilError(t, ctx.Err())
+		time.Sleep(testTick)
+	}
+	c.heal()
+	var notLeader *raft.NotLeaderError
+	for range proposals {
+		assert.Check(t, errors.As(<-outcomes, &notLeader))
+	}
+	assert.DeepEqual(t, c.waitUntilApplied(c.members...), []string{"first", settleCommand})
+}
+
 // TestWaitersDistinguishTerms guards against reporting another leader's entry as the caller's own: after a change of
 // leader an index may be used again while a caller still waits for the first entry there.
 func TestWaitersDistinguishTerms(t *testing.T) {
 	w := newWaiters()
 	lost, kept, skipped := make(chan outcome, 1), make(chan outcome, 1), make(chan outcome, 1)
+	discarded, pending := make(chan outcome, 1), make(chan outcome, 1)
 	w.add(5, 1, lost)
+	w.add(7, 1, discarded)
+	w.add(7, 3, pending)
 	w.add(5, 3, kept)
 	w.add(6, 3, skipped)
 	w.resolve(5, 3, []byte("result"))
-	w.failUpTo(6)
+	w.failUpTo(6, 3)
 	var notLeader *raft.NotLeaderError
 	assert.Assert(t, errors.As((<-lost).err, &notLeader))
 	assert.DeepEqual(t, (<-kept).result, []byte("result"))
+	assert.Assert(t, errors.As((<-discarded).err, &notLeader))
+	assert.Equal(t, len(pending), 0)
 	var unknown *UnknownError
 	assert.Assert(t, errors.As((<-skipped).err, &unknown))
 }
