proxy, routing: entries and gates pass on reports of gates with their messages

Cause: with 97 VMs an entry hears of a given gate once in many seconds. Change: for services with the placement least-completion, forwarded requests, responses and refusals carry up to four reports (Rosemaryline-Reports): load, start, speed and circuit breaker of the own gate and of others, unhealthy ones first. Entries use them like reports of their own. A request whose target reported no free slot within the last 500 ms waits there at once.

--- a/node/listeners.go
+++ b/node/listeners.go
@@ -164,7 +164,8 @@
 func (n *Node) peerHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle(rpc.Path, n.rpc)
-	mux.Handle(proxy.GatePath, &proxy.GateHandler{Gate: n.gate, MaxBufferedBody: n.opts.MaxBufferedBody, MaxKeyedBody: n.opts.MaxKeyedBody, Bytes: n.bytes})
+	mux.Handle(proxy.GatePath, &proxy.GateHandler{Gate: n.gate, MaxBufferedBody: n.opts.MaxBufferedBody, MaxKeyedBody: n.opts.MaxKeyedBody,
+		Bytes: n.bytes, Reports: n.reports})
 	return mux
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -39,6 +39,7 @@
 	claims      *claims
 	gate        *proxy.Gate
 	bytes       *proxy.ByteBudget
+	reports     *proxy.ReportExchange
 	announcer   *Announcements
 	entry       *proxy.Entry
 	peers       *proxy.PeerClient
@@ -134,7 +135,9 @@
 	})
 	n.ejections.gate, n.capacity.gate = n.gate, n.gate
 	n.announcer = newAnnouncements(n)
+	n.reports = proxy.NewReportExchange(o.Name, n.clock, n.fleet, n.gate)
 	n.peers = proxy.NewPeerClient(o.PeerClientTLS)
+	n.peers.SetReports(n.reports)
 	if o.Dial != nil {
 		n.client.Dial = o.Dial
 		n.peers.SetDial(o.Dial)
@@ -146,7 +149,7 @@
 		Limiter: n.limiter, Admitter: n.admitter(), Directory: n.directory, Gate: n.gate, Peers: n.peers,
 		Dialect: o.Dialect, CallerService: o.CallerService, RetryRatio: o.entryRetryRatio(),
 		MaxBufferedBody: o.MaxBufferedBody, MaxKeyedBody: o.MaxKeyedBody,
-		Bytes: n.bytes, Shares: n.capacity.shares,
+		Bytes: n.bytes, Shares: n.capacity.shares, Reports: n.reports,
 	})
 	n.register()
 }
--- a/proxy/entry.go
+++ b/proxy/entry.go
@@ -62,6 +62,8 @@
 	Bytes *ByteBudget
 	// Shares refuses new requests over the share of their team of a service that is short of capacity. Default: none are.
 	Shares *Shares
+	// Reports passes reports of gates on between processes. Default: they are not passed on.
+	Reports *ReportExchange
 }
 
 // Defaults of EntryOptions.
@@ -112,6 +114,9 @@
 		opts.CallerService = func() string { return "" }
 	}
 	e := &Entry{opts: opts, router: newRouter(opts), startedAt: opts.Clock()}
+	if opts.Reports != nil {
+		opts.Reports.onReports = e.router.receiveReports
+	}
 	e.stopCtx, e.stopCancel = context.WithCancel(context.Background())
 	return e
 }
@@ -124,6 +129,7 @@
 func (e *Entry) Sweep() {
 	e.router.loads.sweep(e.opts.Clock())
 	e.router.work.sweep(e.opts.Clock())
+	e.opts.Reports.sweep()
 	e.router.updateReserves()
 }
 
--- a/proxy/gatehttp.go
+++ b/proxy/gatehttp.go
@@ -22,6 +22,8 @@
 	MaxKeyedBody int64
 	// Bytes limits the bytes of bodies that the process holds. Default: no limit.
 	Bytes *ByteBudget
+	// Reports passes reports of gates on between processes. Default: they are not passed on.
+	Reports *ReportExchange
 }
 
 // ServeHTTP runs one forwarded request.
@@ -39,7 +41,9 @@
 		writeGateRefusal(w, r.Header.Get(HeaderRequestID), refusal)
 		return
 	}
+	h.Reports.receive(r.Header, req.Service, req.Entry)
 	resp, err := h.Gate.Run(r.Context(), req)
+	h.Reports.attach(w.Header(), req.Service, req.Entry)
 	if err != nil {
 		writeGateRefusal(w, req.ID, asRefusal(err))
 		return
--- a/proxy/grayreplay_test.go
+++ b/proxy/grayreplay_test.go
@@ -14,6 +14,7 @@
 
 	"rosemaryline.dev/admission"
 	"rosemaryline.dev/outlier"
+	"rosemaryline.dev/proxy/gatereports"
 	"rosemaryline.dev/routing"
 )
 
@@ -47,7 +48,9 @@
 	gray float64
 	// adaptive selects the behaviour of services with concurrency: adaptive.
 	adaptive bool
-	seed     uint64
+	// shared passes reports of gates on with requests and responses.
+	shared bool
+	seed   uint64
 }
 
 type grayServer struct {
@@ -75,6 +78,8 @@
 	// reports holds by VM the newest load report, own the number of own requests there.
 	reports map[int]grayReport
 	own     map[int]int
+	// table holds the reports that the process on the VM passes on.
+	table *gatereports.Table
 }
 
 type grayReport struct {
@@ -89,6 +94,7 @@
 	mayFail, forced, pressed bool
 	tried, breakerTripped    map[string]bool
 	reached, declined        int
+	trials                   int
 	target                   *grayServer
 	ticket                   admission.Ticket
 	trial                    bool
@@ -163,7 +169,7 @@
 		f.servers = append(f.servers, server)
 		f.entries = append(f.entries, &grayEntry{
 			vm: i, domain: i % grayDomains, tripped: routing.NewTrippedBreakers(), budget: routing.NewRetryBudgetWith(routing.RetryRatio, 1),
-			reports: map[int]grayReport{}, own: map[int]int{},
+			reports: map[int]grayReport{}, own: map[int]int{}, table: gatereports.NewTable(),
 		})
 		if float64(i) < s.gray*float64(s.vms) {
 			f.scheduleEpisode(server)
@@ -266,11 +272,18 @@
 		} else if f.servers[i].domain != e.domain {
 			d = 2 * grayPath
 		}
-		f.after(d, func() { f.arrive(r) })
+		reports := f.attach(e.vm, i)
+		f.after(d, func() { f.receive(i, reports); f.arrive(r) })
 	}
-	if r.mayFail {
-		for i, s := range f.servers {
-			if !r.tried[vmName(i)] && e.tripped.TakeTrial(target(i), now, s.domain == e.domain) {
+	if r.mayFail && (r.trials < maxTrialsPerRequest || !f.settings.adaptive) {
+		start := 0
+		if f.settings.shared {
+			start = f.rnd.IntN(len(f.servers))
+		}
+		for k := range f.servers {
+			i := (start + k) % len(f.servers)
+			if !r.tried[vmName(i)] && e.tripped.TakeTrial(target(i), now, f.servers[i].domain == e.domain) {
+				r.trials++
 				send(i)
 				return
 			}
@@ -351,11 +364,16 @@
 		reason := breakerReason(&s.breaker)
 		faulty := reason == ReasonFaulty
 		f.result.refusals[string(reason)]++
+		if !r.pressed && r.trials == 0 {
+			f.result.refusals["unaware"]++
+		}
 		trialIn := s.breaker.NonRetryableTrialIn(now)
 		f.back(r, func() {
-			target := routing.Target{VM: vmName(s.vm), Service: "s"}
-			r.entry.tripped.Record(target, f.now, faulty)
-			r.entry.tripped.AllowPressedTrial(target, f.now+trialIn)
+			if !f.settings.shared || s.vm == r.entry.vm {
+				target := routing.Target{VM: vmName(s.vm), Service: "s"}
+				r.entry.tripped.Record(target, f.now, faulty)
+				r.entry.tripped.AllowPressedTrial(target, f.now+trialIn)
+			}
 			r.tried[vmName(s.vm)], r.breakerTripped[vmName(s.vm)] = true, true
 			f.markMostTripped(r)
 			f.choose(r)
@@ -418,7 +436,9 @@
 // back runs f at the entry when the reply has arrived there, with the load.
 func (f *grayFleet) back(r *grayRequest, run func()) {
 	s, load := r.target, f.load(r.target)
+	reports := f.attach(s.vm, r.entry.vm)
 	f.after(grayPath, func() {
+		f.receive(r.entry.vm, reports)
 		r.entry.own[s.vm]--
 		r.entry.reports[s.vm] = grayReport{load, f.now}
 		run()
--- a/proxy/headers.go
+++ b/proxy/headers.go
@@ -27,6 +27,7 @@
 	headerReason        = HeaderPrefix + "Reason"
 	headerLoad          = HeaderPrefix + "Load"
 	headerWork          = HeaderPrefix + "Work"
+	headerReports       = HeaderPrefix + "Reports"
 	headerQueue         = HeaderPrefix + "Queue-Us"
 	headerBackend       = HeaderPrefix + "Backend-Us"
 	headerServer        = HeaderPrefix + "Server"
--- a/proxy/message.go
+++ b/proxy/message.go
@@ -183,6 +183,8 @@
 	// TrialIn is the time after which the gate admits a request that may not be repeated as a trial; only with a reason of the
 	// circuit breaker.
 	TrialIn time.Duration
+	// Reported is true if the response with the refusal held a report of its gate, which says more of the circuit breaker.
+	Reported bool
 	// Load is the load at the gate that refused the request; nil where no gate was involved.
 	Load *Load
 	// Work is nil where it is not known.
--- a/proxy/metrics.go
+++ b/proxy/metrics.go
@@ -20,6 +20,9 @@
 	backendSeconds = metrics.NewHistogram("rosemaryline_backend_seconds")
 	pathSeconds    = metrics.NewHistogram("rosemaryline_path_seconds")
 	retriesCounter = metrics.NewCounter("rosemaryline_retries_total")
+	// reportsReceived counts messages with reports of gates, reportsNewer the reports in them that were newer than the known ones.
+	reportsReceived = metrics.NewCounter("rosemaryline_gate_report_messages_total")
+	reportsNewer    = metrics.NewCounter("rosemaryline_gate_reports_newer_total")
 )
 
 // Counters of this process, served at /debug/vars.
--- a/proxy/moves.go
+++ b/proxy/moves.go
@@ -63,7 +63,10 @@
 	case routing.ReasonOwnVM, routing.ReasonOwnDomain, routing.ReasonOwnRegion, routing.ReasonFarRegion:
 		// A free slot is expected there, and may be elsewhere if it is taken.
 	case routing.ReasonLeastCompletion:
-		// No free slot is known, but most reports are old. The refusals bring new ones.
+		// No free slot is known. Where the report is old, the refusal brings a new one.
+		if chosen.work.isFresh() {
+			return false
+		}
 		return len(history.moves.full) < maxBlindMoves
 	default:
 		return false
--- a/proxy/peers.go
+++ b/proxy/peers.go
@@ -43,6 +43,8 @@
 	usedAt time.Duration
 	// reported is false until the first report.
 	reported bool
+	// sentAt is when this entry last sent a request to the gate.
+	sentAt time.Duration
 	// outstanding is the current number of this entry's requests at the gate, outstandingAtReport that at the time of
 	// the report.
 	outstanding         int
@@ -70,6 +72,7 @@
 	defer t.mu.Unlock()
 	t.row(key).outstanding++
 	t.row(key).usedAt = max(t.row(key).usedAt, now)
+	t.row(key).sentAt = now
 	return func() {
 		t.mu.Lock()
 		defer t.mu.Unlock()
--- a/proxy/remote.go
+++ b/proxy/remote.go
@@ -34,6 +34,8 @@
 type PeerClient struct {
 	client *client
 	scheme string
+	// reports passes reports of gates on between processes; nil if they are not passed on.
+	reports *ReportExchange
 }
 
 // NewPeerClient returns a client. tlsConfig is nil for plain connections.
@@ -53,9 +55,12 @@
 	c.client.dialer = dial
 }
 
-// Gate returns a Runner for the gate at address.
-func (c *PeerClient) Gate(address string) Runner {
-	return &remoteGate{client: c, address: address}
+// SetReports sets what passes reports of gates on between processes. It must be called before the first request.
+func (c *PeerClient) SetReports(x *ReportExchange) { c.reports = x }
+
+// Gate returns a Runner for the gate of a VM at address.
+func (c *PeerClient) Gate(vm, address string) Runner {
+	return &remoteGate{client: c, vm: vm, address: address}
 }
 
 // Close closes idle connections.
@@ -63,6 +68,7 @@
 
 type remoteGate struct {
 	client  *PeerClient
+	vm      string
 	address string
 }
 
@@ -80,7 +86,9 @@
 		}
 		return nil, refusal
 	}
+	reported := g.client.reports.receive(resp.Header, req.Service, g.vm)
 	if refusal := g.parseRefusal(resp); refusal != nil {
+		refusal.Reported = reported
 		cancel()
 		resp.Body.Close()
 		return nil, refusal
@@ -104,6 +112,7 @@
 		out.Header.Set("Expect", "100-continue")
 	}
 	setGateHeaders(out.Header, req)
+	g.client.reports.attach(out.Header, req.Service, g.vm)
 	if err := attachBody(ctx, cancel, out, req); err != nil {
 		return nil, &sendError{err: err}
 	}
--- a/proxy/router.go
+++ b/proxy/router.go
@@ -369,7 +369,7 @@
 		defer r.mu.Unlock()
 		r.repeatDenied[service] = r.opts.Clock()
 	}
-	if !isBreakerReason(refusal.Reason) {
+	if !isBreakerReason(refusal.Reason) || refusal.Reported {
 		return
 	}
 	r.mu.Lock()
@@ -424,13 +424,15 @@
 		return -1
 	}
 	out := r.opts.Fleet.OutDomains()
+	start := r.firstTrialHost(req.Service, len(hosts))
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.trippedBreakers.Len() == 0 {
 		return -1
 	}
 	now := r.opts.Clock()
-	for i := range hosts {
+	for k := range hosts {
+		i := (start + k) % len(hosts)
 		h := &hosts[i]
 		if h.State != routing.StateServing || tried[h.VM] || out[h.Domain] {
 			continue
@@ -606,7 +608,7 @@
 	if vm == r.opts.VM {
 		return r.opts.Gate
 	}
-	return r.opts.Peers.Gate(address)
+	return r.opts.Peers.Gate(vm, address)
 }
 
 // attempt sends the request to one VM and updates the load, the path health and the metrics with the result.
--- a/proxy/trials.go
+++ b/proxy/trials.go
@@ -29,10 +29,17 @@
 // server recovers earlier. The caller holds mu.
 func (r *router) avoidUntilTrial(target routing.Target, trialIn, now time.Duration) {
 	if r.isAdaptive(target.Service) {
-		r.trippedBreakers.Extend(target, now+trialIn+pressedTrialTime)
+		r.trippedBreakers.Extend(target, now+trialIn+routing.PressedTrialTime)
 	}
 }
 
-// pressedTrialTime is the time from the moment at which a gate admits a trial of a request that may not be repeated to the end of
-// the record, in which an entry without another free slot sends one.
-const pressedTrialTime = time.Second
+// firstTrialHost returns the index of the host from which a trial is looked for. Entries that share their reports know of the same
+// due trials, and must not all choose the first one.
+func (r *router) firstTrialHost(service string, hosts int) int {
+	if hosts == 0 || !r.opts.Reports.uses(service) {
+		return 0
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.rng.IntN(hosts)
+}
--- a/proxy/workreports.go
+++ b/proxy/workreports.go
@@ -191,6 +191,13 @@
 	reported         bool
 }
 
+// freshReport is the age up to which a report that shows no free slot is taken at its word. A request takes longer than that at the
+// services that need placement by work, so few slots were freed since.
+const freshReport = 500 * time.Millisecond
+
+// isFresh reports whether the choice used a report that still holds.
+func (w *expectedWork) isFresh() bool { return w != nil && w.reported && w.age < freshReport }
+
 // newExpectedWork returns nil if the cost of the request is not known.
 func newExpectedWork(c *routing.Candidate) *expectedWork {
 	if c.Work.Cost <= 0 {
--- a/routing/tripped_breakers.go
+++ b/routing/tripped_breakers.go
@@ -14,6 +14,9 @@
 	// TrialInterval is the minimum time between two trials that one entry sends to one target in its own failure
 	// domain. It equals the minimum time between two trials that the circuit breaker admits after repeated failures.
 	TrialInterval = 250 * time.Millisecond
+	// SharedTrialSpread is the time over which entries that know of the same due trial spread theirs. It is the shortest time between two
+	// trials that the circuit breaker admits: spread over a second, they found recovered backend servers later.
+	SharedTrialSpread = 250 * time.Millisecond
 	// RemoteTrialInterval is the minimum time between two trials that one entry sends to one faulty target in another
 	// failure domain. The entries in the domain of the target may have no request that may be used as a trial. The
 	// capacity floor is measured over 2 s, so a recovered backend server must receive a request within that time.
@@ -36,6 +39,8 @@
 	until, nextTrial, nextRemoteTrial time.Duration
 	// nextPressedTrial is the earliest time of the next trial by a request that may not be repeated; see TakePressedTrial.
 	nextPressedTrial time.Duration
+	// at is when the state of the circuit breaker was observed, due when the gate admits the next trial according to that.
+	at, due time.Duration
 }
 
 // NewTrippedBreakers returns an empty TrippedBreakers.
@@ -46,7 +51,7 @@
 // Record records that the circuit breaker of a target refused a request. faulty is true after repeated failures, when
 // the gate notifies the entry of the recovery, and false after a single failure.
 func (b *TrippedBreakers) Record(target Target, now time.Duration, faulty bool) {
-	breaker := trippedBreaker{until: now + SuspectTargetTTL, nextTrial: now + TrialInterval, nextRemoteTrial: now + SuspectTargetTTL}
+	breaker := trippedBreaker{at: now, until: now + SuspectTargetTTL, nextTrial: now + TrialInterval, nextRemoteTrial: now + SuspectTargetTTL}
 	breaker.nextPressedTrial = breaker.until
 	if faulty {
 		breaker.until = now + FaultyTargetTTL
@@ -65,6 +70,56 @@
 	}
 }
 
+// BreakerReport is what is known of the circuit breaker of a target from a report that was passed on.
+type BreakerReport struct {
+	// At is when the gate made the report.
+	At time.Duration
+	// Healthy is true for a closed circuit breaker, Faulty for an open one. With neither, the target is suspect.
+	Healthy, Faulty bool
+	// TrialIn is the time from At until the gate admits a request that may fail as a trial, PressedTrialIn that for any other.
+	TrialIn, PressedTrialIn time.Duration
+	// Spread is a random time of up to SharedTrialSpread by which this entry's trial is later. Without it, all entries that know of a due
+	// trial would send one before they hear of each other's.
+	Spread time.Duration
+}
+
+// Learn records the state of the circuit breaker of a target, unless something newer is known. Load pattern: a hundred entries
+// send two or three requests per second to each of many gray targets, so that most of them would learn of each failure and each
+// trial by a refusal of their own.
+func (b *TrippedBreakers) Learn(target Target, now time.Duration, r BreakerReport) {
+	known, ok := b.byTarget[target]
+	switch {
+	case ok && known.at >= r.At:
+		return
+	case r.Healthy:
+		delete(b.byTarget, target)
+		return
+	}
+	lasts := SuspectTargetTTL
+	breaker := trippedBreaker{at: r.At, due: r.At + r.TrialIn, nextPressedTrial: r.At + r.PressedTrialIn}
+	breaker.nextTrial = breaker.due + r.Spread
+	if ok && known.until > now && (r.TrialIn == 0 || breaker.due <= known.due+dueTolerance) {
+		// No trial was admitted since, so that the time that was drawn holds.
+		breaker.due, breaker.nextTrial = known.due, known.nextTrial
+	}
+	if r.Faulty {
+		lasts = FaultyTargetTTL
+	}
+	breaker.until = max(r.At+lasts, breaker.nextPressedTrial+PressedTrialTime)
+	// Entries in other failure domains send one only if those of the target's domain had no request for it.
+	breaker.nextRemoteTrial = breaker.nextTrial + RemoteTrialInterval
+	if breaker.until > now {
+		b.byTarget[target] = breaker
+	}
+}
+
+// dueTolerance is the difference in the time of one due trial between two reports. They spend different times on the network.
+const dueTolerance = 100 * time.Millisecond
+
+// PressedTrialTime is the time from the moment at which a gate admits a trial of a request that may not be repeated to the end of
+// the record, in which an entry without another free slot sends one.
+const PressedTrialTime = time.Second
+
 // Extend keeps the record of a target until the given time, if it would end earlier.
 func (b *TrippedBreakers) Extend(target Target, until time.Duration) {
 	if breaker, ok := b.byTarget[target]; ok && until > breaker.until {
