bench: the fleet of separate processes becomes a package of its own

Cause: bench/experiment needs fleets of separate processes with a configuration, which only bench/processes could start. Change: bench/processfleet has the start, configuration and stop of such a fleet, and the children, which are awaited from their start on, so that the end of one can be reported. bench/processes uses it; what it measures is unchanged.

--- a/bench/processes/compare.go
+++ b/bench/processes/compare.go
@@ -73,7 +73,7 @@
 	defer cancel()
 	f, err := startFleet(ctx, daemon, count)
 	if f != nil {
-		defer f.stop()
+		defer f.Stop()
 	}
 	if err != nil {
 		return nil, errors.Wrap(err, "start fleet")
--- a/bench/processes/main.go
+++ b/bench/processes/main.go
@@ -60,7 +60,7 @@
 	defer cancel()
 	f, err := startFleet(ctx, daemon, count)
 	if f != nil {
-		defer f.stop()
+		defer f.Stop()
 	}
 	if err != nil {
 		return errors.Wrap(err, "start fleet")
--- a/bench/processes/measure.go
+++ b/bench/processes/measure.go
@@ -1,54 +1,22 @@
 package main
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
 	"net/http"
-	"os"
 	"slices"
-	"strconv"
-	"strings"
 	"time"
 
 	"github.com/pkg/errors"
 
+	"rosemaryline.dev/bench/processfleet"
 	"rosemaryline.dev/control"
 )
 
 // settleTime is the wait before a measurement, until joins, changes of shard owners and restarts have no more effects.
 const settleTime = 3 * time.Second
 
-// clockTicks is the number of ticks per second in which /proc counts processor time.
-const clockTicks = 100
-
-// usage is the resource usage of a process as the kernel counts it.
-type usage struct {
-	cpu time.Duration // user and system time
-	rss uint64        // resident memory in bytes
-}
-
-// usage reads the usage of a process from /proc.
-func (p *process) usage() (usage, error) {
-	pid := strconv.Itoa(p.cmd.Process.Pid)
-	stat, err := os.ReadFile("/proc/" + pid + "/stat")
-	if err != nil {
-		return usage{}, err
-	}
-	// The command name ends with the last closing parenthesis. The first field after it is the state, so the indexes below
-	// are those of utime, stime and rss.
-	fields := strings.Fields(string(stat[bytes.LastIndexByte(stat, ')')+1:]))
-	var numbers [3]uint64
-	for i, field := range []int{11, 12, 21} {
-		if numbers[i], err = strconv.ParseUint(fields[field], 10, 64); err != nil {
-			return usage{}, err
-		}
-	}
-	ticks := time.Duration(numbers[0] + numbers[1])
-	return usage{cpu: ticks * time.Second / clockTicks, rss: numbers[2] * uint64(os.Getpagesize())}, nil
-}
-
 // traffic has a process's counters of the messages that it sent to other processes.
 type traffic struct {
 	Bytes    int64 `json:"rosemaryline_rpc_sent_bytes_total"`
@@ -56,8 +24,8 @@
 }
 
 // traffic reads the counters from the admin listener of a process.
-func (p *process) traffic() (traffic, error) {
-	resp, err := http.Get("http://" + p.admin + "/debug/vars")
+func trafficOf(p *process) (traffic, error) {
+	resp, err := http.Get("http://" + p.Admin + "/debug/vars")
 	if err != nil {
 		return traffic{}, err
 	}
@@ -70,14 +38,14 @@
 // and for the other processes.
 func (f *fleet) measureIdle(d time.Duration) error {
 	time.Sleep(settleTime)
-	before := make([]usage, len(f.processes))
-	sent := make([]traffic, len(f.processes))
-	for i, p := range f.processes {
+	before := make([]processfleet.Usage, len(f.Processes))
+	sent := make([]traffic, len(f.Processes))
+	for i, p := range f.Processes {
 		var err error
-		if before[i], err = p.usage(); err != nil {
+		if before[i], err = p.Usage(); err != nil {
 			return err
 		}
-		if sent[i], err = p.traffic(); err != nil {
+		if sent[i], err = trafficOf(p); err != nil {
 			return err
 		}
 	}
@@ -85,7 +53,7 @@
 	for _, group := range []struct {
 		name     string
 		from, to int
-	}{{"control VM", 0, 3}, {"proxy", 3, len(f.processes)}} {
+	}{{"control VM", 0, 3}, {"proxy", 3, len(f.Processes)}} {
 		if group.from == group.to {
 			continue
 		}
@@ -99,11 +67,11 @@
 	return nil
 }
 
-// printTraffic prints the mean traffic of f.processes[from:to]. before has the counters at the start of the time d.
+// printTraffic prints the mean traffic of f.Processes[from:to]. before has the counters at the start of the time d.
 func (f *fleet) printTraffic(name string, from, to int, before []traffic, d time.Duration) error {
 	var bytes, messages int64
 	for i := from; i < to; i++ {
-		now, err := f.processes[i].traffic()
+		now, err := trafficOf(f.Processes[i])
 		if err != nil {
 			return err
 		}
@@ -116,17 +84,17 @@
 	return nil
 }
 
-// printUsage prints the mean usage of f.processes[from:to]. before has the usage at the start of the time d.
-func (f *fleet) printUsage(name string, from, to int, before []usage, d time.Duration) error {
+// printUsage prints the mean usage of f.Processes[from:to]. before has the usage at the start of the time d.
+func (f *fleet) printUsage(name string, from, to int, before []processfleet.Usage, d time.Duration) error {
 	var cpu time.Duration
 	var rss uint64
 	for i := from; i < to; i++ {
-		now, err := f.processes[i].usage()
+		now, err := f.Processes[i].Usage()
 		if err != nil {
 			return err
 		}
-		cpu += now.cpu - before[i].cpu
-		rss += now.rss
+		cpu += now.CPU - before[i].CPU
+		rss += now.RSS
 	}
 	n := to - from
 	fmt.Printf("idle: %s (%d): %.2f%% of a core, %.1f MB resident each\n",
@@ -145,7 +113,7 @@
 			return err
 		}
 		accepted = append(accepted, time.Since(start))
-		if err := f.waitInForce(ctx, version); err != nil {
+		if err := f.WaitInForce(ctx, version); err != nil {
 			return err
 		}
 		inForce = append(inForce, time.Since(start))
@@ -168,8 +136,8 @@
 		return err
 	}
 	start := time.Now()
-	leader.kill()
-	err = f.retry(ctx, func() error {
+	leader.Kill()
+	err = f.Retry(ctx, func() error {
 		_, err := f.changeRate(ctx)
 		return err
 	})
@@ -177,18 +145,18 @@
 		return err
 	}
 	fmt.Printf("leader killed: next change accepted after %v\n", time.Since(start).Round(time.Millisecond))
-	return f.start(leader)
+	return f.StartProcess(leader)
 }
 
 // leader returns the process that leads the control group.
 func (f *fleet) leader(ctx context.Context) (*process, error) {
 	var group control.GroupStatus
-	if err := f.client.Get(ctx, "/v1/group", nil, &group); err != nil {
+	if err := f.Client.Get(ctx, "/v1/group", nil, &group); err != nil {
 		return nil, err
 	}
 	for _, m := range group.Members {
-		for _, p := range f.processes {
-			if m.ID == group.Leader && p.name == m.VM {
+		for _, p := range f.Processes {
+			if m.ID == group.Leader && p.Name == m.VM {
 				return p, nil
 			}
 		}
@@ -202,25 +170,25 @@
 	time.Sleep(settleTime)
 	start := time.Now()
 	for range history {
-		if err := f.retry(ctx, func() error { _, err := f.changeRate(ctx); return err }); err != nil {
+		if err := f.Retry(ctx, func() error { _, err := f.changeRate(ctx); return err }); err != nil {
 			return err
 		}
 	}
 	elapsed := time.Since(start)
 	fmt.Printf("changes: %d by one client in %v, %.0f a second\n", history, elapsed.Round(time.Millisecond), float64(history)/elapsed.Seconds())
 	var before control.VersionReply
-	if err := f.client.Get(ctx, "/v1/version", nil, &before); err != nil {
+	if err := f.Client.Get(ctx, "/v1/version", nil, &before); err != nil {
 		return err
 	}
-	p := f.processes[2]
-	p.kill()
+	p := f.Processes[2]
+	p.Kill()
 	start = time.Now()
-	if err := f.start(p); err != nil {
+	if err := f.StartProcess(p); err != nil {
 		return err
 	}
 	// A stale read needs no quorum, so the restarted process responds with its own version.
-	restarted := &control.Client{Addresses: []string{p.admin}, Credential: credential}
-	err := f.retry(ctx, func() error {
+	restarted := &control.Client{Addresses: []string{p.Admin}, Credential: f.Client.Credential}
+	err := f.Retry(ctx, func() error {
 		var status control.StatusReply
 		if err := restarted.Get(ctx, "/v1/status", map[string][]string{"stale": {"true"}}, &status); err != nil {
 			return err
--- a/bench/processes/speed.go
+++ b/bench/processes/speed.go
@@ -51,9 +51,9 @@
 // process first. It records the throughput of the paths through processes in a closed loop, and the latency of all paths at
 // half of the throughput of the longest one. d is the duration of each step.
 func (f *fleet) measureSpeed(ctx context.Context, d time.Duration, result speedResult) error {
-	first, second := f.processes[0], f.processes[1]
+	first, second := f.Processes[0], f.Processes[1]
 	backend, err := standin.Start(standin.Options{
-		Name: "speed-1", Service: "speed", Listen: "127.0.0.1:0", Slots: speedSlots, Announce: "http://" + first.local,
+		Name: "speed-1", Service: "speed", Listen: "127.0.0.1:0", Slots: speedSlots, Announce: "http://" + first.Local,
 	})
 	if err != nil {
 		return err
@@ -61,12 +61,12 @@
 	defer backend.Stop()
 	paths := []requestPath{
 		{"direct", "http://" + backend.Address() + "/speed", nil},
-		{"one process", "http://" + first.caller + "/speed", []*process{first}},
-		{"two processes", "http://" + second.caller + "/speed", []*process{first, second}},
+		{"one process", "http://" + first.Caller + "/speed", []*process{first}},
+		{"two processes", "http://" + second.Caller + "/speed", []*process{first, second}},
 	}
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4 * speedCallers}}
 	for _, p := range paths {
-		if err := f.retry(ctx, func() error { return get(client, p.url) }); err != nil {
+		if err := f.Retry(ctx, func() error { return get(client, p.url) }); err != nil {
 			return errors.Wrap(err, p.name)
 		}
 	}
@@ -87,7 +87,7 @@
 		}
 		result.add(failedRequests, "", float64(failed))
 	}
-	return first.measureConnections(result)
+	return measureConnections(first, result)
 }
 
 // quantile returns a percentile, from 0 to 100, of a histogram in microseconds.
@@ -162,11 +162,11 @@
 // cpuTime returns the sum of the processor times of processes.
 func cpuTime(processes []*process) (sum time.Duration, err error) {
 	for _, p := range processes {
-		u, err := p.usage()
+		u, err := p.Usage()
 		if err != nil {
 			return 0, err
 		}
-		sum += u.cpu
+		sum += u.CPU
 	}
 	return sum, nil
 }
@@ -198,8 +198,8 @@
 }
 
 // measureConnections records the memory that an idle connection of a caller takes in the process.
-func (p *process) measureConnections(result speedResult) error {
-	before, err := p.usage()
+func measureConnections(p *process, result speedResult) error {
+	before, err := p.Usage()
 	if err != nil {
 		return err
 	}
@@ -210,7 +210,7 @@
 		}
 	}()
 	for range idleConnections {
-		c, err := net.Dial("tcp", p.caller)
+		c, err := net.Dial("tcp", p.Caller)
 		if err != nil {
 			return err
 		}
@@ -220,13 +220,13 @@
 		}
 	}
 	time.Sleep(settleTime)
-	after, err := p.usage()
+	after, err := p.Usage()
 	if err != nil {
 		return err
 	}
-	grown := max(int64(after.rss)-int64(before.rss), 0)
+	grown := max(int64(after.RSS)-int64(before.RSS), 0)
 	result.set("idle connection: memory", "KB", float64(grown)/idleConnections/1e3)
 	fmt.Fprintf(os.Stderr, "memory: %.1f MB resident before and %.1f MB after %d idle connections, %.1f KB each\n",
-		float64(before.rss)/1e6, float64(after.rss)/1e6, idleConnections, float64(grown)/idleConnections/1e3)
+		float64(before.RSS)/1e6, float64(after.RSS)/1e6, idleConnections, float64(grown)/idleConnections/1e3)
 	return nil
 }
