standin: work with a spread and long requests, shed requests and long responses

Cause: the loads of the customers (work with a spread of 0.3 to 0.8 and 1 to 3% of long requests, backend servers that shed half of their requests, callers that read long responses slowly) could not be reproduced with stand-ins. Change: Options.Work varies the service time by the URI of a request, so that two builds get the same work; the fault shedShare responds with 503 at once; the query parameter responseBytes asks for a long response. Requests with fixed work and without the new fault draw the same random numbers as before.

--- a/standin/faults.go
+++ b/standin/faults.go
@@ -17,6 +17,8 @@
 	HangShare float64 `json:"hangShare,omitempty"`
 	// ErrorShare is the share of requests, 0 to 1, that get status 500 immediately.
 	ErrorShare float64 `json:"errorShare,omitempty"`
+	// ShedShare is the share of requests, 0 to 1, that get status 503 immediately and do not run.
+	ShedShare float64 `json:"shedShare,omitempty"`
 	// CutShare is the share of responses, 0 to 1, whose connection is closed after half of the body.
 	CutShare float64 `json:"cutShare,omitempty"`
 	// Cold multiplies the service time by the square of the number of requests in progress, until ColdRequests requests
@@ -29,11 +31,12 @@
 // maxSlowFactor bounds Faults.SlowFactor, so that service times stay within the range of time.Duration.
 const maxSlowFactor = 1e6
 
-func (f *Faults) check() error {
+// Check returns an error if a value is out of its range.
+func (f *Faults) Check() error {
 	if f.SlowFactor < 0 || f.SlowFactor > maxSlowFactor {
 		return errors.Errorf("slowFactor %v is not between 0 and %v", f.SlowFactor, maxSlowFactor)
 	}
-	for _, share := range []float64{f.HangShare, f.ErrorShare, f.CutShare} {
+	for _, share := range []float64{f.HangShare, f.ErrorShare, f.ShedShare, f.CutShare} {
 		if share < 0 || share > 1 {
 			return errors.Errorf("share %v is not between 0 and 1", share)
 		}
@@ -57,7 +60,7 @@
 			http.Error(w, errors.Wrap(err, "faults").Error(), http.StatusBadRequest)
 			return
 		}
-		if err := faults.check(); err != nil {
+		if err := faults.Check(); err != nil {
 			http.Error(w, err.Error(), http.StatusBadRequest)
 			return
 		}
@@ -88,8 +91,8 @@
 
 // requestFaults holds the faults drawn for one request, and the delay before its response.
 type requestFaults struct {
-	hang, fail, cut bool
-	delay           time.Duration
+	hang, fail, cut, shed bool
+	delay                 time.Duration
 }
 
 // drawFaults draws the faults of a request that takes serviceTime without faults. The caller holds mu.
@@ -106,6 +109,7 @@
 		hang:  rnd.Float64() < f.HangShare,
 		fail:  rnd.Float64() < f.ErrorShare,
 		cut:   rnd.Float64() < f.CutShare,
+		shed:  f.ShedShare > 0 && rnd.Float64() < f.ShedShare,
 		delay: time.Duration(delay),
 	}
 }
--- a/standin/server.go
+++ b/standin/server.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -29,6 +30,10 @@
 	// nestedParameter is the name of the query parameter with the path of a nested call. The stand-in makes the call before
 	// it responds.
 	nestedParameter = "nested"
+	// responseBytesParameter is the name of the query parameter with the least size of the response in bytes.
+	responseBytesParameter = "responseBytes"
+	// maxResponseBytes bounds responseBytesParameter. The padding is sent from one buffer, so it is no bound on memory.
+	maxResponseBytes = 64 << 20
 	// maxCountedIDs is the number of request IDs after which a stand-in counts no further runs.
 	maxCountedIDs = 100_000
 )
@@ -44,6 +49,8 @@
 	Slots int
 	// ServiceTime is the time that one request takes without faults.
 	ServiceTime time.Duration
+	// Work varies the service time from request to request.
+	Work Work
 	// Version is the announced version of the software. Empty means that none is announced.
 	Version string
 	// Announce is the URL of the local listener of the VM's process, for announcements and nested calls. Empty means no
@@ -68,12 +75,16 @@
 	faults         Faults
 	running        int            // requests in progress
 	peak           int            // largest value of running
+	started        int            // requests that began to run
 	endedSinceCold int            // requests ended since Faults.Cold was set, or since the start
 	runs           map[string]int // by request ID
 }
 
 // Start starts a stand-in, which announces itself and serves requests until Stop or Crash.
 func Start(opts Options) (*Server, error) {
+	if err := opts.Work.Check(); err != nil {
+		return nil, err
+	}
 	listener, err := net.Listen("tcp", opts.Listen)
 	if err != nil {
 		return nil, errors.Wrap(err, "listen")
@@ -152,6 +163,13 @@
 	return s.peak
 }
 
+// Started returns the number of requests that began to run, that is, without those that were shed.
+func (s *Server) Started() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.started
+}
+
 func (s *Server) serveRuns(w http.ResponseWriter, _ *http.Request) { writeJSON(w, s.Runs()) }
 
 // responseBody is the JSON body of a response.
@@ -170,9 +188,19 @@
 
 func (s *Server) serveRequest(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get("Rosemaryline-Request-Id")
-	run, faults := s.beginRequest(id)
+	size, err := responseSize(r)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	run, faults := s.beginRequest(id, s.opts.Work.Of(r.RequestURI, s.opts.ServiceTime))
 	defer s.endRequest()
-	size, err := io.Copy(io.Discard, r.Body)
+	if faults.shed {
+		w.Header().Set("Retry-After", "1")
+		http.Error(w, "backend server is full", http.StatusServiceUnavailable)
+		return
+	}
+	received, err := io.Copy(io.Discard, r.Body)
 	if err != nil {
 		return
 	}
@@ -190,12 +218,25 @@
 	resp := responseBody{
 		Service: s.opts.Service, Server: s.opts.Name, Instance: s.instance,
 		Method: r.Method, URI: r.RequestURI, Team: r.Header.Get("Rosemaryline-Team"),
-		RequestID: id, Run: run, BodyBytes: size,
+		RequestID: id, Run: run, BodyBytes: received,
 	}
 	if path := r.URL.Query().Get(nestedParameter); path != "" {
 		resp.Nested = s.callNested(r.Context(), id, path)
 	}
-	writeResponse(w, resp, faults.cut)
+	writeResponse(w, resp, size, faults.cut)
+}
+
+// responseSize returns the least size of the response that a request asks for; 0 without responseBytesParameter.
+func responseSize(r *http.Request) (int, error) {
+	text := r.URL.Query().Get(responseBytesParameter)
+	if text == "" {
+		return 0, nil
+	}
+	n, err := strconv.Atoi(text)
+	if err != nil || n < 0 || n > maxResponseBytes {
+		return 0, errors.Errorf("%s %q is not between 0 and %d", responseBytesParameter, text, maxResponseBytes)
+	}
+	return n, nil
 }
 
 // serveProbe responds to a probe. Probes have the same faults as requests, except cut responses.
@@ -208,22 +249,28 @@
 		<-r.Context().Done()
 	case f.fail:
 		http.Error(w, "internal error", http.StatusInternalServerError)
+	case f.shed:
+		http.Error(w, "backend server is full", http.StatusServiceUnavailable)
 	default:
 		sleep(r.Context(), f.delay)
 	}
 }
 
-// beginRequest counts a request and draws its faults. run is the number of runs of the ID, this one included; 0 without an
-// ID.
-func (s *Server) beginRequest(id string) (run int, f requestFaults) {
+// beginRequest counts a request and draws its faults. run is the number of runs of the ID, this one included unless it is
+// shed; 0 without an ID.
+func (s *Server) beginRequest(id string, serviceTime time.Duration) (run int, f requestFaults) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.running++
 	s.peak = max(s.peak, s.running)
-	if id != "" && len(s.runs) < maxCountedIDs {
-		s.runs[id]++
+	f = s.drawFaults(s.rnd, serviceTime)
+	if !f.shed {
+		s.started++
+		if id != "" && len(s.runs) < maxCountedIDs {
+			s.runs[id]++
+		}
 	}
-	return s.runs[id], s.drawFaults(s.rnd, s.opts.ServiceTime)
+	return s.runs[id], f
 }
 
 func (s *Server) endRequest() {
@@ -254,30 +301,45 @@
 	return fmt.Sprintf("%s %d", strings.SplitN(path, "?", 2)[0], resp.StatusCode)
 }
 
-// writeResponse writes a response. If cut is true, it aborts the connection after half of the body.
-func writeResponse(w http.ResponseWriter, resp responseBody, cut bool) {
+// writeResponse writes a response of at least size bytes, padded with spaces. If cut is true, it aborts the connection after
+// half of it.
+func writeResponse(w http.ResponseWriter, resp responseBody, size int, cut bool) {
 	data, err := json.Marshal(resp)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusInternalServerError)
 		return
 	}
 	data = append(data, '\n')
+	size = max(size, len(data))
 	w.Header().Set("Content-Type", "application/json")
-	w.Header().Set("Content-Length", strconv.Itoa(len(data)))
+	w.Header().Set("Content-Length", strconv.Itoa(size))
 	if resp.RequestID != "" {
 		// The gate checks that an ID in the response is that of its request.
 		w.Header().Set("Rosemaryline-Request-Id", resp.RequestID)
 	}
 	if !cut {
-		// An error means that the gate has closed the connection.
-		_, _ = w.Write(data)
+		writePadded(w, data, size)
 		return
 	}
-	_, _ = w.Write(data[:len(data)/2])
+	writePadded(w, data[:min(len(data), size/2)], size/2)
 	_ = http.NewResponseController(w).Flush()
 	panic(http.ErrAbortHandler)
 }
 
+// padding is what responses are padded with.
+var padding = bytes.Repeat([]byte{' '}, 32<<10)
+
+// writePadded writes data and spaces, size bytes together. An error means that the gate has closed the connection, which ends
+// the response.
+func writePadded(w io.Writer, data []byte, size int) {
+	_, err := w.Write(data)
+	for written := len(data); err == nil && written < size; {
+		n := min(size-written, len(padding))
+		_, err = w.Write(padding[:n])
+		written += n
+	}
+}
+
 func writeJSON(w http.ResponseWriter, v any) {
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(v)
