bench/loadgen: bodies take no memory, and every error of a load file names its line and field

Cause: each request in flight held its whole body (2,000 of up to 16 MB), all arrivals were held without a bound, and a duration that could not be parsed, a missing field or a missing list was reported without its line. Change: bodies are generated while they are sent; a measurement has at most 1,000,000 expected requests; durations are checked with their position before the file is decoded; a field that is not set is reported with the line of the nearest enclosing one.

--- a/bench/loadgen/generator.go
+++ b/bench/loadgen/generator.go
@@ -96,13 +96,24 @@
 	}
 }
 
+// filler is an endless body. It takes no memory, however many requests are in flight.
+type filler struct{}
+
+// Read implements io.Reader.
+func (filler) Read(p []byte) (int, error) {
+	for i := range p {
+		p[i] = 'x'
+	}
+	return len(p), nil
+}
+
 // send sends one request and returns how it ended.
 func send(ctx context.Context, client *http.Client, baseURL string, k *Kind, n int) outcome {
 	ctx, cancel := context.WithTimeout(ctx, k.Timeout)
 	defer cancel()
 	path := strings.ReplaceAll(k.Path, "{n}", strconv.Itoa(n))
 	// net/http sends a request again by itself after a broken connection, unless it has a body that can be read only once.
-	body := io.NopCloser(strings.NewReader(strings.Repeat("x", k.Body)))
+	body := io.NopCloser(io.LimitReader(filler{}, int64(k.Body)))
 	req, err := http.NewRequestWithContext(ctx, k.Method, strings.TrimSuffix(baseURL, "/")+path, body)
 	if err != nil {
 		return outcome{end: Broken}
--- a/bench/loadgen/loadgen_test.go
+++ b/bench/loadgen/loadgen_test.go
@@ -55,10 +55,18 @@
 		{"warm-up", "warmUp: 200ms", "warmUp: 2s", "line 3", "warmUp"},
 		{"duration", "duration: 2s", "duration: 100h", "line 2", "duration"},
 		{"rounds", "rounds: 2", "rounds: -2", "line 4", "rounds"},
+		{"duration without a unit", "duration: 2s", "duration: 20", "line 2", "duration"},
+		{"time that is none", "from: 500ms", "from: half a second", "line 16", "requests[1].from"},
+		{"no rate", "    rate: 50\n", "", "line 11", "requests[1].rate"},
+		{"no targets", sound[strings.Index(sound, "targets:"):], "", "line 1", "targets"},
+		{"too many requests", "duration: 2s", "duration: 1h\nrounds: 2\nrequests:\n  - name: many\n    path: /\n    rate: 10000\ntargets:\n  - name: old\n    url: http://a\n#", "line 5", "requests"},
 		{"URL", "http://127.0.0.1:1", "127.0.0.1:1", "line 20", "targets[0].url"},
 	} {
 		t.Run(test.desc, func(t *testing.T) {
 			text := strings.Replace(sound, test.old, test.new, 1)
+			if before, _, found := strings.Cut(text, "#"); found {
+				text = before
+			}
 			assert.Assert(t, text != sound)
 			_, err := Parse([]byte(text))
 			assert.ErrorContains(t, err, test.line)
--- a/bench/loadgen/spec.go
+++ b/bench/loadgen/spec.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/url"
 	"os"
+	"strings"
 	"time"
 
 	"github.com/goccy/go-yaml"
@@ -20,6 +21,8 @@
 	maxDuration = time.Hour
 	maxRounds   = 100
 	maxBody     = 16 << 20
+	// maxRequests limits the requests of one measurement, whose arrivals are kept in memory: 24 MB of them.
+	maxRequests = 1_000_000
 	// DefaultTimeout is the default of Kind.Timeout.
 	DefaultTimeout = 10 * time.Second
 	// DefaultReadyTimeout is the default of Target.ReadyTimeout.
@@ -82,6 +85,9 @@
 
 // Parse parses and checks the text of a load file.
 func Parse(data []byte) (*Spec, error) {
+	if line, field, err := checkDurations(data); err != nil {
+		return nil, errors.Wrapf(err, "line %d, field %s", line, field)
+	}
 	spec := &Spec{}
 	if err := yaml.NewDecoder(bytes.NewReader(data), yaml.Strict()).Decode(spec); err != nil {
 		return nil, errors.New(yaml.FormatError(err, false, true))
@@ -93,17 +99,17 @@
 	return spec, nil
 }
 
-// lineOf returns the line of a field such as requests[1].rate; 0 if the file does not set it.
+// lineOf returns the line of a field such as requests[1].rate, or of the nearest enclosing field if the file does not set it.
 func lineOf(data []byte, field string) int {
-	path, err := yaml.PathString("$." + field)
-	if err != nil {
-		return 0
-	}
-	node, err := path.ReadNode(bytes.NewReader(data))
-	if err != nil || node == nil {
-		return 0
+	for field != "" {
+		if path, err := yaml.PathString("$." + field); err == nil {
+			if node, err := path.ReadNode(bytes.NewReader(data)); err == nil && node != nil {
+				return node.GetToken().Position.Line
+			}
+		}
+		field = field[:max(strings.LastIndexAny(field, ".["), 0)]
 	}
-	return node.GetToken().Position.Line
+	return 1
 }
 
 func (s *Spec) setDefaults() {
@@ -152,6 +158,9 @@
 			return fmt.Sprintf("requests[%d].%s", i, field), err
 		}
 	}
+	if s.expectedRequests() > maxRequests {
+		return "requests", errors.Errorf("%.0f requests are expected, at most %d are allowed", s.expectedRequests(), maxRequests)
+	}
 	names = map[string]bool{}
 	for i := range s.Targets {
 		if field, err := s.Targets[i].check(names); err != nil {
@@ -161,6 +170,15 @@
 	return "", nil
 }
 
+// expectedRequests returns the mean number of requests of one measurement.
+func (s *Spec) expectedRequests() float64 {
+	sum := 0.0
+	for i := range s.Kinds {
+		sum += s.Kinds[i].Rate * s.Kinds[i].For.Seconds()
+	}
+	return sum
+}
+
 func (k *Kind) check(duration time.Duration, names map[string]bool) (field string, err error) {
 	duplicate := names[k.Name]
 	names[k.Name] = true
