bench/loadgen: teams, bursts, drawn sizes of bodies, slow readers and several entries

Cause: a load file could not describe teams of which one sends a multiple of its load, uploads of different sizes, or callers that read slowly, and sent everything to one process.

--- a/bench/loadgen/experiment.go
+++ b/bench/loadgen/experiment.go
@@ -84,7 +84,7 @@
 	if err := t.waitReady(ctx); err != nil {
 		return nil, err
 	}
-	return s.Run(ctx, t.URL, progress)
+	return s.Run(ctx, []string{t.URL}, s.Keys, progress)
 }
 
 // stop ends a command with SIGTERM, and kills it after stopTimeout.
--- a/bench/loadgen/spec.go
+++ b/bench/loadgen/spec.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/url"
 	"os"
+	"slices"
 	"strings"
 	"time"
 
@@ -23,6 +24,13 @@
 	maxBody     = 16 << 20
 	// maxRequests limits the requests of one measurement, whose arrivals are kept in memory: 24 MB of them.
 	maxRequests = 1_000_000
+	// maxKinds and maxTeams bound the histograms of a measurement in memory, each of which takes about 0.2 MB.
+	maxKinds = 50
+	maxTeams = 200
+	// minReadRate bounds Kind.ReadRate from below, so that the pauses between two reads stay below a second.
+	minReadRate = readChunk
+	// maxBurstFactor bounds Burst.Factor; customers' teams send five to seven times their usual load.
+	maxBurstFactor = 1000
 	// DefaultTimeout is the default of Kind.Timeout.
 	DefaultTimeout = 10 * time.Second
 	// DefaultReadyTimeout is the default of Target.ReadyTimeout.
@@ -37,9 +45,11 @@
 	Duration time.Duration `yaml:"duration"`
 	WarmUp   time.Duration `yaml:"warmUp"`
 	// Rounds is how often an experiment measures each target. Default 3.
-	Rounds  int      `yaml:"rounds"`
-	Kinds   []Kind   `yaml:"requests"`
-	Targets []Target `yaml:"targets"`
+	Rounds int    `yaml:"rounds"`
+	Kinds  []Kind `yaml:"requests"`
+	// Keys are the keys of teams, which their requests present. Fleets that the experiment starts issue the others.
+	Keys    map[string]string `yaml:"keys"`
+	Targets []Target          `yaml:"targets"`
 }
 
 // Kind is one kind of request.
@@ -49,19 +59,35 @@
 	// Path may contain {n}, which is replaced by the number of the request.
 	Path    string            `yaml:"path"`
 	Headers map[string]string `yaml:"headers"`
-	// Body is the size of the body in bytes.
-	Body int `yaml:"body"`
-	// Rate is the mean number of requests per second; arrivals are random (Poisson).
-	Rate float64 `yaml:"rate"`
+	// Body is the size of the body in bytes. With BodyMax it is the mean of an exponential distribution that BodyMax limits.
+	Body    int `yaml:"body"`
+	BodyMax int `yaml:"bodyMax"`
+	// Rate is the mean number of requests per second, of each team if there are Teams; arrivals are random (Poisson).
+	Rate  float64  `yaml:"rate"`
+	Teams []string `yaml:"teams"`
+	// Bursts multiply the rate for a time.
+	Bursts []Burst `yaml:"bursts"`
+	// ReadRate is the number of bytes per second at which the caller reads the response. Default: 0, as fast as it arrives.
+	ReadRate int `yaml:"readRate"`
 	// From and For limit the time of the arrivals, for bursts. Default: the whole duration.
 	From time.Duration `yaml:"from"`
 	For  time.Duration `yaml:"for"`
-	// Objective is the time until a response that counts as in time. Default: Timeout.
+	// Objective is the time until the last byte of a response that counts as in time. Default: Timeout.
 	Objective time.Duration `yaml:"objective"`
 	// Timeout is how long the caller waits.
 	Timeout time.Duration `yaml:"timeout"`
 }
 
+// Burst multiplies the rate of a kind of request for a time.
+type Burst struct {
+	// Team is the team whose rate is multiplied. Default: all teams.
+	Team string `yaml:"team"`
+	// Factor is the rate during the burst, relative to the usual one.
+	Factor float64       `yaml:"factor"`
+	From   time.Duration `yaml:"from"`
+	For    time.Duration `yaml:"for"`
+}
+
 // Target is a fleet that gets the load.
 type Target struct {
 	Name string `yaml:"name"`
@@ -149,6 +175,10 @@
 		return "rounds", errors.Errorf("must be 1 to %d", maxRounds)
 	case len(s.Kinds) == 0:
 		return "requests", errors.New("at least one kind of request is needed")
+	case len(s.Kinds) > maxKinds:
+		return "requests", errors.Errorf("at most %d kinds of requests are allowed", maxKinds)
+	case len(s.teamNames()) > maxTeams:
+		return "requests", errors.Errorf("at most %d teams are allowed", maxTeams)
 	case len(s.Targets) == 0:
 		return "targets", errors.New("at least one target is needed")
 	}
@@ -174,7 +204,11 @@
 func (s *Spec) expectedRequests() float64 {
 	sum := 0.0
 	for i := range s.Kinds {
-		sum += s.Kinds[i].Rate * s.Kinds[i].For.Seconds()
+		k := &s.Kinds[i]
+		sum += k.Rate * k.For.Seconds() * float64(len(k.teams()))
+		for _, b := range k.Bursts {
+			sum += k.Rate * (b.Factor - 1) * b.For.Seconds() * float64(len(k.burstTeams(&b)))
+		}
 	}
 	return sum
 }
@@ -191,6 +225,10 @@
 		return "rate", errors.Errorf("must be above 0 and at most %d per second", maxRate)
 	case k.Body < 0 || k.Body > maxBody:
 		return "body", errors.Errorf("must be 0 to %d bytes", maxBody)
+	case k.BodyMax != 0 && (k.BodyMax < k.Body || k.BodyMax > maxBody):
+		return "bodyMax", errors.Errorf("must be the body or more, and at most %d bytes", maxBody)
+	case k.ReadRate != 0 && k.ReadRate < minReadRate:
+		return "readRate", errors.Errorf("must be at least %d bytes per second", minReadRate)
 	case k.From < 0 || k.From >= duration:
 		return "from", errors.New("must lie within the duration")
 	case k.For <= 0 || k.From+k.For > duration:
@@ -203,9 +241,61 @@
 	if _, err := http.NewRequest(k.Method, "http://host"+k.Path, nil); err != nil {
 		return "method", err
 	}
+	teams := map[string]bool{}
+	for i, team := range k.Teams {
+		if team == "" || teams[team] {
+			return fmt.Sprintf("teams[%d]", i), errors.New("must be set and differ from the others")
+		}
+		teams[team] = true
+	}
+	for i := range k.Bursts {
+		if field, err := k.Bursts[i].check(k, teams); err != nil {
+			return fmt.Sprintf("bursts[%d].%s", i, field), err
+		}
+	}
 	return "", nil
 }
 
+func (b *Burst) check(k *Kind, teams map[string]bool) (field string, err error) {
+	switch {
+	case b.Team != "" && !teams[b.Team]:
+		return "team", errors.Errorf("%q is none of the teams of this kind of request", b.Team)
+	case !(b.Factor > 1 && b.Factor <= maxBurstFactor):
+		return "factor", errors.Errorf("must be above 1 and at most %d", maxBurstFactor)
+	case b.From < k.From:
+		return "from", errors.New("must not be before the first request of this kind")
+	case b.For <= 0 || b.From+b.For > k.From+k.For:
+		return "for", errors.New("must be set and end within the time of this kind of request")
+	}
+	return "", nil
+}
+
+// teams returns the teams that send the kind of request; a single empty one if there are none.
+func (k *Kind) teams() []string {
+	if len(k.Teams) == 0 {
+		return []string{""}
+	}
+	return k.Teams
+}
+
+// teamNames returns the names of all teams in order.
+func (s *Spec) teamNames() []string {
+	var names []string
+	for i := range s.Kinds {
+		names = append(names, s.Kinds[i].Teams...)
+	}
+	slices.Sort(names)
+	return slices.Compact(names)
+}
+
+// burstTeams returns the teams that a burst concerns.
+func (k *Kind) burstTeams(b *Burst) []string {
+	if b.Team != "" {
+		return []string{b.Team}
+	}
+	return k.teams()
+}
+
 func (t *Target) check(names map[string]bool) (field string, err error) {
 	duplicate := names[t.Name]
 	names[t.Name] = true
