bench/experiment: figures of the worst team and kind, refusals at once and later, one chart, JSON on request

Cause: targets could only be compared by the share in time of each kind of request; the chart showed nothing else, and JSON filled standard output unless a file was named. Change: for each target the shares in time, served, of the worst team and kind of request, refused within 100 ms and later; their differences with the spread of the rounds, and on the chart as bars above the shares by second. Tables go to standard output, JSON only with -json. A single round has no spread, so that no difference of it counts as clear. Result: `go test -race ./bench/loadgen` passes; TestFigures computes all figures of two targets with two rounds.

--- a/bench/loadgen/command.go
+++ b/bench/loadgen/command.go
@@ -8,6 +8,7 @@
 	"io"
 	"os"
 	"os/signal"
+	"strings"
 	"syscall"
 	"text/tabwriter"
 	"time"
@@ -22,19 +23,28 @@
 	ExitUsage  = 2
 )
 
+// standardOutput is the value of -json that selects standard output.
+const standardOutput = "-"
+
 // Flags are the flags of both commands.
 type Flags struct {
 	File       string
 	JSON, Plot string
+	// Rounds replaces that of the file unless it is 0.
+	Rounds int
 }
 
-// ParseFlags parses the arguments of a command: flags and the load file. It returns an error of flag.ErrHelp after -help.
-func ParseFlags(name string, args []string, stderr io.Writer) (*Flags, error) {
+// ParseFlags parses the arguments of a command: flags and the load file. single leaves out the flags that compare. It returns an
+// error of flag.ErrHelp after -help.
+func ParseFlags(name string, args []string, single bool, stderr io.Writer) (*Flags, error) {
 	f := &Flags{}
 	set := flag.NewFlagSet(name, flag.ContinueOnError)
 	set.SetOutput(stderr)
-	set.StringVar(&f.JSON, "json", "", "file for the results as JSON; default standard output")
-	set.StringVar(&f.Plot, "plot", "", "file for a plot, for example out.svg; none without")
+	set.StringVar(&f.JSON, "json", "", "file for the results as JSON, - for standard output; default none")
+	set.StringVar(&f.Plot, "plot", "", "file for a chart, for example out.svg or out.png; default none")
+	if !single {
+		set.IntVar(&f.Rounds, "rounds", 0, "number of measurements of each target; default that of the file")
+	}
 	set.Usage = func() {
 		fmt.Fprintf(stderr, "usage: %s [flags] FILE\n", name)
 		set.PrintDefaults()
@@ -46,84 +56,137 @@
 		set.Usage()
 		return nil, errors.New("one load file is needed")
 	}
+	if f.Rounds < 0 || f.Rounds > maxRounds {
+		err := errors.Errorf("-rounds must be 0 to %d", maxRounds)
+		fmt.Fprintf(stderr, "%s: %v\n", name, err)
+		return nil, err
+	}
 	f.File = set.Arg(0)
 	return f, nil
 }
 
-// Write writes the results as JSON, and the plot if there is a file for it.
+// Write writes the results as JSON and the chart, as far as the flags select them.
 func (f *Flags) Write(c *Comparison, stdout io.Writer) error {
-	data, err := json.MarshalIndent(c, "", "  ")
-	if err != nil {
-		return err
-	}
-	data = append(data, '\n')
-	if f.JSON == "" {
-		_, err = stdout.Write(data)
-	} else {
-		err = os.WriteFile(f.JSON, data, 0o644)
+	if f.JSON != "" {
+		data, err := json.MarshalIndent(c, "", "  ")
+		if err != nil {
+			return err
+		}
+		data = append(data, '\n')
+		if f.JSON == standardOutput {
+			_, err = stdout.Write(data)
+		} else {
+			err = os.WriteFile(f.JSON, data, 0o644)
+		}
+		if err != nil {
+			return err
+		}
 	}
-	if err != nil || f.Plot == "" {
-		return err
+	if f.Plot == "" {
+		return nil
 	}
 	return c.Plot(f.Plot)
 }
 
-// Summarize writes a table with a line for each target, round and kind of request, and the differences.
+// Summarize writes tables: the ends of requests by target, round and kind, the rollouts, the figures and the differences.
 func (c *Comparison) Summarize(w io.Writer) error {
 	table := tabwriter.NewWriter(w, 0, 8, 2, ' ', 0)
-	fmt.Fprintln(table, "TARGET\tROUND\tREQUEST\tIN TIME\tLATE\tREFUSED\tFAILED\tBROKEN\tTIMED OUT\tSKIPPED\tP50 MS\tP99 MS")
+	fmt.Fprintln(table, "TARGET\tROUND\tREQUEST\tIN TIME\tLATE\tREFUSED\tAT ONCE\tFAILED\tBROKEN\tTIMED OUT\tSKIPPED\tP50 MS\tP99 MS")
 	for _, t := range c.Targets {
 		for round, r := range t.Rounds {
 			for _, k := range r.Kinds {
 				n := k.Ends
-				fmt.Fprintf(table, "%s\t%d\t%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%.1f\t%.1f\n", t.Name, round+1, k.Name, n["inTime"], n["late"],
-					n["refused"], n["failed"], n["broken"], n["timedOut"], n["skipped"], k.P50Ms, k.P99Ms)
+				fmt.Fprintf(table, "%s\t%d\t%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%.1f\t%.1f\n", t.Name, round+1, k.Name, n["inTime"], n["late"],
+					n["refused"], k.RefusedAtOnce, n["failed"], n["broken"], n["timedOut"], n["skipped"], k.P50Ms, k.P99Ms)
 			}
 		}
 	}
-	for _, d := range c.Kinds {
-		verdict := "within the spread of the rounds"
-		if d.Clear {
-			verdict = "beyond the spread of the rounds"
+	fmt.Fprintln(table)
+	c.summarizeFigures(table)
+	fmt.Fprintln(table)
+	for _, list := range [][]Difference{c.Kinds, c.Figures} {
+		for _, d := range list {
+			verdict := fmt.Sprintf("within the spread of the rounds (%.4f)", d.Spread)
+			switch {
+			case d.Clear:
+				verdict = fmt.Sprintf("beyond the spread of the rounds (%.4f)", d.Spread)
+			case len(c.Targets[0].Rounds) == 1:
+				verdict = "one round, so that the spread is unknown"
+			}
+			what := d.Figure
+			if d.Kind != "" {
+				what = d.Kind + ": in time"
+			}
+			fmt.Fprintf(table, "%s against %s, %s: %+.4f, %s\n", d.Target, d.Against, what, d.Share, verdict)
 		}
-		fmt.Fprintf(table, "%s against %s, %s: %+.4f in time, %s (%.4f)\n", d.Target, c.Targets[0].Name, d.Kind, d.Share, verdict, d.Spread)
 	}
 	return table.Flush()
 }
 
+// summarizeFigures writes the figures of the targets, one column for each figure.
+func (c *Comparison) summarizeFigures(w io.Writer) {
+	for i, t := range c.Targets {
+		if i == 0 {
+			names := []string{"TARGET"}
+			for _, f := range t.Figures {
+				names = append(names, strings.ToUpper(f.Name))
+			}
+			fmt.Fprintln(w, strings.Join(names, "\t"))
+		}
+		cells := []string{t.Name}
+		for _, f := range t.Figures {
+			cell := fmt.Sprintf("%.2f%%", 100*f.Value)
+			if f.Of != "" {
+				cell += " " + f.Of
+			}
+			cells = append(cells, cell)
+		}
+		fmt.Fprintln(w, strings.Join(cells, "\t"))
+	}
+}
+
 // Run runs a command with its arguments and returns its exit code. With single set it measures the first target once, otherwise
 // all targets for all rounds. Progress goes to standard error.
 func Run(name string, args []string, single bool) int {
-	flags, err := ParseFlags(name, args, os.Stderr)
+	flags, err := ParseFlags(name, args, single, os.Stderr)
 	if errors.Is(err, flag.ErrHelp) {
 		return ExitOK
 	}
 	if err != nil {
 		return ExitUsage
 	}
+	fail := func(err error, code int) int {
+		fmt.Fprintf(os.Stderr, "%s: %v\n", name, err)
+		return code
+	}
 	spec, err := Load(flags.File)
 	if err != nil {
-		fmt.Fprintf(os.Stderr, "%s: %v\n", name, err)
-		return ExitUsage
+		return fail(err, ExitUsage)
 	}
 	if single {
 		spec.Targets, spec.Rounds = spec.Targets[:1], 1
 	}
+	if flags.Rounds > 0 {
+		spec.Rounds = flags.Rounds
+	}
 	ctx, cancel := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer cancel()
 	results, err := spec.Compare(ctx, func(target string, round int, at time.Duration, sent, ended int) {
 		fmt.Fprintf(os.Stderr, "%s: %s, round %d of %d: %s of %s, %d sent, %d ended\n", name, target, round, spec.Rounds,
 			at.Truncate(time.Second), spec.Duration, sent, ended)
 	})
-	if err == nil {
-		err = results.Summarize(os.Stderr)
+	if err != nil {
+		return fail(err, ExitFailed)
 	}
-	if err == nil {
-		err = flags.Write(results, os.Stdout)
+	tables := io.Writer(os.Stdout)
+	if flags.JSON == standardOutput {
+		tables = os.Stderr
 	}
-	if err != nil {
-		fmt.Fprintf(os.Stderr, "%s: %v\n", name, err)
-		return ExitFailed
+	if err := results.Summarize(tables); err != nil {
+		return fail(err, ExitFailed)
+	}
+	if err := flags.Write(results, os.Stdout); err != nil {
+		return fail(err, ExitFailed)
 	}
 	return ExitOK
 }
--- a/bench/loadgen/experiment.go
+++ b/bench/loadgen/experiment.go
@@ -22,25 +22,31 @@
 type Comparison struct {
 	Seed    uint64         `json:"seed"`
 	Targets []TargetResult `json:"targets"`
-	// Kinds compares each further target with the first one, by kind of request.
-	Kinds []Difference `json:"differences"`
+	// Kinds compares targets by kind of request, Figures by figure.
+	Kinds   []Difference `json:"differences"`
+	Figures []Difference `json:"figureDifferences"`
 }
 
 // TargetResult holds the rounds of one target.
 type TargetResult struct {
-	Name   string    `json:"name"`
-	Rounds []*Result `json:"rounds"`
+	Name string `json:"name"`
+	// Figures sum up all rounds.
+	Figures []Figure  `json:"figures"`
+	Rounds  []*Result `json:"rounds"`
 }
 
-// Difference compares a target with the first one for one kind of request.
+// Difference compares a target with another one.
 type Difference struct {
-	Target string `json:"target"`
-	Kind   string `json:"request"`
-	// Share is the mean share of responses in time of the target, less that of the first target.
+	Target  string `json:"target"`
+	Against string `json:"against"`
+	// Kind or Figure is what is compared. For a kind of request it is the mean share of responses in time.
+	Kind   string `json:"request,omitempty"`
+	Figure string `json:"figure,omitempty"`
+	// Share is the value of the target, less that of the other one.
 	Share float64 `json:"share"`
-	// Spread is the larger range of the shares between the rounds of one of the two targets. A smaller difference says nothing.
+	// Spread is the larger range of the values between the rounds of one of the two targets. A smaller difference says nothing.
 	Spread float64 `json:"spread"`
-	// Clear is true if the difference exceeds the spread.
+	// Clear is true if there is more than one round and the difference exceeds the spread.
 	Clear bool `json:"clear"`
 }
 
@@ -131,15 +137,33 @@
 	}
 }
 
-// compare sets the differences to the first target.
+// compare sets the figures and the differences between targets.
 func (c *Comparison) compare(s *Spec) {
+	for i := range c.Targets {
+		c.Targets[i].Figures = s.figures(c.Targets[i].Rounds)
+	}
 	for i := range c.Targets[1:] {
-		for kind := range s.Kinds {
-			base, other := c.Targets[0].shares(kind), c.Targets[i+1].shares(kind)
-			d := Difference{Target: c.Targets[i+1].Name, Kind: s.Kinds[kind].Name, Share: mean(other) - mean(base), Spread: max(spread(base), spread(other))}
-			d.Clear = math.Abs(d.Share) > d.Spread
-			c.Kinds = append(c.Kinds, d)
-		}
+		c.compareTargets(&c.Targets[0], &c.Targets[i+1])
+	}
+}
+
+func (c *Comparison) compareTargets(base, other *TargetResult) {
+	difference := func(from, to float64, fromRounds, toRounds []float64) Difference {
+		d := Difference{Target: other.Name, Against: base.Name, Share: to - from, Spread: max(spread(fromRounds), spread(toRounds))}
+		d.Clear = len(fromRounds) > 1 && math.Abs(d.Share) > d.Spread
+		return d
+	}
+	for kind := range base.Rounds[0].Kinds {
+		from, to := base.shares(kind), other.shares(kind)
+		d := difference(mean(from), mean(to), from, to)
+		d.Kind = base.Rounds[0].Kinds[kind].Name
+		c.Kinds = append(c.Kinds, d)
+	}
+	for n := range base.Figures {
+		from, to := &base.Figures[n], &other.Figures[n]
+		d := difference(from.Value, to.Value, from.Rounds, to.Rounds)
+		d.Figure = from.Name
+		c.Figures = append(c.Figures, d)
 	}
 }
 
