bench/experiment: starts fleets with stand-ins, faults and rollouts, and compares builds and settings

Cause: an experiment needed a fleet and backend servers that ran already, so that no load of the customers could be kept as a file. Each measurement starts it anew. A target overlays the configuration; -baseline adds each target with a second build. Each target is compared with its baseline and, within a build, with the first settings. Without -daemon the binary is built. Errors of the configuration name line and field of the load file; lines are now those of the field's name. The time limit of a stopped command moves to processfleet with the code; its test compares with the same value.

--- a/bench/loadgen/command.go
+++ b/bench/loadgen/command.go
@@ -7,7 +7,9 @@
 	"fmt"
 	"io"
 	"os"
+	"os/exec"
 	"os/signal"
+	"path/filepath"
 	"strings"
 	"syscall"
 	"text/tabwriter"
@@ -23,13 +25,19 @@
 	ExitUsage  = 2
 )
 
-// standardOutput is the value of -json that selects standard output.
-const standardOutput = "-"
+const (
+	// standardOutput is the value of -json that selects standard output.
+	standardOutput = "-"
+	// daemonPackage is the package that is built where -daemon is not set.
+	daemonPackage = "rosemaryline.dev/cmd/rosemarylined"
+)
 
 // Flags are the flags of both commands.
 type Flags struct {
 	File       string
 	JSON, Plot string
+	// Daemon and Baseline are paths of rosemarylined binaries, for files with a fleet.
+	Daemon, Baseline string
 	// Rounds replaces that of the file unless it is 0.
 	Rounds int
 }
@@ -42,7 +50,9 @@
 	set.SetOutput(stderr)
 	set.StringVar(&f.JSON, "json", "", "file for the results as JSON, - for standard output; default none")
 	set.StringVar(&f.Plot, "plot", "", "file for a chart, for example out.svg or out.png; default none")
+	set.StringVar(&f.Daemon, "daemon", "", "path of the rosemarylined binary, for files with a fleet; default: built from the present directory's module")
 	if !single {
+		set.StringVar(&f.Baseline, "baseline", "", "path of another rosemarylined binary, with which -daemon is compared")
 		set.IntVar(&f.Rounds, "rounds", 0, "number of measurements of each target; default that of the file")
 	}
 	set.Usage = func() {
@@ -104,6 +114,7 @@
 	fmt.Fprintln(table)
 	c.summarizeFigures(table)
 	fmt.Fprintln(table)
+	c.summarizeRollouts(table)
 	for _, list := range [][]Difference{c.Kinds, c.Figures} {
 		for _, d := range list {
 			verdict := fmt.Sprintf("within the spread of the rounds (%.4f)", d.Spread)
@@ -145,6 +156,52 @@
 	}
 }
 
+// summarizeRollouts writes how the rollouts ended.
+func (c *Comparison) summarizeRollouts(w io.Writer) {
+	for _, t := range c.Targets {
+		for round, r := range t.Rounds {
+			for _, o := range r.Rollouts {
+				fmt.Fprintf(w, "%s, round %d, rollout of %s to %s: %s, %d requests at the new version; %s\n", t.Name, round+1, o.Service, o.Version, o.Phase, o.Requests, o.Reason)
+			}
+		}
+	}
+}
+
+// selectBuilds sets the binaries of the targets, and doubles the targets for a baseline. clean removes a binary that was built.
+func (s *Spec) selectBuilds(ctx context.Context, f *Flags, stderr io.Writer) (clean func(), err error) {
+	clean = func() {}
+	if s.Fleet == nil {
+		if f.Daemon != "" || f.Baseline != "" {
+			return clean, errors.New("-daemon and -baseline need a file with a fleet")
+		}
+		return clean, nil
+	}
+	for i := range s.Targets {
+		if s.Targets[i].Daemon != "" {
+			continue
+		}
+		if f.Daemon == "" {
+			dir, err := os.MkdirTemp("", "rosemaryline-experiment-")
+			if err != nil {
+				return clean, err
+			}
+			clean = func() { os.RemoveAll(dir) }
+			f.Daemon = filepath.Join(dir, "rosemarylined")
+			fmt.Fprintf(stderr, "building %s\n", daemonPackage)
+			build := exec.CommandContext(ctx, "go", "build", "-o", f.Daemon, daemonPackage)
+			build.Stdout, build.Stderr = stderr, stderr
+			if err := build.Run(); err != nil {
+				return clean, errors.Wrap(err, "build the daemon; -daemon selects a binary")
+			}
+		}
+		s.Targets[i].Daemon = f.Daemon
+	}
+	if f.Baseline != "" {
+		s.addBaseline(f.Baseline)
+	}
+	return clean, nil
+}
+
 // Run runs a command with its arguments and returns its exit code. With single set it measures the first target once, otherwise
 // all targets for all rounds. Progress goes to standard error.
 func Run(name string, args []string, single bool) int {
@@ -171,6 +228,11 @@
 	}
 	ctx, cancel := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer cancel()
+	clean, err := spec.selectBuilds(ctx, flags, os.Stderr)
+	defer clean()
+	if err != nil {
+		return fail(err, ExitFailed)
+	}
 	results, err := spec.Compare(ctx, func(target string, round int, at time.Duration, sent, ended int) {
 		fmt.Fprintf(os.Stderr, "%s: %s, round %d of %d: %s of %s, %d sent, %d ended\n", name, target, round, spec.Rounds,
 			at.Truncate(time.Second), spec.Duration, sent, ended)
--- a/bench/loadgen/durations.go
+++ b/bench/loadgen/positions.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"reflect"
+	"strconv"
 	"strings"
 	"time"
 
@@ -74,3 +75,36 @@
 	}
 	return 0, "", nil
 }
+
+// lineOf returns the line of a field such as requests[1].rate, or of the nearest enclosing field if the file does not set it.
+func lineOf(data []byte, field string) int {
+	line := 1
+	file, err := parser.ParseBytes(data, 0)
+	if err != nil || len(file.Docs) == 0 {
+		return line
+	}
+	node := file.Docs[0].Body
+	for _, segment := range strings.FieldsFunc(field, func(r rune) bool { return strings.ContainsRune(".[]", r) }) {
+		found := false
+		switch n := node.(type) {
+		case *ast.MappingNode:
+			for _, value := range n.Values {
+				if value.Key.GetToken().Value == segment {
+					line, node, found = value.Key.GetToken().Position.Line, value.Value, true
+				}
+			}
+		case *ast.MappingValueNode:
+			if n.Key.GetToken().Value == segment {
+				line, node, found = n.Key.GetToken().Position.Line, n.Value, true
+			}
+		case *ast.SequenceNode:
+			if i, err := strconv.Atoi(segment); err == nil && i >= 0 && i < len(n.Values) {
+				line, node, found = n.Values[i].GetToken().Position.Line, n.Values[i], true
+			}
+		}
+		if !found {
+			break
+		}
+	}
+	return line
+}
--- a/bench/loadgen/result.go
+++ b/bench/loadgen/result.go
@@ -55,6 +55,8 @@
 	Teams []KindResult `json:"teams,omitempty"`
 	// Seconds holds, for each second from the start, the number of requests that arrived in it by their end.
 	Seconds []map[string]int `json:"seconds"`
+	// Rollouts are the rollouts of the fleet.
+	Rollouts []RolloutResult `json:"rollouts,omitempty"`
 
 	teamIndex [][]int // index in Teams, by kind and team of the kind; -1 without a team
 }
--- a/bench/processfleet/child.go
+++ b/bench/processfleet/child.go
@@ -15,8 +15,8 @@
 )
 
 const (
-	// stopTimeout is the time after SIGTERM after which a process that still runs is killed.
-	stopTimeout = 15 * time.Second
+	// StopTimeout is the time after SIGTERM after which a process that still runs is killed.
+	StopTimeout = 15 * time.Second
 	// clockTicks is the number of ticks per second in which /proc counts processor time.
 	clockTicks = 100
 	// keptErrorOutput is the number of bytes of a process's standard error that are kept for the error of its end.
@@ -81,14 +81,14 @@
 	<-c.done
 }
 
-// Stop ends the process with SIGTERM, and kills it after stopTimeout.
+// Stop ends the process with SIGTERM, and kills it after StopTimeout.
 func (c *Child) Stop() {
 	c.stopping.Store(true)
 	// Signal fails only if the process has already ended.
 	_ = c.cmd.Process.Signal(syscall.SIGTERM)
 	select {
 	case <-c.done:
-	case <-time.After(stopTimeout):
+	case <-time.After(StopTimeout):
 		c.Kill()
 	}
 }
