bench/loadgen: slow readers keep their rate

Cause: half of the responses of 2 MB that callers read at 400 KB per second timed out after 12 s instead of ending after 5 s. The fleet was not the cause: their receive buffer of 16 KB is below the segment size of loopback, so that about 57 reads of each waited 208 ms for the kernel to announce a window. Change: a receive buffer of 128 KB.

--- a/bench/loadgen/generator.go
+++ b/bench/loadgen/generator.go
@@ -19,9 +19,10 @@
 	maxInFlight = 2000
 	// readChunk is the number of bytes that a caller with a Kind.ReadRate reads at once.
 	readChunk = 4 << 10
-	// slowReceiveBuffer is the receive buffer of the connections of callers that read slowly. The kernel's default holds
-	// megabytes, so that the fleet would not notice them.
-	slowReceiveBuffer = 16 << 10
+	// slowReceiveBuffer is the receive buffer of the connections of callers that read slowly. The kernel's default grows to
+	// megabytes, so that the fleet would not notice them. Below the segment size of loopback, 64 KB, a sender waits 200 ms for
+	// each window.
+	slowReceiveBuffer = 128 << 10
 )
 
 // arrival is one request of a load.
--- a/bench/loadgen/teams_test.go
+++ b/bench/loadgen/teams_test.go
@@ -100,3 +100,26 @@
 		assert.ErrorContains(t, err, test.message)
 	}
 }
+
+// TestSlowReadersKeepTheirRate guards against callers that read far more slowly than their rate: with a receive buffer below the
+// segment size of loopback (64 KB), each read waited about 200 ms for the kernel to announce a window.
+func TestSlowReadersKeepTheirRate(t *testing.T) {
+	const size, rate = 2 << 20, 2 << 20
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		for range size / len(piece) {
+			if _, err := w.Write(piece[:]); err != nil {
+				return
+			}
+		}
+	}))
+	defer server.Close()
+	spec := &Spec{Seed: 1, Duration: 200 * time.Millisecond, Kinds: []Kind{{
+		Name: "slow", Path: "/", Method: http.MethodGet, Rate: 20, For: 200 * time.Millisecond, Timeout: 20 * time.Second, Objective: 20 * time.Second, ReadRate: rate,
+	}}}
+	r, err := spec.Run(t.Context(), []string{server.URL}, nil, nil)
+	assert.NilError(t, err)
+	// The responses take 1 s at their rate.
+	assert.Assert(t, r.Kinds[0].P50Ms > 900 && r.Kinds[0].P50Ms < 4000, "%+v", r.Kinds[0])
+}
+
+var piece [32 << 10]byte
