--- a/bench/processfleet/fleet.go
+++ b/bench/processfleet/fleet.go
@@ -2,6 +2,7 @@
 package processfleet
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"net/url"
@@ -155,10 +156,17 @@
 	doc.Operators = map[string]config.Operator{"bench": {Role: config.RoleAdmin, CredentialHash: config.HashKey(credential)}}
 	empty := &config.Document{}
 	empty.SetDefaults()
-	return f.Retry(ctx, func() error {
+	var refused error
+	err := f.Retry(ctx, func() error {
 		_, err := f.Apply(ctx, 0, config.Diff(empty, &doc))
+		var problem *control.Problem
+		if errors.As(err, &problem) && problem.Code == control.ProblemBadRequest {
+			refused = err // for example by a build that does not know a setting; no attempt would end otherwise
+			return nil
+		}
 		return err
 	})
+	return cmp.Or(refused, err)
 }
 
 // Apply proposes a change on top of the version base and returns the new version.
