bench/loadgen: errors name the value of a fault or server, and the format of the chart is checked first

Cause: a value out of its range was reported at the field "service" of its fault or servers; a chart with an unknown ending failed only after all measurements. Change: each value is checked as a field of its own; -plot is checked with the flags. Result: TestWrongFleetsAreNamed expects servers[0].longShare and faults[0].errorShare in place of service, TestChartFormatIsChecked is new; both pass with the race detector.

--- a/bench/loadgen/command.go
+++ b/bench/loadgen/command.go
@@ -10,12 +10,14 @@
 	"os/exec"
 	"os/signal"
 	"path/filepath"
+	"slices"
 	"strings"
 	"syscall"
 	"text/tabwriter"
 	"time"
 
 	"github.com/pkg/errors"
+	"gonum.org/v1/plot/vg/draw"
 )
 
 // Exit codes of the commands.
@@ -66,8 +68,14 @@
 		set.Usage()
 		return nil, errors.New("one load file is needed")
 	}
-	if f.Rounds < 0 || f.Rounds > maxRounds {
-		err := errors.Errorf("-rounds must be 0 to %d", maxRounds)
+	var err error
+	switch {
+	case f.Rounds < 0 || f.Rounds > maxRounds:
+		err = errors.Errorf("-rounds must be 0 to %d", maxRounds)
+	case f.Plot != "" && !slices.Contains(draw.Formats(), chartFormat(f.Plot)):
+		err = errors.Errorf("-plot: the name must end with one of %s", strings.Join(draw.Formats(), ", "))
+	}
+	if err != nil {
 		fmt.Fprintf(stderr, "%s: %v\n", name, err)
 		return nil, err
 	}
--- a/bench/loadgen/fleet.go
+++ b/bench/loadgen/fleet.go
@@ -185,8 +185,13 @@
 	case s.ServiceTime < 0:
 		return "serviceTime", errors.New("must be 0 or more")
 	}
-	if err := s.work().Check(); err != nil {
-		return "service", err
+	for _, part := range []struct {
+		field string
+		work  standin.Work
+	}{{"spread", standin.Work{Spread: s.Spread}}, {"longShare", standin.Work{LongShare: s.LongShare}}, {"longFactor", standin.Work{LongFactor: s.LongFactor}}} {
+		if err := part.work.Check(); err != nil {
+			return part.field, err
+		}
 	}
 	return "", nil
 }
@@ -212,8 +217,16 @@
 	if values == (standin.Faults{}) {
 		return "service", errors.New("errorShare, shedShare, hangShare or slowFactor is needed")
 	}
-	if err := values.Check(); err != nil {
-		return "service", err
+	for _, part := range []struct {
+		field  string
+		values standin.Faults
+	}{
+		{"errorShare", standin.Faults{ErrorShare: f.ErrorShare}}, {"shedShare", standin.Faults{ShedShare: f.ShedShare}},
+		{"hangShare", standin.Faults{HangShare: f.HangShare}}, {"slowFactor", standin.Faults{SlowFactor: f.SlowFactor}},
+	} {
+		if err := part.values.Check(); err != nil {
+			return part.field, err
+		}
 	}
 	return "", nil
 }
--- a/bench/loadgen/fleet_test.go
+++ b/bench/loadgen/fleet_test.go
@@ -1,6 +1,7 @@
 package loadgen
 
 import (
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"os/exec"
@@ -58,8 +59,8 @@
 		{"teams: [alder]", "teams: [birch]", `line 12, field fleet.config.teams: the team "birch"`},
 		{"version: v1, slots: 4", "version: v1, slots: 0", "line 15, field fleet.servers[0].slots"},
 		{"vms: [1]", "vms: [3]", "line 16, field fleet.servers[1].vms[0]"},
-		{"slots: 4, serviceTime: 10ms}\n    - ", "slots: 4, longShare: 2}\n    - ", "line 15, field fleet.servers[0].service: longShare"},
-		{"errorShare: 0.5", "errorShare: 5", "line 18, field fleet.faults[0].service"},
+		{"slots: 4, serviceTime: 10ms}\n    - ", "slots: 4, longShare: 2}\n    - ", "line 15, field fleet.servers[0].longShare"},
+		{"errorShare: 0.5", "errorShare: 5", "line 18, field fleet.faults[0].errorShare"},
 		{"share: 0.4", "share: -1", "line 18, field fleet.faults[0].share"},
 		{"spellMin: 100ms", "spellMin: 1ms", "line 18, field fleet.faults[0].spellMin"},
 		{"version: v2, at", "version: v3, at", "line 20, field fleet.rollouts[0].version"},
@@ -73,6 +74,14 @@
 	}
 }
 
+// TestChartFormatIsChecked guards against an experiment that fails after its measurements because of the name of its chart.
+func TestChartFormatIsChecked(t *testing.T) {
+	for file, ok := range map[string]bool{"a.svg": true, "b.PNG": true, "c": false, "d.txt": false} {
+		_, err := ParseFlags("experiment", []string{"-plot", file, "load.yaml"}, false, io.Discard)
+		assert.Equal(t, err == nil, ok, file)
+	}
+}
+
 // TestExperimentFiles guards against experiments of this repository that cannot be used, or that break their bounds: 30
 // processes, and 4 GB together.
 func TestExperimentFiles(t *testing.T) {
--- a/bench/loadgen/plot.go
+++ b/bench/loadgen/plot.go
@@ -40,7 +40,7 @@
 	if err != nil {
 		return errors.Wrap(err, "plot")
 	}
-	canvas, err := draw.NewFormattedCanvas(chartWidth, chartHeight, strings.TrimPrefix(strings.ToLower(filepath.Ext(file)), "."))
+	canvas, err := draw.NewFormattedCanvas(chartWidth, chartHeight, chartFormat(file))
 	if err != nil {
 		return errors.Wrap(err, "plot")
 	}
@@ -60,6 +60,11 @@
 	return errors.Wrap(err, "plot")
 }
 
+// chartFormat returns the format that the ending of a file's name selects.
+func chartFormat(file string) string {
+	return strings.TrimPrefix(strings.ToLower(filepath.Ext(file)), ".")
+}
+
 // plotFigures returns a bar chart with a group for each figure and a bar for each target.
 func (c *Comparison) plotFigures() (*plot.Plot, error) {
 	p := plot.New()
