--- a/bench/loadgen/loadgen_test.go
+++ b/bench/loadgen/loadgen_test.go
@@ -86,6 +86,8 @@
 
 func FuzzParse(f *testing.F) {
 	f.Add([]byte(sound))
+	f.Add([]byte(teamLoad))
+	f.Add([]byte(fleetLoad))
 	f.Add([]byte("requests: [{}]\ntargets: [{}]\nduration: 1s"))
 	f.Fuzz(func(t *testing.T, data []byte) {
 		if spec, err := Parse(data); err == nil {
