--- a/bench/loadgen/experiment.go
+++ b/bench/loadgen/experiment.go
@@ -4,43 +4,45 @@
 	"context"
 	"math"
 	"net/http"
-	"os/exec"
-	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
-)
 
-const (
-	// readyPollInterval is the time between two checks whether a target is ready.
-	readyPollInterval = 100 * time.Millisecond
-	// stopTimeout is the time after SIGTERM after which a command that still runs is killed.
-	stopTimeout = 15 * time.Second
+	"rosemaryline.dev/bench/processfleet"
 )
 
+// readyPollInterval is the time between two checks whether a target is ready.
+const readyPollInterval = 100 * time.Millisecond
+
 // Comparison is the result of an experiment.
 type Comparison struct {
 	Seed    uint64         `json:"seed"`
 	Targets []TargetResult `json:"targets"`
-	// Kinds compares each further target with the first one, by kind of request.
-	Kinds []Difference `json:"differences"`
+	// Kinds compares targets by kind of request, Figures by figure.
+	Kinds   []Difference `json:"differences"`
+	Figures []Difference `json:"figureDifferences"`
 }
 
 // TargetResult holds the rounds of one target.
 type TargetResult struct {
-	Name   string    `json:"name"`
-	Rounds []*Result `json:"rounds"`
+	Name string `json:"name"`
+	// Figures sum up all rounds.
+	Figures []Figure  `json:"figures"`
+	Rounds  []*Result `json:"rounds"`
 }
 
-// Difference compares a target with the first one for one kind of request.
+// Difference compares a target with another one.
 type Difference struct {
-	Target string `json:"target"`
-	Kind   string `json:"request"`
-	// Share is the mean share of responses in time of the target, less that of the first target.
+	Target  string `json:"target"`
+	Against string `json:"against"`
+	// Kind or Figure is what is compared. For a kind of request it is the mean share of responses in time.
+	Kind   string `json:"request,omitempty"`
+	Figure string `json:"figure,omitempty"`
+	// Share is the value of the target, less that of the other one.
 	Share float64 `json:"share"`
-	// Spread is the larger range of the shares between the rounds of one of the two targets. A smaller difference says nothing.
+	// Spread is the larger range of the values between the rounds of one of the two targets. A smaller difference says nothing.
 	Spread float64 `json:"spread"`
-	// Clear is true if the difference exceeds the spread.
+	// Clear is true if there is more than one round and the difference exceeds the spread.
 	Clear bool `json:"clear"`
 }
 
@@ -57,7 +59,7 @@
 				i = len(s.Targets) - 1 - i
 			}
 			target := &s.Targets[i]
-			result, err := s.measure(ctx, target, func(at time.Duration, sent, ended int) { progress(target.Name, round+1, at, sent, ended) })
+			result, err := s.measure(ctx, i, func(at time.Duration, sent, ended int) { progress(target.Name, round+1, at, sent, ended) })
 			if err != nil {
 				return nil, errors.Wrapf(err, "target %s, round %d", target.Name, round+1)
 			}
@@ -68,37 +70,34 @@
 	return c, nil
 }
 
-// measure starts the target if it has a command, runs the load and stops it.
-func (s *Spec) measure(ctx context.Context, t *Target, progress func(at time.Duration, sent, ended int)) (result *Result, err error) {
+// measure starts the target, runs the load and stops the target. It ends early with the error of a process that ends.
+func (s *Spec) measure(ctx context.Context, i int, progress func(at time.Duration, sent, ended int)) (*Result, error) {
+	progress(0, 0, 0)
+	t := &s.Targets[i]
+	if s.Fleet != nil {
+		return s.measureFleet(ctx, i, progress)
+	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
 	if len(t.Command) > 0 {
-		cmd := exec.Command(t.Command[0], t.Command[1:]...)
-		if err := cmd.Start(); err != nil {
-			return nil, errors.Wrap(err, "start")
+		child, err := processfleet.StartChild(processfleet.ChildOptions{Name: t.Command[0], Command: t.Command, OnExit: cancel})
+		if err != nil {
+			return nil, err
 		}
-		defer func() {
-			if stopErr := stop(cmd); err == nil {
-				err = stopErr
-			}
-		}()
+		defer child.Stop()
 	}
 	if err := t.waitReady(ctx); err != nil {
-		return nil, err
+		return nil, causeOr(ctx, err)
 	}
-	return s.Run(ctx, t.URL, progress)
+	return s.Run(ctx, []string{t.URL}, s.Keys, progress)
 }
 
-// stop ends a command with SIGTERM, and kills it after stopTimeout.
-func stop(cmd *exec.Cmd) error {
-	if err := cmd.Process.Signal(syscall.SIGTERM); err != nil {
-		return errors.Wrap(err, "stop")
+// causeOr returns why ctx ended, or err if it has not.
+func causeOr(ctx context.Context, err error) error {
+	if cause := context.Cause(ctx); cause != nil {
+		return cause
 	}
-	kill := time.AfterFunc(stopTimeout, func() { _ = cmd.Process.Kill() }) // Wait reports how the process ended
-	defer kill.Stop()
-	var exit *exec.ExitError
-	if err := cmd.Wait(); err != nil && !errors.As(err, &exit) {
-		return errors.Wrap(err, "stop")
-	}
-	return nil
+	return err
 }
 
 func (t *Target) waitReady(ctx context.Context) error {
@@ -131,16 +130,57 @@
 	}
 }
 
-// compare sets the differences to the first target.
+// compare sets the figures and the differences between targets.
 func (c *Comparison) compare(s *Spec) {
-	for i := range c.Targets[1:] {
-		for kind := range s.Kinds {
-			base, other := c.Targets[0].shares(kind), c.Targets[i+1].shares(kind)
-			d := Difference{Target: c.Targets[i+1].Name, Kind: s.Kinds[kind].Name, Share: mean(other) - mean(base), Spread: max(spread(base), spread(other))}
-			d.Clear = math.Abs(d.Share) > d.Spread
-			c.Kinds = append(c.Kinds, d)
+	for i := range c.Targets {
+		c.Targets[i].Figures = s.figures(c.Targets[i].Rounds)
+	}
+	for i := range s.Targets {
+		against := s.Targets[i].against
+		if against == nil && i > 0 {
+			against = []int{0}
+		}
+		for _, j := range against {
+			c.compareTargets(&c.Targets[j], &c.Targets[i])
+		}
+	}
+}
+
+func (c *Comparison) compareTargets(base, other *TargetResult) {
+	difference := func(from, to float64, fromRounds, toRounds []float64) Difference {
+		d := Difference{Target: other.Name, Against: base.Name, Share: to - from, Spread: max(spread(fromRounds), spread(toRounds))}
+		d.Clear = len(fromRounds) > 1 && math.Abs(d.Share) > d.Spread
+		return d
+	}
+	for kind := range base.Rounds[0].Kinds {
+		from, to := base.shares(kind), other.shares(kind)
+		d := difference(mean(from), mean(to), from, to)
+		d.Kind = base.Rounds[0].Kinds[kind].Name
+		c.Kinds = append(c.Kinds, d)
+	}
+	for n := range base.Figures {
+		from, to := &base.Figures[n], &other.Figures[n]
+		d := difference(from.Value, to.Value, from.Rounds, to.Rounds)
+		d.Figure = from.Name
+		c.Figures = append(c.Figures, d)
+	}
+}
+
+// addBaseline adds to each target the same one with another build, with which it is compared. Targets with different settings are
+// compared within each build.
+func (s *Spec) addBaseline(daemon string) {
+	var targets []Target
+	for i, t := range s.Targets {
+		former := t
+		former.Name, former.Daemon = t.Name+" (baseline)", daemon
+		t.against = []int{2 * i}
+		if i > 0 {
+			former.against = []int{0}
+			t.against = append(t.against, 1)
 		}
+		targets = append(targets, former, t)
 	}
+	s.Targets = targets
 }
 
 func (t *TargetResult) shares(kind int) []float64 {
