proxy: a caller that stalls while it sends a body gets 408

Cause: a caller that declared a body and sent nothing, or stalled within the first 64 KiB, held its reservation of the byte budget until the read timeout of the listener (2 minutes), on the local listener without a limit. A stall later in a streamed body cancelled the request after 2 s, but net/http waits for a read in progress before it sends the response, up to the same read timeout. Change: each read of a caller's body has a deadline of 2 s (bodyStallTimeout), and until the request is routed also the deadline of its route. The request ends with 408, reason body-stalled, outcome not-run. An HTTP/1 connection is closed; on HTTP/2 only the stream ends. The read deadline of the listener is restored after each read, because net/http cancels a request whose connection has an expired one.

--- a/proxy/body.go
+++ b/proxy/body.go
@@ -228,6 +228,9 @@
 	n, err := a.body.source.Read(p)
 	timer.Stop()
 	a.endRead(err == nil || err == io.EOF)
+	if isStall(err) {
+		a.stalled()
+	}
 	return n, err
 }
 
--- a/proxy/entry.go
+++ b/proxy/entry.go
@@ -144,6 +144,8 @@
 	if id == "" {
 		id = newRequestID()
 	}
+	r, endReads := watchSender(w, r)
+	defer endReads()
 	req, refusal := e.accept(r, id, caller)
 	defer req.releaseBody()
 	if refusal == nil {
@@ -170,6 +172,8 @@
 		parent.beginNested()
 		defer parent.endNested()
 	}
+	r, endReads := watchSender(w, r)
+	defer endReads()
 	req, refusal := e.acceptNested(r, id, parent)
 	defer req.releaseBody()
 	if refusal == nil {
@@ -383,6 +387,7 @@
 	if refusal != nil {
 		return refusal
 	}
+	limitReads(r.Body, req.Deadline)
 	body, err := NewBody(r.Body, r.ContentLength, e.opts.MaxBufferedBody)
 	if err == nil && keyed {
 		// The claim compares the whole body with that of an earlier request with the same key.
@@ -392,11 +397,14 @@
 	}
 	req.Body = body
 	if err == nil {
+		limitReads(r.Body, time.Time{})
 		body.hold(charge)
 		return nil
 	}
 	charge.free()
 	switch {
+	case isStall(err):
+		return stallRefusal(r.Body, err, "read body")
 	case errors.Is(err, ErrBodyTooLarge):
 		return notRunRefusal(http.StatusRequestEntityTooLarge, ReasonBodyTooLarge, "read body")
 	default:
--- a/proxy/message.go
+++ b/proxy/message.go
@@ -167,6 +167,8 @@
 	ReasonPathSilent    Reason = "path-silent"
 	// ReasonMemory means that the process holds too many bytes of other bodies.
 	ReasonMemory Reason = "memory"
+	// ReasonBodyStalled means that the sender of the body sent nothing for too long.
+	ReasonBodyStalled Reason = "body-stalled"
 )
 
 // Refusal is a response that a process of the fleet generates itself, instead of one from a backend server.
--- a/proxy/problem.go
+++ b/proxy/problem.go
@@ -56,6 +56,7 @@
 	ReasonVersion:       "The version of the backend server gets no requests.",
 	ReasonPathSilent:    "The path to the VM is silent.",
 	ReasonMemory:        "The process holds too many bytes of other requests.",
+	ReasonBodyStalled:   "The body did not arrive in time.",
 	ReasonAnswerNotKept: "The request completed earlier; its answer was too large to keep.",
 
 	Reason(admission.ReasonTeamShare): "The team's share of the queue is full.",
