proxy: a gate does not wait for an entry that stalls while it sends a body

Cause: a gate read bodies from entries without a time limit. An entry that froze, or a path that broke off without a reset, held the reserved bytes until the connection ended, and the slot as well where the body is read with one. Change: the reads have the same deadline of 2 s. A body that is read before the request has a slot must also arrive before the entry gives up. The refusal is 503, body-stalled, not-run: the caller is not at fault, and an entry sends the request to another VM. With a slot it is caller-gone, as for a connection that breaks off. The deadline of a forwarded request now counts from its header section instead of from the end of its body.

--- a/proxy/gatehttp.go
+++ b/proxy/gatehttp.go
@@ -28,6 +28,8 @@
 func (h *GateHandler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	// Notify the entry at once that the request arrived, because the response may take long.
 	w.WriteHeader(http.StatusProcessing)
+	r, endReads := watchSender(w, r)
+	defer endReads()
 	req, err := h.parse(r)
 	defer req.releaseBody()
 	if err != nil {
@@ -75,10 +77,6 @@
 	if err != nil {
 		return nil, err
 	}
-	body, err := h.readBody(r)
-	if err != nil {
-		return nil, err
-	}
 	req := &Request{
 		ID:             r.Header.Get(HeaderRequestID),
 		Entry:          r.Header.Get(headerEntry),
@@ -101,16 +99,17 @@
 		URI:            r.Header.Get(headerURI),
 		Host:           r.Header.Get(headerHost),
 		Header:         forwardedHeaders(r.Header),
-		Body:           body,
 	}
 	if objective != 0 {
 		req.Objective = time.Now().Add(time.Duration(objective) * time.Millisecond)
 	}
 	if req.ID == "" || req.Service == "" || req.URI == "" {
-		req.releaseBody()
 		return nil, errors.New("request id, service or URI is missing")
 	}
-	return req, nil
+	limitReads(r.Body, req.Deadline.Add(gateResponseGrace)) // the entry waits no longer
+	req.Body, err = h.readBody(r)
+	limitReads(r.Body, time.Time{})
+	return req, err
 }
 
 // optionalInt returns the integer value of a header, or 0 if the header is absent.
@@ -151,7 +150,7 @@
 	}
 	if err != nil {
 		charge.free()
-		return nil, err
+		return nil, gateBodyError(err)
 	}
 	body.hold(charge)
 	return body, nil
--- a/proxy/sender.go
+++ b/proxy/sender.go
@@ -74,6 +74,17 @@
 	return refusal
 }
 
+// gateBodyError returns err, or a refusal if the entry or the path to it stalled. Its status is not that of a caller's fault, and the
+// entry sends the request, whose body it holds, to another VM.
+func gateBodyError(err error) error {
+	if !isStall(err) {
+		return err
+	}
+	refusal := notRunRefusal(http.StatusServiceUnavailable, ReasonBodyStalled, "gate")
+	refusal.Err = err
+	return refusal
+}
+
 // Read implements io.Reader.
 func (b *senderBody) Read(p []byte) (int, error) {
 	if !b.beginRead() {
--- a/proxy/sender_test.go
+++ b/proxy/sender_test.go
@@ -145,3 +145,39 @@
 	assert.Equal(t, dials, 1)
 	assert.Equal(t, b.count(), 1)
 }
+
+// Guards against an entry that stops, or a path that breaks off, while the gate reads a body: the gate held the reserved bytes, and the
+// slot where the body is read with one, until the connection ended.
+func TestGateOfStalledEntry(t *testing.T) {
+	head := "POST /v1/run HTTP/1.1\r\nHost: h\r\nRosemaryline-Request-Id: 1\r\nRosemaryline-Service: svc\r\nRosemaryline-Uri: /a\r\n" +
+		"Rosemaryline-Deadline-Ms: 10000\r\nRosemaryline-Depth: 0\r\nRosemaryline-Config-Version: 1\r\nRosemaryline-Repeatable: false\r\n"
+	for _, test := range []struct {
+		desc, rest string
+		reason     Reason
+	}{
+		{"before the slot", "Content-Length: 60000\r\n\r\npart", ReasonBodyStalled},
+		{"with the slot", "Expect: 100-continue\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n", ReasonCallerGone},
+	} {
+		t.Run(test.desc, func(t *testing.T) {
+			t.Parallel()
+			b := newBackend(t, nil)
+			m := newSingleVM(t, newFleetView(t, 1), b)
+			budget := m.setBytes(4 << 20)
+			began := time.Now()
+			reader := bufio.NewReader(rawConn(t, addressOf(m.peer), head+test.rest))
+			resp := &http.Response{}
+			for resp.StatusCode < http.StatusOK {
+				var err error
+				resp, err = http.ReadResponse(reader, nil)
+				assert.NilError(t, err)
+			}
+			assert.Assert(t, time.Since(began) < bodyStallTimeout+time.Second, "took %s", time.Since(began))
+			assert.Equal(t, resp.StatusCode, 503)
+			assert.Equal(t, resp.Header.Get(HeaderOutcome), string(OutcomeNotRun))
+			assert.Equal(t, resp.Header.Get(headerReason), string(test.reason))
+			eventually(t, "nothing is held", func() bool { return budget.Held() == 0 && m.gate.Load("svc").InFlight == 0 })
+			assert.Equal(t, b.count(), 0)
+			assert.Equal(t, m.gate.serversOf("svc")[0].score(), 0.0)
+		})
+	}
+}
