proxy/pipeline: what is read and run ahead counts in a budget

Cause: up to 64 KiB of each response to a request that was started early, and 64 KiB that were read ahead of net/http, were in no account: a connection with 8 early requests holds up to about 1 MB. Change: a Pipeline takes a Budget. An early start reserves 8 KiB and what its response needs; while there is no room, no further request is started early, and the handler of one that runs waits until its turn. Requests that were not started early are served one after the other. What was read ahead counts, but is not refused: it has its own limit, and a request that arrived has to be read.

--- a/proxy/pipeline/conn.go
+++ b/proxy/pipeline/conn.go
@@ -38,6 +38,7 @@
 	ahead    bool // the connection is read ahead
 	serving  bool // net/http serves a request
 	splitter splitter
+	held     account // for what was read ahead
 	// requests are those that net/http has not finished, the oldest first.
 	requests []*request
 }
@@ -51,7 +52,7 @@
 }
 
 func newConn(inner net.Conn, p *Pipeline) *conn {
-	c := &conn{Conn: inner, pipeline: p}
+	c := &conn{Conn: inner, pipeline: p, held: account{budget: p.budget}}
 	c.gone, c.end = context.WithCancel(context.Background())
 	c.changed = sync.NewCond(&c.mu)
 	return c
@@ -60,6 +61,7 @@
 // startAhead begins to read ahead. The caller holds mu, and no other Read of the client's connection is running.
 func (c *conn) startAhead() {
 	c.ahead = true
+	c.count()
 	// readAhead must not end at the deadline, which readReceived observes from now on.
 	_ = c.Conn.SetReadDeadline(time.Time{})
 	c.setExpiry()
@@ -87,6 +89,7 @@
 		return false
 	}
 	c.ahead = false
+	c.count()
 	if c.expiry != nil {
 		c.expiry.Stop()
 	}
@@ -114,6 +117,18 @@
 	}
 }
 
+// count accounts for the buffer of readAhead and what it has read. The caller holds mu.
+func (c *conn) count() {
+	n := len(c.unread) + len(c.splitter.head)
+	if c.ahead {
+		n += readBytes
+	}
+	if c.closed {
+		n = 0
+	}
+	c.held.set(int64(n))
+}
+
 // waitForRoom waits until net/http has read enough. It returns false when the connection was closed.
 func (c *conn) waitForRoom() bool {
 	c.mu.Lock()
@@ -130,6 +145,7 @@
 	c.unread = append(c.unread, data...)
 	c.readErr = err
 	c.find(data)
+	c.count()
 	c.changed.Broadcast()
 }
 
@@ -150,8 +166,13 @@
 		case i == 0 || r.early != nil:
 			continue
 		}
+		held := account{budget: c.pipeline.budget}
+		if !held.reserve(earlyBytes) {
+			return // a later call starts it, or it is served when it is its turn
+		}
 		ctx, cancel := context.WithCancel(c.gone)
 		r.early = newRecorder(cancel)
+		r.early.held = held
 		context.AfterFunc(ctx, r.early.abandon)
 		earlyRequests.Inc()
 		early := r.Request.WithContext(ctx)
@@ -225,6 +246,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.find(p[:n])
+	c.count()
 	switch {
 	case err != nil && !errors.Is(err, os.ErrDeadlineExceeded):
 		c.end()
@@ -265,6 +287,7 @@
 	if len(c.unread) == 0 {
 		c.unread = nil
 	}
+	c.count()
 	c.changed.Broadcast()
 	return n, true, nil
 }
@@ -321,6 +344,7 @@
 	c.mu.Lock()
 	c.closed = true
 	c.requests, c.unread = nil, nil
+	c.count()
 	if c.expiry != nil {
 		c.expiry.Stop()
 	}
--- a/proxy/pipeline/pipeline.go
+++ b/proxy/pipeline/pipeline.go
@@ -24,12 +24,13 @@
 	repeatable func(*http.Request) bool
 	// logPanic is called for a panic of the handler while it serves a request that was started early.
 	logPanic func(value any, stack []byte)
+	budget   Budget
 	stopped  atomic.Bool
 }
 
 // New returns a Pipeline that serves requests by handler. repeatable and logPanic may be called concurrently.
 func New(handler http.Handler, repeatable func(*http.Request) bool, logPanic func(value any, stack []byte)) *Pipeline {
-	return &Pipeline{handler: handler, repeatable: repeatable, logPanic: logPanic}
+	return &Pipeline{handler: handler, repeatable: repeatable, logPanic: logPanic, budget: unlimited{}}
 }
 
 // Listener returns a listener whose connections are read ahead.
--- a/proxy/pipeline/pipeline_test.go
+++ b/proxy/pipeline/pipeline_test.go
@@ -25,9 +25,12 @@
 const testTimeout = 20 * time.Second
 
 // serve serves h with a Pipeline and returns a connection of a client. GET requests may run more than once.
-func serve(t *testing.T, h http.HandlerFunc) (*Pipeline, net.Conn) {
+func serve(t *testing.T, h http.HandlerFunc, budget ...Budget) (*Pipeline, net.Conn) {
 	t.Helper()
 	p := New(h, func(r *http.Request) bool { return r.Method == http.MethodGet }, func(value any, _ []byte) { t.Log("panic:", value) })
+	for _, b := range budget {
+		p.SetBudget(b)
+	}
 	inner, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	server := &http.Server{Handler: p, ConnContext: p.ConnContext, ReadHeaderTimeout: testTimeout}
--- a/proxy/pipeline/recorder.go
+++ b/proxy/pipeline/recorder.go
@@ -25,13 +25,14 @@
 	sent      http.Header
 	status    int
 	kept      []byte
-	done      bool // the handler has returned
-	aborted   bool // the handler broke off the response
-	abandoned bool // nobody will take the response
+	held      account // for earlyBytes, kept and the part that copyTo writes
+	done      bool    // the handler has returned
+	aborted   bool    // the handler broke off the response
+	abandoned bool    // nobody will take the response
 }
 
 func newRecorder(cancel func()) *recorder {
-	rec := &recorder{cancel: cancel, header: http.Header{}}
+	rec := &recorder{cancel: cancel, header: http.Header{}, held: account{budget: unlimited{}}}
 	rec.changed = sync.NewCond(&rec.mu)
 	return rec
 }
@@ -59,7 +60,7 @@
 	rec.mu.Lock()
 	defer rec.mu.Unlock()
 	rec.writeHeader(http.StatusOK)
-	for len(rec.kept) >= maxKeptBytes && !rec.abandoned {
+	for !rec.abandoned && !rec.makeRoom(len(p)) {
 		rec.changed.Wait()
 	}
 	if rec.abandoned {
@@ -70,6 +71,20 @@
 	return len(p), nil
 }
 
+// makeRoom reports whether n bytes more may be kept, and takes them from the budget. What is written when nothing is kept is accepted
+// also where the budget has no room, so that the response goes on when it is its turn. The caller holds mu.
+func (rec *recorder) makeRoom(n int) bool {
+	switch {
+	case len(rec.kept) == 0:
+		rec.held.set(rec.held.n + int64(n))
+		return true
+	case len(rec.kept) >= maxKeptBytes:
+		return false
+	default:
+		return rec.held.reserve(int64(n))
+	}
+}
+
 // Flush implements http.Flusher. What was written is taken as soon as it is the turn of the response.
 func (rec *recorder) Flush() {}
 
@@ -94,9 +109,17 @@
 	defer rec.mu.Unlock()
 	rec.abandoned = true
 	rec.kept = nil
+	rec.held.set(0)
 	rec.changed.Broadcast()
 }
 
+// written returns the bytes of a part that copyTo has written.
+func (rec *recorder) written(n int) {
+	rec.mu.Lock()
+	defer rec.mu.Unlock()
+	rec.held.set(max(rec.held.n-int64(n), 0))
+}
+
 // next waits for the next part of the response. It returns the header with the first part; ended is true after the last.
 func (rec *recorder) next(first bool) (header http.Header, status int, part []byte, ended, aborted bool) {
 	rec.mu.Lock()
@@ -130,6 +153,7 @@
 				rec.abandon()
 				panic(http.ErrAbortHandler)
 			}
+			rec.written(len(part))
 		}
 		if ended && aborted {
 			panic(http.ErrAbortHandler)
