proxy: connection buffers and pipelined responses count toward the byte budget

Cause: the reader and writer of net/http (8 KiB for each connection) and the receive windows of HTTP/2 (1 MiB for each connection by default, filled by a caller whether or not a handler reads) were in no account. Change: each connection of a listener counts 8 KiB (ConnState), and one of HTTP/2 also its window and its frame buffer while a request with a body is served on it. The window is 256 KiB and the largest frame 16 KiB, so that the count is a bound. Connections take up at most half of the budget: idle ones cost their callers nothing and would otherwise leave no room for uploads. The pipelines of the caller listener use the budget; like reading ahead, an early start leaves half of it to new requests. CountConn is a method of the budget now, and TestOneConnectionHoldsAPartOnly calls it as such.

--- a/node/listeners.go
+++ b/node/listeners.go
@@ -90,6 +90,7 @@
 	var pipelined *pipeline.Pipeline
 	if name == "caller" && tlsConfig == nil {
 		pipelined = pipeline.New(h, n.entry.Repeatable, n.logPanic)
+		pipelined.SetBudget(n.bytes)
 		listener = pipelined.Listener(listener)
 		h = pipelined
 	}
@@ -100,6 +101,8 @@
 		IdleTimeout:       keepAliveTimeout,
 		MaxHeaderBytes:    n.opts.MaxHeaderBytes,
 		Protocols:         protocols,
+		HTTP2:             proxy.HTTP2Config(),
+		ConnState:         n.bytes.ConnState,
 		ErrorLog:          n.opts.Log.Std("", 0),
 	}
 	if name == "caller" {
@@ -110,7 +113,7 @@
 			if pipelined != nil {
 				ctx = pipelined.ConnContext(ctx, c)
 			}
-			return proxy.CountConn(ctx)
+			return n.bytes.CountConn(ctx)
 		}
 	}
 	if tlsConfig != nil {
--- a/proxy/bodybytes.go
+++ b/proxy/bodybytes.go
@@ -57,17 +57,13 @@
 
 // connBytes is what the requests of one connection of a caller hold.
 type connBytes struct {
-	held int64 // guarded by the budget's mu
+	budget *ByteBudget
+	held   int64 // guarded by the budget's mu
+	bodies int   // requests with a body in progress on an HTTP/2 connection; guarded by the budget's mu
 }
 
 type connBytesKey struct{}
 
-// CountConn returns a context for a connection whose requests are counted together. The limit applies to requests with contexts
-// derived from it.
-func CountConn(ctx context.Context) context.Context {
-	return context.WithValue(ctx, connBytesKey{}, &connBytes{})
-}
-
 // reserve takes n bytes for a new request on a connection, which may be nil; nil if they do not fit.
 func (b *ByteBudget) reserve(n int64, conn *connBytes) *byteCharge {
 	c := &byteCharge{budget: b, conn: conn}
@@ -171,8 +167,7 @@
 	if n == 0 {
 		return nil, nil
 	}
-	conn, _ := ctx.Value(connBytesKey{}).(*connBytes)
-	charge := b.orUnlimited().reserve(n, conn)
+	charge := b.orUnlimited().reserve(n, connOf(ctx))
 	if charge != nil {
 		return charge, nil
 	}
--- a/proxy/bodybytes_test.go
+++ b/proxy/bodybytes_test.go
@@ -99,7 +99,8 @@
 
 // Guards against one connection, as of HTTP/2, whose uploads use up the room of all others.
 func TestOneConnectionHoldsAPartOnly(t *testing.T) {
-	budget, ctx := NewByteBudget(400<<10), CountConn(t.Context())
+	budget := NewByteBudget(400 << 10)
+	ctx := budget.CountConn(t.Context())
 	var charges []*byteCharge
 	reserve := func(ctx context.Context, n int64) bool {
 		charge, refusal := budget.reserveBody(ctx, n, "test")
@@ -109,7 +110,7 @@
 	assert.Assert(t, reserve(ctx, 60<<10))
 	assert.Assert(t, !reserve(ctx, 60<<10))
 	assert.Assert(t, reserve(ctx, 40<<10))
-	assert.Assert(t, reserve(CountConn(t.Context()), 200<<10), "another connection, with a large first request")
+	assert.Assert(t, reserve(budget.CountConn(t.Context()), 200<<10), "another connection, with a large first request")
 	for _, charge := range charges {
 		charge.free()
 	}
--- a/proxy/bytebudget/bytebudget.go
+++ b/proxy/bytebudget/bytebudget.go
@@ -1,4 +1,4 @@
-// Package bytebudget accounts for the bytes of bodies that a process holds. It is pure: it has no clock, lock or I/O.
+// Package bytebudget accounts for the bytes of bodies and connection buffers that a process holds. It is pure: it has no clock, lock or I/O.
 package bytebudget
 
 const (
@@ -13,6 +13,9 @@
 	// connShare is the share of the limit that the requests of one connection may hold: 1/4. HTTP/2 carries hundreds of requests on
 	// one connection, which would use up the room of all others.
 	connShare = 4
+	// connsShare is the share of the limit that the buffers of connections take up at most: 1/2. Idle connections cost their callers
+	// nothing, and without a bound they would leave no room for bodies.
+	connsShare = 2
 )
 
 // DefaultLimit returns the limit of a process whose memory is limited to the given number of bytes.
@@ -22,6 +25,7 @@
 // servers read slowly: new uploads are refused before they use up the memory, and what has begun continues with little.
 type Budget struct {
 	limit, held int64
+	conns       int64 // buffers of connections
 }
 
 // New returns a Budget of limit bytes.
@@ -35,7 +39,7 @@
 
 func (b *Budget) reserve(n, limit int64) bool {
 	// The difference cannot overflow, whatever length a caller declares.
-	if n < 0 || n > limit-b.held {
+	if n < 0 || n > limit-b.Held() {
 		return false
 	}
 	b.held += n
@@ -57,8 +61,15 @@
 // Release returns n bytes.
 func (b *Budget) Release(n int64) { b.held = max(b.held-max(n, 0), 0) }
 
-// Held returns the bytes held now.
-func (b *Budget) Held() int64 { return b.held }
+// TakeConn takes n bytes for the buffers of a connection, which exist whether or not there is room. The load pattern is a burst of new
+// connections: it leaves less room for bodies, but never less than half of the limit.
+func (b *Budget) TakeConn(n int64) { b.conns += max(n, 0) }
+
+// ReleaseConn returns n bytes of TakeConn.
+func (b *Budget) ReleaseConn(n int64) { b.conns = max(b.conns-max(n, 0), 0) }
+
+// Held returns the bytes held now. Buffers of connections beyond their share are left out.
+func (b *Budget) Held() int64 { return b.held + min(b.conns, b.limit/connsShare) }
 
 // Limit returns the limit in bytes.
 func (b *Budget) Limit() int64 { return b.limit }
--- a/proxy/bytebudget/bytebudget_test.go
+++ b/proxy/bytebudget/bytebudget_test.go
@@ -52,3 +52,21 @@
 	assert.Equal(t, DefaultLimit(184<<20), int64(46<<20))
 	assert.Equal(t, DefaultLimit(16<<20), int64(MinLimit))
 }
+
+// Guards against connections that are not counted, that are still counted after their end, or that leave no room for bodies.
+func TestConnectionsCountUpToHalf(t *testing.T) {
+	b := New(1000)
+	b.TakeConn(300)
+	assert.Equal(t, b.Held(), int64(300))
+	assert.Assert(t, !b.Reserve(701))
+	assert.Assert(t, !b.ReserveReadAhead(201))
+	b.TakeConn(1 << 40)
+	assert.Equal(t, b.Held(), int64(500))
+	assert.Assert(t, b.Reserve(500))
+	assert.Assert(t, !b.Reserve(1))
+	b.ReleaseConn(1 << 40)
+	assert.Equal(t, b.Held(), int64(800))
+	b.ReleaseConn(300)
+	b.Release(500)
+	assert.Equal(t, b.Held(), int64(0))
+}
--- a/proxy/sender.go
+++ b/proxy/sender.go
@@ -48,7 +48,11 @@
 	}
 	watched = r.WithContext(r.Context())
 	watched.Body = b
-	return watched, b.end
+	endBody := connOf(r.Context()).beginBody(r)
+	return watched, func() {
+		b.end()
+		endBody()
+	}
 }
 
 // limitReads ends reads of a watched body at the deadline. A deadline of zero leaves only bodyStallTimeout.
