proxy: a caller that reads slowly holds no slot after the deadline

Cause: a response with more than 1 MiB left kept its slot until its caller had read it. Only each write of 32 KiB has a time limit (10 s), so a caller may take 3.2 KB/s: 9 hours for 100 MiB. Change: from the deadline of the request on, such a response is read ahead also where its reader makes no pauses, and its slot is free when the backend server has waited for the reader for 20 ms in total. The response goes on. The response keeps its connection, so a slot is freed only while a connection remains for each slot (connections above slots); otherwise the next request would wait for one. A response that is broken off later still counts for the circuit breaker.

--- a/proxy/readahead.go
+++ b/proxy/readahead.go
@@ -15,7 +15,7 @@
 	// that keeps up writes 32 KiB into a socket buffer in far less, so it costs no copy; a full socket buffer takes longer to drain.
 	readAheadDelay = 20 * time.Millisecond
 	// maxReadAhead is the number of bytes of one response that are held for a slow reader. A backend server whose response has more
-	// left keeps its slot until the reader has read up to there.
+	// left keeps its slot until the reader has read up to there, or until the deadline of the request has passed (freeSlotAt).
 	maxReadAhead = 1 << 20
 )
 
@@ -29,13 +29,18 @@
 	charge   *byteCharge
 	deadline time.Time // no bytes are delivered after it; zero where there is none
 	pause    *time.Timer
+	// overdueTimer fires at the deadline of the request; nil where the slot is kept until the end.
+	overdueTimer *time.Timer
 
 	mu      sync.Mutex // guards the fields below
 	changed sync.Cond
 	started bool // a goroutine reads inner
 	closed  bool
 	chunks  []*aheadChunk
-	err     error // how inner ended, after all chunks
+	err     error         // how inner ended, after all chunks
+	overdue bool          // the deadline of the request has passed
+	waited  time.Duration // since then, for the reader
+	free    func() bool   // frees the slot; nil afterwards
 }
 
 // aheadChunk is a part of a response that was read ahead: data[r:w]. The goroutine that reads ahead fills the last one.
@@ -157,7 +162,7 @@
 			b.chunks = append(b.chunks, c)
 			return c
 		}
-		b.changed.Wait()
+		b.awaitReader()
 	}
 	return nil
 }
@@ -178,6 +183,9 @@
 // Close ends the response. The goroutine that reads ahead ends as well, because inner is closed.
 func (b *readAheadBody) Close() error {
 	b.pause.Stop()
+	if b.overdueTimer != nil {
+		b.overdueTimer.Stop()
+	}
 	// Before the lock: a read in progress ends with the exchange.
 	err := b.inner.Close()
 	b.mu.Lock()
--- a/proxy/run.go
+++ b/proxy/run.go
@@ -113,6 +113,7 @@
 		result = admission.Cancelled
 	}
 	nested := tracked.end(result)
+	slotHold := &streamSlot{held: held, latency: latency - nested, result: result}
 	stopWatch := func() bool { return true }
 	release := func(whole bool) {
 		stopWatch()
@@ -125,7 +126,7 @@
 			result = admission.Failed
 		}
 		held.version.end(result, !whole, latency-nested)
-		held.release(latency-nested, result)
+		slotHold.end(result)
 	}
 	if whole {
 		// The backend server has finished the request.
@@ -138,6 +139,7 @@
 	stopWatch = context.AfterFunc(callerCtx, cancel)
 	rest := &prefixedBody{Reader: io.MultiReader(bytes.NewReader(body), resp.Body), Closer: resp.Body}
 	stream := newReadAheadBody(newResponseBody(rest, req.BodyDeadline, cancel, release), charge, req.BodyDeadline)
+	stream.freeSlotAt(req.Deadline, slotHold.free)
 	return g.response(resp, stream, resp.ContentLength, held, latency, req), nil
 }
 
--- a/proxy/server.go
+++ b/proxy/server.go
@@ -55,6 +55,8 @@
 	work serverWork
 	// running holds the requests that wait for a response.
 	running map[*runningRequest]struct{}
+	// unslotted is the number of responses in progress whose slot is free.
+	unslotted int
 }
 
 // waitResult ends the wait of a queued request, with either a grant or a refusal.
