proxy: a gate logs the refusals of requests whose body it does not read

Cause: a gate refuses for lack of memory, or after a stalled body, before its handler calls the gate, which logs the other refusals. Only the entry had a line, and only if its caller got the refusal. Change: the handler has the gate log these as well ("gate: refused request." with the reason, the load and the configuration version). What the entry receives is unchanged. Result: TestGateLogsRefusalForLackOfMemory passes, and fails without the call.

--- a/proxy/gatehttp.go
+++ b/proxy/gatehttp.go
@@ -38,6 +38,7 @@
 			refusal = notRunRefusal(http.StatusBadRequest, ReasonBadRequest, "parse")
 			refusal.Err = err
 		}
+		h.logRefusal(req, refusal)
 		writeGateRefusal(w, r.Header.Get(HeaderRequestID), refusal)
 		return
 	}
