proxy: more of a response is read ahead where only its end frees the slot

Cause: where a service has as many connections as slots, as on the platform, a response that is read slowly keeps its slot after the deadline: its connection is the one of the slot. Change: such a response may then hold up to a quarter of the budget instead of 1 MiB, within the half that is for reading ahead. If it fits, the backend server ends it and the slot is free; a longer one keeps its slot as before. Result: TestSlotIsKeptAfterTheDeadline: of 8 MiB through one connection for one slot, the slot is free with a budget of 64 MiB and kept with 4 MiB; all bytes arrive. go test -race -count=5 -run 'TestSlotIs|ReadAhead|SlowReader|BrokenResponse' ./proxy passes.

--- a/proxy/bytebudget/bytebudget.go
+++ b/proxy/bytebudget/bytebudget.go
@@ -13,6 +13,9 @@
 	// connShare is the share of the limit that the requests of one connection may hold: 1/4. HTTP/2 carries hundreds of requests on
 	// one connection, which would use up the room of all others.
 	connShare = 4
+	// restShare is the share of the limit that one response may hold once its slot depends on its end: 1/4, so that two of them do not
+	// take up what is for all others.
+	restShare = 4
 	// connsShare is the share of the limit that the buffers of connections take up at most: 1/2. Idle connections cost their callers
 	// nothing, and without a bound they would leave no room for bodies.
 	connsShare = 2
@@ -37,6 +40,12 @@
 // ReserveReadAhead takes n bytes to read a response ahead of its reader. Unlike Reserve, it leaves room for new work.
 func (b *Budget) ReserveReadAhead(n int64) bool { return b.reserve(n, b.limit/readAheadShare) }
 
+// ReserveRest takes n bytes to read the rest of a response that holds responseHeld bytes. The load pattern is a few long responses whose
+// callers read slowly, at a backend server that has no connection beside those of its slots.
+func (b *Budget) ReserveRest(n, responseHeld int64) bool {
+	return n <= b.limit/restShare-responseHeld && b.ReserveReadAhead(n)
+}
+
 func (b *Budget) reserve(n, limit int64) bool {
 	// The difference cannot overflow, whatever length a caller declares.
 	if n < 0 || n > limit-b.Held() {
--- a/proxy/bytebudget/bytebudget_test.go
+++ b/proxy/bytebudget/bytebudget_test.go
@@ -70,3 +70,13 @@
 	b.Release(500)
 	assert.Equal(t, b.Held(), int64(0))
 }
+
+// Guards against one long response that takes up the room of all others that are read ahead.
+func TestRestOfOneResponse(t *testing.T) {
+	b := New(1000)
+	assert.Assert(t, b.ReserveRest(250, 0))
+	assert.Assert(t, !b.ReserveRest(1, 250))
+	assert.Assert(t, b.ReserveRest(200, 0))
+	assert.Assert(t, !b.ReserveRest(51, 199), "more than half of the budget")
+	assert.Equal(t, b.Held(), int64(450))
+}
--- a/proxy/readahead.go
+++ b/proxy/readahead.go
@@ -41,6 +41,7 @@
 	overdue bool          // the deadline of the request has passed
 	waited  time.Duration // since then, for the reader
 	free    func() bool   // frees the slot; nil afterwards
+	rest    bool          // the slot is free only when inner has ended, so more than maxReadAhead may be held
 }
 
 // aheadChunk is a part of a response that was read ahead: data[r:w]. The goroutine that reads ahead fills the last one.
@@ -169,7 +170,11 @@
 
 // newChunk returns an empty chunk, or nil if there is no room for one. The caller holds mu.
 func (b *readAheadBody) newChunk() *aheadChunk {
-	if (len(b.chunks)+1)*copyBufferBytes <= maxReadAhead && b.charge.grow(copyBufferBytes, (*bytebudget.Budget).ReserveReadAhead) {
+	reserve := (*bytebudget.Budget).ReserveReadAhead
+	if (len(b.chunks)+1)*copyBufferBytes > maxReadAhead {
+		reserve = b.reserveRest
+	}
+	if b.charge.grow(copyBufferBytes, reserve) {
 		pooled := copyBuffers.Get().(*[copyBufferBytes]byte)
 		return &aheadChunk{data: pooled[:], pooled: pooled}
 	}
--- a/proxy/slowreader_test.go
+++ b/proxy/slowreader_test.go
@@ -93,7 +93,7 @@
 // while it is still working on a response whose reader keeps up.
 func TestSlotIsKeptAfterTheDeadline(t *testing.T) {
 	const deadline = 300 * time.Millisecond
-	run := func(t *testing.T, connections int, h http.HandlerFunc) (*testVM, *Response) {
+	run := func(t *testing.T, connections int, budget int64, h http.HandlerFunc) (*testVM, *Response) {
 		v := newFleetView(t, 1)
 		service, _ := NewFleet(v).Service("svc")
 		service.Connections = connections
@@ -102,27 +102,38 @@
 		change.SetDefaults()
 		v.apply(t, state.Command{Operator: "test", Apply: &state.ApplyChange{Change: change, ContentHash: change.Hash()}})
 		m := newSingleVM(t, v, newBackend(t, h))
+		m.setBytes(budget)
 		req := newTestRequest(t, "a")
 		req.Deadline = time.Now().Add(deadline)
 		resp, err := m.gate.Run(t.Context(), req)
 		assert.NilError(t, err)
 		return m, resp
 	}
-	t.Run("no spare connection", func(t *testing.T) {
-		t.Parallel()
-		text := numberedBytes(4 << 20)
-		m, resp := run(t, 1, func(w http.ResponseWriter, _ *http.Request) { w.Write(text) })
-		time.Sleep(2 * deadline)
-		assert.Equal(t, m.gate.Load("svc").InFlight, 1)
-		n := readSlowly(t, resp.Body, copyBufferBytes, 0, func() bool { return true })
-		assert.Equal(t, n, len(text))
-		resp.Body.Close()
-		assert.Equal(t, m.gate.Load("svc").InFlight, 0)
-	})
+	for _, test := range []struct {
+		desc   string
+		budget int64
+		slots  int // in use after the deadline
+	}{
+		{"no spare connection, room for the rest", 64 << 20, 0},
+		{"no spare connection", 4 << 20, 1},
+	} {
+		t.Run(test.desc, func(t *testing.T) {
+			t.Parallel()
+			text := numberedBytes(8 << 20) // more than fits into socket buffers
+			m, resp := run(t, 1, test.budget, func(w http.ResponseWriter, _ *http.Request) { w.Write(text) })
+			time.Sleep(2 * deadline)
+			eventually(t, "the rest is read", func() bool { return m.gate.Load("svc").InFlight == test.slots })
+			n := readSlowly(t, resp.Body, copyBufferBytes, 0, func() bool { return true })
+			assert.Equal(t, n, len(text))
+			resp.Body.Close()
+			assert.Equal(t, m.gate.Load("svc").InFlight, 0)
+			assert.Equal(t, m.gate.opts.Bytes.Held(), int64(0))
+		})
+	}
 	t.Run("slow backend server", func(t *testing.T) {
 		t.Parallel()
 		text := numberedBytes(maxReadAhead / 2)
-		m, resp := run(t, 2, func(w http.ResponseWriter, _ *http.Request) {
+		m, resp := run(t, 2, 64<<20, func(w http.ResponseWriter, _ *http.Request) {
 			for part := range slices.Chunk(text, len(text)/20) {
 				w.Write(part)
 				w.(http.Flusher).Flush()
--- a/proxy/streamslot.go
+++ b/proxy/streamslot.go
@@ -7,6 +7,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"rosemaryline.dev/admission"
+	"rosemaryline.dev/proxy/bytebudget"
 )
 
 var slotsFreedAtDeadline = metrics.NewCounter("rosemaryline_slots_freed_at_deadline_total")
@@ -23,7 +24,8 @@
 }
 
 // free releases the slot before the end of the response. It returns false where the backend server has no connection to spare: the
-// response keeps its own, and a request with the slot would wait for one.
+// response keeps its own, and a request with the slot would wait for one. The slot is then free at the end of the response, of which
+// more is read ahead.
 func (s *streamSlot) free() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -108,6 +110,13 @@
 		b.waited = 0
 		if b.free() {
 			b.free = nil
+		} else {
+			b.rest = true
 		}
 	}
 }
+
+// reserveRest takes n bytes beyond maxReadAhead. The caller holds mu and that of the budget.
+func (b *readAheadBody) reserveRest(account *bytebudget.Budget, n int64) bool {
+	return b.rest && account.ReserveRest(n, b.charge.n)
+}
