--- a/proxy/run.go
+++ b/proxy/run.go
@@ -113,7 +113,7 @@
 		result = admission.Cancelled
 	}
 	nested := tracked.end(result)
-	slotHold := &streamSlot{held: held, latency: latency - nested, result: result}
+	slotHold := &streamSlot{request: req.ID, held: held, latency: latency - nested, result: result}
 	stopWatch := func() bool { return true }
 	release := func(whole bool) {
 		stopWatch()
--- a/proxy/sender_test.go
+++ b/proxy/sender_test.go
@@ -79,12 +79,13 @@
 	}
 }
 
-// Guards against a stalled sender that delays the response to a request whose body is streamed, and against a deadline of a read that
-// ends requests which follow, or wait for their backend server, for longer than bodyStallTimeout.
+// Guards against a deadline of a read that ends a request which waits for its backend server for longer than bodyStallTimeout, or the
+// next one of the connection.
 func TestDeadlinesOfReadsEndWithTheRead(t *testing.T) {
+	t.Parallel()
 	b := newBackend(t, func(w http.ResponseWriter, r *http.Request) {
 		n, _ := io.Copy(io.Discard, r.Body)
-		if n == 2 {
+		if n > 0 {
 			time.Sleep(bodyStallTimeout + 200*time.Millisecond)
 		}
 		fmt.Fprint(w, n, " bytes")
@@ -101,8 +102,15 @@
 		assert.Equal(t, string(text), want)
 		io.WriteString(conn, head+"0\r\n\r\n")
 	}
-	conn = rawConn(t, addressOf(m.caller), head+"600000\r\n\r\n"+strings.Repeat("b", 100<<10))
+}
+
+// Guards against a stalled sender that delays the response to a request whose body is streamed: net/http waits for a read in progress.
+func TestStreamedBodyThatStalls(t *testing.T) {
+	t.Parallel()
+	m := newSingleVM(t, newFleetView(t, 4), newBackend(t, nil))
 	began := time.Now()
+	conn := rawConn(t, addressOf(m.caller), "POST /once HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer red-key\r\nContent-Length: 600000\r\n\r\n"+
+		strings.Repeat("b", 100<<10))
 	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
 	assert.NilError(t, err)
 	assert.Equal(t, resp.Header.Get(HeaderOutcome), string(OutcomeUnknown))
--- a/proxy/streamslot.go
+++ b/proxy/streamslot.go
@@ -15,6 +15,7 @@
 // streamSlot is the slot of a request whose response is passed on. It is released with the end of the response, or by free while the
 // response goes on.
 type streamSlot struct {
+	request string // its ID
 	held    *slot
 	latency time.Duration
 	result  admission.Result // as the status of the response tells it
@@ -37,6 +38,9 @@
 	}
 	s.freed = true
 	slotsFreedAtDeadline.Inc()
+	server := s.held.server
+	server.log.Info().Str("request", s.request).Str("server", server.name).Str("service", server.service).
+		Msg("gate: freed the slot of a response that its caller reads slowly.")
 	s.held.release(s.latency, s.result)
 	return true
 }
