proxy: a refusal does not wait for a sender that stalls

Cause: net/http reads up to 256 KiB of a body that the handler has not read before it sends the response. A caller that was refused before its body was read (its key, lack of memory) and then stalled got the refusal after the read timeout of the listener, 2 minutes. Change: that takes at most 2 s (bodyStallTimeout) after the end of the handler. Then the refusal is sent and the connection is closed. A connection whose body arrives in that time goes on as before.

--- a/proxy/sender.go
+++ b/proxy/sender.go
@@ -34,6 +34,7 @@
 	mu             sync.Mutex // guards the fields below
 	deadline       time.Time  // of the reads, beside bodyStallTimeout; zero where there is none
 	reading, ended bool
+	over           bool // nothing more is to be read: the body has ended, or its sender stalled
 }
 
 // watchSender returns a copy of a request with a body whose reads do not wait for a stalled sender. The handler must call end before it
@@ -118,18 +119,24 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.reading = false
+	b.over = b.over || err != nil
 	if !b.ended && !isStall(err) {
 		_ = b.controller.SetReadDeadline(b.whole)
 	}
 }
 
 // end ends a read that is still in progress, for which net/http would wait before it sends the response, and fails later ones: the
-// connection may then serve another request.
+// connection may then serve another request. Of a body that was not read, net/http reads up to 256 KiB before it sends the response;
+// that takes no longer than bodyStallTimeout.
 func (b *senderBody) end() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.reading && !b.ended {
+	switch {
+	case b.ended || b.over:
+	case b.reading:
 		_ = b.controller.SetReadDeadline(time.Unix(1, 0))
+	default:
+		_ = b.controller.SetReadDeadline(time.Now().Add(bodyStallTimeout))
 	}
 	b.ended = true
 }
--- a/proxy/sender_test.go
+++ b/proxy/sender_test.go
@@ -118,6 +118,31 @@
 	eventually(t, "the slot is free", func() bool { return m.gate.Load("svc").InFlight == 0 })
 }
 
+// Guards against a sender that is refused before its body is read, and gets the refusal only when it has sent the body: net/http reads it
+// first.
+func TestRefusedSenderThatStalls(t *testing.T) {
+	t.Parallel()
+	m := newSingleVM(t, newFleetView(t, 4), newBackend(t, nil))
+	m.setBytes(1 << 10)
+	for key, status := range map[string]int{"wrong-key": http.StatusUnauthorized, "red-key": http.StatusServiceUnavailable} {
+		began := time.Now()
+		conn := rawConn(t, addressOf(m.caller), "POST /once HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer "+key+"\r\nContent-Length: 60000\r\n\r\npart")
+		resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		assert.NilError(t, err)
+		assert.Equal(t, resp.StatusCode, status)
+		assert.Assert(t, time.Since(began) < bodyStallTimeout+time.Second, "took %s", time.Since(began))
+	}
+	conn := rawConn(t, addressOf(m.caller), "POST /once HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\n")
+	reader := bufio.NewReader(conn)
+	for _, next := range []string{"part", "POST /once HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\npart"} {
+		io.WriteString(conn, next)
+		resp, err := http.ReadResponse(reader, nil)
+		assert.NilError(t, err, "the connection goes on after a body that arrives")
+		_, err = io.Copy(io.Discard, resp.Body)
+		assert.NilError(t, err)
+	}
+}
+
 // Guards against a stalled stream of an HTTP/2 connection that ends its other streams.
 func TestStalledStream(t *testing.T) {
 	b := newBackend(t, nil)
