shares: an owner that was frozen or cut off begins anew

Cause: after an interruption of more than 2 s, the slots of all VMs that had been told of the shortage did not count, and the service still counted as short. The first report was compared with the slots of the VM that sent it; from an entry without slots, the decision was a share of 0 for everybody.

Change: an owner whose decisions have all expired, or that hears less than half of the processes that it told of the shortage, treats the service as not short for a second, as a new owner does.

Measured: TestInterruptedOwnerBeginsAnew (frozen, cut off) fails without the change (short, capacity 0 of 12) and passes with it; go test ./shares passes.

--- a/shares/decider.go
+++ b/shares/decider.go
@@ -240,6 +240,9 @@
 	elapsed := now - d.decidedAt
 	d.decidedAt = now
 	d.forget(now)
+	if d.status.Short && d.cutOff(now, elapsed) {
+		d.restart(now)
+	}
 	demand := d.sum(now, elapsed)
 	d.updateShort(now)
 	next := Decision{Service: d.cfg.Service, Sequence: d.decision.Sequence + 1, Short: d.status.Short}
