shares: a decision is valid from the sending of the report that it answers

Cause: entries counted the 1.5 s from the arrival of a reply, which may be delayed by the 500 ms of the call. An entry could refuse requests for 2 s after the owner was gone, and a late reply of a former owner whose clock is ahead replaced that of the next one.

Change: the validity begins when the report is taken, and replies to earlier reports than that of the present decision are ignored. Shares.Receive gets that time.

Measured: TestDelayedDecisionsExpireInTime; go test ./shares, go test ./proxy -run 'Share|Reports' pass.

--- a/node/shares.go
+++ b/node/shares.go
@@ -99,15 +99,16 @@
 			byOwner[address] = append(byOwner[address], service)
 		}
 	}
+	asked := c.clock()
 	if len(own) > 0 {
-		c.shares.Receive(c.decide(c.shares.TakeReports(own)))
+		c.shares.Receive(asked, c.decide(c.shares.TakeReports(own)))
 	}
 	for address, services := range byOwner {
 		if !c.begin(address) {
 			continue
 		}
 		reports := c.shares.TakeReports(services[:min(len(services), maxSharesReports)])
-		if !spawn(c.tomb, func() { c.send(address, reports) }) {
+		if !spawn(c.tomb, func() { c.send(address, asked, reports) }) {
 			return
 		}
 	}
@@ -123,9 +124,9 @@
 	return true
 }
 
-// send sends reports to an owner in another process. Without a reply the present decisions expire, and the entry admits
+// send sends reports that were taken at the time asked to an owner in another process. Without a reply the present decisions expire, and the entry admits
 // everything.
-func (c *capacityShares) send(address string, reports []shares.Report) {
+func (c *capacityShares) send(address string, asked time.Duration, reports []shares.Report) {
 	ctx, cancel := context.WithTimeout(c.tomb.Context(context.Background()), sharesTimeout)
 	defer cancel()
 	var decisions []shares.Decision
@@ -135,7 +136,7 @@
 	c.mu.Unlock()
 	c.deps.recordResult(roleSharesOwner, address, err)
 	if err == nil {
-		c.shares.Receive(decisions)
+		c.shares.Receive(asked, decisions)
 	}
 }
 
--- a/proxy/shares.go
+++ b/proxy/shares.go
@@ -300,14 +300,13 @@
 	return reports
 }
 
-// Receive applies decisions of the owners of services.
-func (s *Shares) Receive(decisions []shares.Decision) {
+// Receive applies decisions of the owners of services, in the reply to reports that were taken at the time asked.
+func (s *Shares) Receive(asked time.Duration, decisions []shares.Decision) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := s.clock()
 	for _, d := range decisions {
 		if state, ok := s.services[d.Service]; ok {
-			state.admitter.Receive(now, d)
+			state.admitter.Receive(asked, d)
 		}
 	}
 }
--- a/proxy/shares_test.go
+++ b/proxy/shares_test.go
@@ -26,7 +26,7 @@
 	s := NewShares("vm1", 1, NewClock(), NewFleet(v))
 	m := newSingleVM(t, v, b, func(o *EntryOptions) { o.Shares = s })
 	s.refused("svc", Reason(admission.ReasonFull))
-	s.Receive([]shares.Decision{{Service: "svc", Sequence: 1, Short: true, Ranks: []shares.Rank{{Share: 0}}, RetryAfterMs: 4000}})
+	s.Receive(s.clock(), []shares.Decision{{Service: "svc", Sequence: 1, Short: true, Ranks: []shares.Rank{{Share: 0}}, RetryAfterMs: 4000}})
 	return m, s
 }
 
--- a/shares/admitter.go
+++ b/shares/admitter.go
@@ -9,20 +9,22 @@
 type Admitter struct {
 	cfg      Config
 	decision Decision
-	at       time.Duration
+	at       time.Duration // when the report was sent that the decision answers
 	received bool
 }
 
 // NewAdmitter returns an Admitter without a decision, which admits everything.
 func NewAdmitter(cfg Config) *Admitter { return &Admitter{cfg: cfg.withDefaults()} }
 
-// Receive stores a decision. While a decision is valid, those with the same or a lower sequence are ignored: they are
-// repeated, late, or come from a former owner.
-func (a *Admitter) Receive(now time.Duration, d Decision) {
-	if a.valid(now) && d.Sequence <= a.decision.Sequence {
+// Receive stores the decision in the reply to a report that was sent at the time asked. The decision is valid from then on:
+// counted from its arrival, a delayed reply would bind the entry for longer after the owner is gone. Replies to earlier
+// reports than that of the stored decision are ignored, because they are late and perhaps from a former owner. While a
+// decision is valid, those with the same or a lower sequence are ignored too.
+func (a *Admitter) Receive(asked time.Duration, d Decision) {
+	if a.received && asked < a.at || a.valid(asked) && d.Sequence <= a.decision.Sequence {
 		return
 	}
-	a.decision, a.at, a.received = d, now, true
+	a.decision, a.at, a.received = d, asked, true
 }
 
 func (a *Admitter) valid(now time.Duration) bool { return a.received && now-a.at <= a.cfg.ValidFor }
--- a/shares/isolation_test.go
+++ b/shares/isolation_test.go
@@ -38,3 +38,16 @@
 		})
 	}
 }
+
+// Guards against a decision that binds an entry for longer than 1.5 s after its owner could make it, because the reply was
+// delayed, and against one of a former owner, whose clock may be ahead, that arrives after one of the next owner.
+func TestDelayedDecisionsExpireInTime(t *testing.T) {
+	a := NewAdmitter(Config{})
+	refuseAll := Decision{Sequence: 9, Short: true, Ranks: []Rank{{Share: 0}}}
+	a.Receive(0, refuseAll)
+	assert.Assert(t, a.Short(DefaultValidFor) && !a.Short(DefaultValidFor+1))
+	a.Receive(2*time.Second, Decision{Sequence: 1})
+	refuseAll.Sequence++
+	a.Receive(time.Second, refuseAll)
+	assert.Assert(t, !a.Short(2*time.Second+1), "a late decision of the former owner is used")
+}
--- a/shares/shares.go
+++ b/shares/shares.go
@@ -35,7 +35,7 @@
 	WorkMs   int64   `json:"workMs"`
 }
 
-// Decision holds what entries may admit. An entry uses it for Config.ValidFor after its arrival.
+// Decision holds what entries may admit. An entry uses it for Config.ValidFor after it sent the report.
 type Decision struct {
 	Service  string `json:"service"`
 	Sequence uint64 `json:"sequence"`
@@ -70,7 +70,7 @@
 	FirstSequence uint64
 	// Start is when the process became the owner of the service.
 	Start time.Duration
-	// ValidFor is how long an entry uses a decision after its arrival. Default: 1.5 s, three reports.
+	// ValidFor is how long an entry uses a decision after it sent the report. Default: 1.5 s, three reports.
 	ValidFor time.Duration
 }
 
