proxy: an entry whose requests wait for slots reports the service

Cause: while a service is short, the owner keeps the queues of the gates short, so that they refuse little. An entry without backend servers of its own then sees no refusal, does not report, and admits everything: a team that enters only there is not counted as demand.

Change: a response to a request that waited 100 ms or more for a slot counts as pressure, as a refusal for lack of capacity does.

TestWaitingRequestsAreReported fails without the call in the router.

--- a/proxy/router.go
+++ b/proxy/router.go
@@ -626,6 +626,7 @@
 	}
 	r.loads.report(vm, req.Service, resp.Load, now)
 	r.updateWork(vm, req, resp, now)
+	r.opts.Shares.waited(req.Service, resp.Timing.Queue)
 	if vm != r.opts.VM {
 		r.opts.Shares.ran(req, resp.Timing.Backend)
 	}
--- a/proxy/shares.go
+++ b/proxy/shares.go
@@ -22,7 +22,7 @@
 	// ReasonShare is the reason of a refusal because the team and priority have no larger share of a service that is short of
 	// capacity.
 	ReasonShare Reason = "share"
-	// pressureTime is how long a service counts as under pressure after a refusal for lack of capacity.
+	// pressureTime is how long a service counts as under pressure after a refusal for lack of capacity or a long wait for it.
 	pressureTime = 2 * time.Second
 	// reportInterval is the time between two reports about a service under pressure.
 	reportInterval = 500 * time.Millisecond
@@ -61,8 +61,8 @@
 // serviceShares is the state of one service.
 type serviceShares struct {
 	admitter *shares.Admitter
-	// refusedAt is when a request was last refused for lack of capacity.
-	refusedAt time.Duration
+	// pressureAt is when a request was last refused for lack of capacity, or responded to after a long wait for a slot.
+	pressureAt time.Duration
 	// reportAt is the earliest time of the next report.
 	reportAt time.Duration
 	// periodStart is when the counts below began.
@@ -109,7 +109,7 @@
 			return nil
 		}
 		state = &serviceShares{
-			admitter: shares.NewAdmitter(shares.Config{Service: name}), refusedAt: distantPast,
+			admitter: shares.NewAdmitter(shares.Config{Service: name}), pressureAt: distantPast,
 			periodStart: s.clock(), demand: map[shareKey]*shareDemand{},
 		}
 		s.services[name] = state
@@ -186,29 +186,6 @@
 	s.slotTimes.Record(s.clock(), req.Service, req.Route, held)
 }
 
-// refused records a refusal of a gate, as the gate or the entry sees it.
-func (s *Shares) refused(service string, reason Reason) {
-	if !isShortageReason(reason) || !s.selects(service) {
-		return
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if state := s.service(service); state != nil {
-		state.refusedAt = s.clock()
-	}
-}
-
-// isShortageReason reports whether a gate refused a request because it had no capacity for it.
-func isShortageReason(reason Reason) bool {
-	switch reason {
-	case ReasonQueueFull, Reason(admission.ReasonFull), Reason(admission.ReasonHopeless), Reason(admission.ReasonTeamShare),
-		Reason(admission.ReasonDisplaced), Reason(admission.ReasonMaxWait):
-		return true
-	default:
-		return false
-	}
-}
-
 // Sample reads the load of the gate and returns the services for which a report is due. Call it every 100 ms.
 func (s *Shares) Sample(g *Gate) (due []string) {
 	loads := g.shareLoads()
@@ -261,7 +238,7 @@
 }
 
 func (s *serviceShares) underPressure(now time.Duration) bool {
-	return s.queued > 0 || now-s.refusedAt < pressureTime || s.admitter.Short(now)
+	return s.queued > 0 || now-s.pressureAt < pressureTime || s.admitter.Short(now)
 }
 
 func (s *serviceShares) reset(now time.Duration) {
--- a/proxy/shares_test.go
+++ b/proxy/shares_test.go
@@ -3,6 +3,8 @@
 import (
 	"net/http"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -16,7 +18,15 @@
 
 // newSharesVM starts a process that holds a decision which refuses all requests.
 func newSharesVM(t *testing.T, setting string, b *backend) (*testVM, *Shares) {
-	v := newFleetView(t, 4)
+	m, s := newAdmittingSharesVM(t, setting, 4, b)
+	s.refused("svc", Reason(admission.ReasonFull))
+	s.Receive(s.clock(), []shares.Decision{{Service: "svc", Sequence: 1, Short: true, Ranks: []shares.Rank{{Share: 0}}, RetryAfterMs: 4000}})
+	return m, s
+}
+
+// newAdmittingSharesVM starts a process without a decision.
+func newAdmittingSharesVM(t *testing.T, setting string, slots int, b *backend) (*testVM, *Shares) {
+	v := newFleetView(t, slots)
 	var service config.Service
 	v.View(func(s *state.State) { service = s.Config().Services["svc"] })
 	if service.Shares = setting; setting != "" {
@@ -24,10 +34,7 @@
 		v.apply(t, state.Command{Operator: "test", Apply: &state.ApplyChange{Change: change, ContentHash: change.Hash()}})
 	}
 	s := NewShares("vm1", 1, NewClock(), NewFleet(v))
-	m := newSingleVM(t, v, b, func(o *EntryOptions) { o.Shares = s })
-	s.refused("svc", Reason(admission.ReasonFull))
-	s.Receive(s.clock(), []shares.Decision{{Service: "svc", Sequence: 1, Short: true, Ranks: []shares.Rank{{Share: 0}}, RetryAfterMs: 4000}})
-	return m, s
+	return newSingleVM(t, v, b, func(o *EntryOptions) { o.Shares = s }), s
 }
 
 // Guards against a share that refuses requests of a service that is not selected, calls of running requests, or requests whose
@@ -103,3 +110,35 @@
 	now += pressureTime
 	assert.Equal(t, len(s.Sample(m.gate)), 0)
 }
+
+// Guards against an entry that reports nothing although its requests wait for slots at a gate that refuses none: a team that enters
+// only there has no share.
+func TestWaitingRequestsAreReported(t *testing.T) {
+	var m *testVM
+	var holdsSlot atomic.Bool
+	b := newBackend(t, func(http.ResponseWriter, *http.Request) {
+		if !holdsSlot.CompareAndSwap(true, false) {
+			return
+		}
+		for m.gate.Load("svc").Queued == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		time.Sleep(pressureWait)
+	})
+	m, s := newAdmittingSharesVM(t, config.SharesFleet, 1, b)
+	due := func(requests int) []string {
+		var wg sync.WaitGroup
+		for range requests {
+			wg.Go(func() {
+				resp, body, err := sendRequest(t, m.caller, "GET", "/once", nil)
+				assert.Check(t, err)
+				assert.Check(t, resp.StatusCode == http.StatusOK, body)
+			})
+		}
+		wg.Wait()
+		return s.Sample(m.gate)
+	}
+	assert.Equal(t, len(due(1)), 0)
+	holdsSlot.Store(true)
+	assert.DeepEqual(t, due(2), []string{"svc"})
+}
--- a/shares/model_test.go
+++ b/shares/model_test.go
@@ -26,8 +26,8 @@
 	modelVMs       = 97
 	modelSlots     = 4
 	modelTeams     = 82
-	modelQueue     = 0.8 // slot seconds for each slot
 	modelPressured = 2 * time.Second
+	modelWait      = 0.1 // seconds, as pressureWait in package proxy
 )
 
 // model is a fluid model of one service: each VM has an entry and a gate. Requests that a gate cannot queue are refused there.
@@ -47,6 +47,10 @@
 	requestTime float64
 	// estimate is the expected slot time relative to the true one.
 	estimate float64
+	// alone makes the requests of team 0, and only those, enter at VM 0. With waits, an entry reports also if its requests wait.
+	alone, waits bool
+	// queue is the largest queue of a gate, in slot seconds for each slot.
+	queue float64
 	// settled is the time after the load pattern at which nothing is refused any more, length that of the run.
 	settled, length time.Duration
 	// steady is the time from the begin of the load pattern to the steady state.
@@ -84,6 +88,7 @@
 type modelTick struct {
 	demand, admitted         []float64
 	capacity, served, atGate float64
+	wait                     float64 // the longest wait at a gate, in seconds
 	short                    bool
 }
 
@@ -115,8 +120,17 @@
 			m.refuse(step, team, part*(1-share), v.admitter)
 		}
 		for i := range m.vm {
+			if m.alone && (team == 0) != (i == 0) {
+				continue
+			}
 			if m.requestTime == 0 {
-				arrive(&m.vm[i], slots/float64(m.vms), m.vm[i].admitter.Share(at, teamNames[team], priority))
+				part := slots / float64(m.vms)
+				if m.alone && team == 0 {
+					part = slots
+				} else if m.alone {
+					part = slots / float64(m.vms-1)
+				}
+				arrive(&m.vm[i], part, m.vm[i].admitter.Share(at, teamNames[team], priority))
 			}
 		}
 		for m.requestTime > 0 && slots > 0 && m.arrivals[team] < (at+modelStep).Seconds() {
@@ -139,16 +153,17 @@
 		v.queue += (arriving + calls) * slots / max(tick.capacity, 1) * modelStep.Seconds()
 		v.busy = min(v.queue/modelStep.Seconds(), slots)
 		v.queue -= v.busy * modelStep.Seconds()
-		if over := v.queue - modelQueue*slots; over > 0 {
+		if over := v.queue - m.queue*slots; over > 0 {
 			v.queue -= over
 			tick.atGate += over / modelStep.Seconds()
 		}
 		tick.served += v.busy
+		tick.wait = max(tick.wait, v.queue/max(slots, 1))
 		tick.short = tick.short || v.admitter.Short(at)
 	}
 	for i := range m.vm {
 		v, slots := &m.vm[i], m.slots(at, i)
-		if tick.atGate > 0 {
+		if (tick.atGate > 0 || m.waits && tick.wait >= modelWait) && slices.Max(v.demand) > 0 {
 			v.refusedAt = at // each entry sends requests to all gates
 		}
 		if v.queue > 0 || at-v.refusedAt < modelPressured || v.admitter.Short(at) {
@@ -247,7 +262,7 @@
 	usual := 0.85 * float64(vms*modelSlots) / modelTeams
 	base := func() *model {
 		return &model{
-			vms: vms, estimate: 1, steady: 3 * time.Second, settled: 10 * time.Second, length: modelLength,
+			vms: vms, estimate: 1, queue: 0.8, steady: 3 * time.Second, settled: 10 * time.Second, length: modelLength,
 			load:  func(time.Duration, int) (float64, int) { return usual, 0 },
 			slots: func(time.Duration, int) float64 { return modelSlots },
 			calls: func(time.Duration) float64 { return 0 },
