rosemarylined: the fault soak has uploads, slow readers and shedding backend servers

Cause: TestSoak sent bodies of at most 20 KB, and its callers read responses at once.

Change: uploads of 60 KiB on average, responses of 1.5 MiB that are read slowly, and a backend server that sheds half of its requests for 2 s at a time. Responses must arrive complete.

--- a/cmd/rosemarylined/soak_test.go
+++ b/cmd/rosemarylined/soak_test.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -39,6 +40,7 @@
 	server *http.Server
 	stop   chan struct{}
 	soak   *soak
+	sheds  atomic.Bool // whether it sheds half of its requests
 }
 
 // soak is one run of the soak test with faults, for one seed.
@@ -46,6 +48,8 @@
 	t     *testing.T
 	fleet *testFleet
 	links map[*testVM]*link
+	// backends holds the backend servers; it is not changed after the start.
+	backends []*soakBackendServer
 
 	mu     sync.Mutex // guards the fields below
 	rnd    *rand.Rand
@@ -95,11 +99,15 @@
 	if team := r.Header.Get("Rosemaryline-Team"); team != "demo" {
 		b.soak.recordViolation("%s ran for team %q", r.URL.Path, team)
 	}
+	if b.sheds.Load() && b.soak.randomInt(2) == 0 {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	b.soak.mu.Lock()
 	b.soak.runs[r.URL.Path]++
 	b.soak.mu.Unlock()
 	time.Sleep(time.Duration(b.soak.randomInt(40)) * time.Millisecond)
-	fmt.Fprintf(w, "%s\n%s", r.URL.Path, body)
+	fmt.Fprint(w, soakResponse(r.URL.Path, string(body)))
 }
 
 // startBackendServer starts a backend server on a VM and announces it until the test ends.
@@ -108,6 +116,7 @@
 	assert.NilError(s.t, err)
 	b := &soakBackendServer{stop: make(chan struct{}), soak: s}
 	b.server = &http.Server{Handler: b}
+	s.backends = append(s.backends, b)
 	go b.server.Serve(listener)
 	announcement, err := json.Marshal(map[string]any{
 		"service": "rounds", "address": listener.Addr().String(), "instance": "1", "slots": 5,
@@ -160,10 +169,14 @@
 	resp, err := client.Do(req)
 	if err == nil {
 		var text []byte
-		text, err = io.ReadAll(resp.Body)
+		var reader io.Reader = resp.Body
+		if strings.Contains(path, slowMark) {
+			reader = slowBody{reader}
+		}
+		text, err = io.ReadAll(reader)
 		resp.Body.Close()
 		sent.status, sent.outcome = resp.StatusCode, resp.Header.Get("Rosemaryline-Outcome")
-		if err == nil && resp.StatusCode == http.StatusOK && string(text) != path+"\n"+body {
+		if err == nil && resp.StatusCode == http.StatusOK && string(text) != soakResponse(path, body) {
 			s.recordViolation("%s %s got %d bytes of another response: %.60q", method, path, len(text), text)
 		}
 	}
@@ -285,9 +298,11 @@
 		for number := range soakClients {
 			clients.Go(func() { s.sendRequests(traffic, vm, number) })
 		}
+		clients.Go(func() { s.sendBytes(traffic, vm) })
 		faultInjectors.Go(func() { s.injectFaults(faults, vm) })
 	}
 	clients.Go(func() { s.sendChanges(faults) })
+	clients.Go(func() { s.shedRequests(faults) })
 	faultInjectors.Wait()
 	for _, vm := range s.fleet.vms {
 		s.fleet.waitServing(vm, soakKey)
@@ -325,7 +340,8 @@
 
 // TestSoak guards against violations of the fleet's guarantees under overlapping faults: requests that run twice, requests
 // that run although their outcome is not-run, responses to other requests, keys that reach backend servers, lost changes,
-// and a fleet that does not serve requests again after the faults. To run more seeds:
+// and a fleet that does not serve requests again after the faults, also with uploads, long responses that are read slowly, and
+// backend servers that shed half of their requests. To run more seeds:
 //
 //	go test ./cmd/rosemarylined -run TestSoak -soak.seeds 50 -soak.first 100 -timeout 60m
 func TestSoak(t *testing.T) {
