rollout, proxy: gates tell the load at which requests arrive

Cause: the leader took what ran between two reports for the load of the responses in between. Responses to requests that arrived before the server was at load counted as at load, and a leader that took over had no evidence at load at all.

Change: reports have AtLoad, the counts of the requests that arrived with more than half of the slots in use. Reports without it (earlier builds) are treated as before; TestModelRules draws both.

--- a/proxy/rollouts.go
+++ b/proxy/rollouts.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"maps"
 	"net/http"
 	"slices"
 	"sync"
@@ -205,7 +206,8 @@
 	running          int
 	sequence         uint64
 	allowance        rollout.Allowance
-	routes           map[string]rollout.RouteCounts
+	// atLoad counts those of routes that arrived at load.
+	routes, atLoad map[string]rollout.RouteCounts
 }
 
 // gateRollouts holds the counts of a gate for the running rollouts.
@@ -223,7 +225,8 @@
 	}
 	c, ok := g.counts[key]
 	if !ok || c.rollout != view.ID() {
-		c = &versionCounts{rollout: view.ID(), since: now, isNew: view.IsNew(key.version), routes: map[string]rollout.RouteCounts{}}
+		c = &versionCounts{rollout: view.ID(), since: now, isNew: view.IsNew(key.version),
+			routes: map[string]rollout.RouteCounts{}, atLoad: map[string]rollout.RouteCounts{}}
 		g.counts[key] = c
 	}
 	return c
@@ -237,10 +240,19 @@
 	version string
 	route   string
 	cold    bool
+	atLoad  bool
 	sent    bool
 	ended   bool
 }
 
+// counted returns the counts that the request is part of.
+func (t *versionTicket) counted() []map[string]rollout.RouteCounts {
+	if t.atLoad {
+		return []map[string]rollout.RouteCounts{t.counts.routes, t.counts.atLoad}
+	}
+	return []map[string]rollout.RouteCounts{t.counts.routes}
+}
+
 // admitVersion checks whether a request may go to a server: its version gets requests, and a new version's allowance is not used
 // up. Load pattern: hundreds of entries with views of different age, and some that restart or are cut off; the gate beside a
 // server is the only way to it, so the bound on what a new version gets holds whatever the entries do.
@@ -282,20 +294,23 @@
 	return g.admitVersion(req, s)
 }
 
-// send counts that the request is sent to the server.
-func (t *versionTicket) send(cold bool) {
+// send counts that the request is sent to the server; atLoad tells whether it arrives there at load.
+func (t *versionTicket) send(cold, atLoad bool) {
 	if t == nil {
 		return
 	}
 	t.rollouts.mu.Lock()
 	defer t.rollouts.mu.Unlock()
-	t.sent, t.cold = true, cold
+	t.sent, t.cold, t.atLoad = true, cold, atLoad
 	t.counts.waiting--
 	t.counts.arrived++
 	t.counts.running++
 	if routes, ok := t.counts.routes[t.route]; ok || len(t.counts.routes) < maxKnownRoutes {
-		routes.Started++
-		t.counts.routes[t.route] = routes
+		for _, counted := range t.counted() {
+			routes = counted[t.route]
+			routes.Started++
+			counted[t.route] = routes
+		}
 	}
 }
 
@@ -324,26 +339,28 @@
 	}
 	t.ended = true
 	t.counts.running--
-	routes, ok := t.counts.routes[t.route]
-	if !ok {
+	if _, ok := t.counts.routes[t.route]; !ok {
 		return // send found no room for the route
 	}
-	switch {
-	case result == admission.Succeeded:
-		routes.Succeeded++
-		if !t.cold {
-			routes.Latency[rollout.LatencyBucket(latency)]++
+	for _, counted := range t.counted() {
+		routes := counted[t.route]
+		switch {
+		case result == admission.Succeeded:
+			routes.Succeeded++
+			if !t.cold {
+				routes.Latency[rollout.LatencyBucket(latency)]++
+			}
+		case result == admission.Failed && broken:
+			routes.Broken++
+		case result == admission.Failed:
+			routes.Failed++
+		case result == admission.Overloaded:
+			routes.Shed++
+		default:
+			return
 		}
-	case result == admission.Failed && broken:
-		routes.Broken++
-	case result == admission.Failed:
-		routes.Failed++
-	case result == admission.Overloaded:
-		routes.Shed++
-	default:
-		return
+		counted[t.route] = routes
 	}
-	t.counts.routes[t.route] = routes
 }
 
 // RolloutReports returns a report for each version of each service on this VM that has a running rollout, and forgets the
@@ -376,7 +393,7 @@
 			// Requests that were sent before the gate learned of the rollout, or that hold a slot and are about to be sent, count
 			// too: the servers of the old version stop when none is left.
 			Running: max(c.running, inFlight[key]),
-			KnownMs: (now - c.since).Milliseconds(), Routes: map[string]rollout.RouteCounts{},
+			KnownMs: (now - c.since).Milliseconds(), Routes: map[string]rollout.RouteCounts{}, AtLoad: maps.Clone(c.atLoad),
 		}
 		for route, counts := range c.routes {
 			report.Routes[route] = counts
@@ -424,6 +441,14 @@
 	return s.gate.Load().InFlight
 }
 
+// isAtLoad reports whether the requests that hold a slot of the server put it at load.
+func (s *server) isAtLoad() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	load := s.gate.Load()
+	return rollout.AtLoad(load.InFlight, load.Effective)
+}
+
 // isCold reports whether the server is cold.
 func (s *server) isCold() bool {
 	s.mu.Lock()
--- a/proxy/rollouts_test.go
+++ b/proxy/rollouts_test.go
@@ -406,3 +406,30 @@
 	takingPart := newHosts(hosts, view, map[string]bool{"d2": true})
 	assert.Assert(t, len(takingPart) == 1 && takingPart[0].VM == "a", "%v", takingPart)
 }
+
+// Guards against results that count as at load because other requests ran when the response came: only the load at arrival tells
+// a version that is bad at load from one that is bad at any load.
+func TestReportsTellTheLoadAtArrival(t *testing.T) {
+	h, release := holdingHandler()
+	defer release()
+	f := newVersionFleet(t, h)
+	beginTestRollout(t, f.view)
+	decideTestRollout(t, f.view, state.RolloutCanary, 100)
+	f.refresh()
+	f.allow(t, 100)
+	assert.Assert(t, f.allow(t, 100).AtLoad != nil)
+	var results []<-chan error
+	for n := range 3 {
+		results = append(results, f.start(t, f.new, 1))
+		eventually(t, "the request runs", func() bool { return f.newServer.count() == n+1 })
+	}
+	// The server has four slots.
+	assert.Equal(t, f.allow(t, 100).AtLoad["root"], rollout.RouteCounts{Started: 1})
+	release()
+	for _, result := range results {
+		assert.NilError(t, <-result)
+	}
+	report := f.allow(t, 100)
+	assert.Equal(t, report.Routes["root"].Succeeded, uint32(3))
+	assert.Equal(t, report.AtLoad["root"].Succeeded, uint32(1))
+}
--- a/proxy/run.go
+++ b/proxy/run.go
@@ -57,7 +57,7 @@
 	tracked := g.track(req, held.server.name)
 	began := g.opts.Clock()
 	held.sentAt = began
-	held.version.send(held.server.isCold())
+	held.version.send(held.server.isCold(), held.server.isAtLoad())
 	remaining := time.Until(req.Deadline)
 	resp, cancelledForRetry, err := g.sendWatched(ctx, cancel, req, held)
 	var info BackendResponse
--- a/rollout/collection.go
+++ b/rollout/collection.go
@@ -12,7 +12,10 @@
 	Slice int
 	// Loaded reports whether the servers ran at the load that the loaded phase aims at. A slice has a sample for each load.
 	Loaded bool
-	Routes map[string]RouteCounts
+	// ByArrival reports that the gate told by the load at the arrival of a request whether its result belongs to a loaded sample.
+	// Otherwise the load between two reports decides.
+	ByArrival bool
+	Routes    map[string]RouteCounts
 	// Unended holds, for each route, requests without a result. Only the newest samples of a gate have it.
 	Unended map[string]Unended
 }
@@ -40,17 +43,58 @@
 	at   time.Duration
 	// before counts the arrivals of earlier incarnations.
 	before uint64
-	// coldRunning is the number of requests of each route that ran when the servers were last cold. They may take longer.
-	coldRunning map[string]int
+	// coldRunning is the number of requests of each route and load that ran when the servers were last cold. They may take longer.
+	coldRunning map[routeLoad]int
 	history     []arrival
 	slices      []Sample
 	grant       grant
 }
 
+// arrival is what a gate had reported at a time.
 type arrival struct {
 	at     time.Duration
-	count  uint64
-	routes map[string]RouteCounts
+	report Report
+}
+
+// arrivalLoad selects counts by the load at the arrival of their requests.
+type arrivalLoad int
+
+const (
+	anyLoad arrivalLoad = iota
+	belowLoad
+	atLoad
+)
+
+// loadsByArrival are those of gates that tell the load at arrival.
+var (
+	loadsByArrival = []arrivalLoad{belowLoad, atLoad}
+	loadsUnknown   = []arrivalLoad{anyLoad}
+)
+
+type routeLoad struct {
+	route string
+	load  arrivalLoad
+}
+
+// loads returns the loads that the report distinguishes.
+func (r *Report) loads() []arrivalLoad {
+	if r.AtLoad == nil {
+		return loadsUnknown
+	}
+	return loadsByArrival
+}
+
+// counts returns the counts of a route for a load.
+func (r *Report) counts(route string, l arrivalLoad) RouteCounts {
+	switch l {
+	case atLoad:
+		return r.AtLoad[route]
+	case belowLoad:
+		below, _ := since(r.Routes[route], r.AtLoad[route])
+		return below
+	default:
+		return r.Routes[route]
+	}
 }
 
 // overdueHistory bounds the arrivals that are kept to recognise overdue requests.
@@ -98,41 +142,51 @@
 	default:
 		previous = g.last
 	}
-	atLoad := func(r *Report) bool { return r.Slots > 0 && float64(r.Running) > loadedAt*float64(r.Slots) }
-	current := g.current(r.VM, key.new, int(elapsed/c.slice), atLoad(&r) || atLoad(&previous))
-	for route, counts := range r.Routes {
-		delta, grew := since(counts, previous.Routes[route])
-		if grew {
-			total := current.Routes[route]
-			sum(&total, &delta)
-			current.Routes[route] = total
+	// Requests that do not fill half of the slots are at load in comparison with the others, which gates do not know.
+	loads := loadsUnknown
+	if loadedAt >= loadedFrom {
+		loads = r.loads()
+	}
+	filled := func(r *Report) bool { return r.Slots > 0 && float64(r.Running) > loadedAt*float64(r.Slots) }
+	for _, l := range loads {
+		current := g.current(r.VM, key.new, int(elapsed/c.slice), l == atLoad || l == anyLoad && (filled(&r) || filled(&previous)), l != anyLoad)
+		for route := range r.Routes {
+			delta, grew := since(r.counts(route, l), previous.counts(route, l))
+			if grew {
+				total := current.Routes[route]
+				sum(&total, &delta)
+				current.Routes[route] = total
+			}
 		}
 	}
 	if r.Slots == 0 || previous.Sequence > 0 && previous.Slots == 0 {
-		g.coldRunning = map[string]int{}
-		for route, counts := range r.Routes {
-			g.coldRunning[route] = counts.unended()
+		g.coldRunning = map[routeLoad]int{}
+		for route := range r.Routes {
+			for _, l := range r.loads() {
+				counts := r.counts(route, l)
+				g.coldRunning[routeLoad{route, l}] = counts.unended()
+			}
 		}
 	}
 	g.last, g.at = r, elapsed
 	if len(g.history) == overdueHistory {
 		g.history = append(g.history[:0], g.history[1:]...)
 	}
-	g.history = append(g.history, arrival{elapsed, r.Arrived, r.Routes})
+	g.history = append(g.history, arrival{elapsed, r})
 	return g
 }
 
 // current returns the sample of the slice and load. Samples are in the order of their slices.
-func (g *gateRecord) current(vm string, isNew bool, slice int, loaded bool) *Sample {
+func (g *gateRecord) current(vm string, isNew bool, slice int, loaded, byArrival bool) *Sample {
 	if n := len(g.slices); n > 0 {
 		slice = max(slice, g.slices[n-1].Slice)
 	}
 	for i := len(g.slices) - 1; i >= 0 && g.slices[i].Slice == slice; i-- {
-		if g.slices[i].Loaded == loaded {
+		if g.slices[i].Loaded == loaded && g.slices[i].ByArrival == byArrival {
 			return &g.slices[i]
 		}
 	}
-	g.slices = append(g.slices, Sample{VM: vm, New: isNew, Slice: slice, Loaded: loaded, Routes: map[string]RouteCounts{}})
+	g.slices = append(g.slices, Sample{VM: vm, New: isNew, Slice: slice, Loaded: loaded, ByArrival: byArrival, Routes: map[string]RouteCounts{}})
 	return &g.slices[len(g.slices)-1]
 }
 
@@ -146,8 +200,8 @@
 // unended returns the requests of a route without a result. Those that surely have run for longer than limit are overdue:
 // they arrived before and have no result yet. Without them, a version of which half of the requests do not end within the
 // rollout would look like one without faults.
-func (g *gateRecord) unended(route string, limit time.Duration) (u Unended) {
-	counts := g.last.Routes[route]
+func (g *gateRecord) unended(route string, l arrivalLoad, limit time.Duration) (u Unended) {
+	counts := g.last.counts(route, l)
 	u.Running = min(counts.unended(), g.last.Running)
 	if limit <= 0 {
 		return u
@@ -155,14 +209,14 @@
 	started := 0
 	for i := len(g.history) - 1; i >= 0; i-- {
 		if a := g.history[i]; a.at <= g.at-limit {
-			before := a.routes[route]
+			before := a.report.counts(route, l)
 			started = int(before.Started)
 			break
 		}
 	}
 	u.Young = max(0, counts.settled()-started)
 	if g.last.Slots > 0 {
-		u.Overdue = max(0, min(started-counts.settled(), u.Running)-g.coldRunning[route])
+		u.Overdue = max(0, min(started-counts.settled(), u.Running)-g.coldRunning[routeLoad{route, l}])
 	}
 	return u
 }
@@ -179,31 +233,55 @@
 		if len(own) == 0 {
 			continue
 		}
-		atLoad := len(own) - 1
 		for i := range own {
 			own[i].Unended = map[string]Unended{}
-			if own[i].Loaded {
-				atLoad = i
-			}
 		}
 		for route := range g.last.Routes {
-			u := g.unended(route, limits[route])
-			own[len(own)-1].Unended[route] = Unended{Running: u.Running}
-			for i := len(own) - 1; i >= 0; i-- {
-				counts := own[i].Routes[route]
-				part := own[i].Unended[route]
-				part.Young = min(u.Young, counts.ended())
-				u.Young -= part.Young
-				if i == atLoad {
-					part.Overdue = u.Overdue
-				}
-				own[i].Unended[route] = part
+			for _, l := range g.last.loads() {
+				g.addUnended(own, route, l, limits[route])
 			}
 		}
 	}
 	return all
 }
 
+// addUnended adds the requests of a route and load without a result to the newest of the gate's samples with that load.
+func (g *gateRecord) addUnended(own []Sample, route string, l arrivalLoad, limit time.Duration) {
+	u := g.unended(route, l, limit)
+	newest, newestLoaded := -1, -1
+	for i := range own {
+		if l == anyLoad || !own[i].ByArrival || own[i].Loaded == (l == atLoad) {
+			newest = i
+			if own[i].Loaded {
+				newestLoaded = i
+			}
+		}
+	}
+	if newest < 0 {
+		return
+	}
+	if newestLoaded < 0 {
+		newestLoaded = newest
+	}
+	for i := newest; i >= 0; i-- {
+		if l != anyLoad && own[i].ByArrival && own[i].Loaded != (l == atLoad) {
+			continue
+		}
+		counts := own[i].Routes[route]
+		part := own[i].Unended[route]
+		young := min(u.Young, counts.ended()-part.Young)
+		part.Young += young
+		u.Young -= young
+		if i == newest {
+			part.Running += u.Running
+		}
+		if i == newestLoaded {
+			part.Overdue += u.Overdue
+		}
+		own[i].Unended[route] = part
+	}
+}
+
 func (c *collection) keys() []gateKey {
 	keys := make([]gateKey, 0, len(c.gates))
 	for key := range c.gates {
@@ -279,7 +357,7 @@
 		first, span := uint64(0), time.Duration(g.last.KnownMs)*time.Millisecond
 		for _, a := range g.history {
 			if g.at-a.at >= reportsLostAfter {
-				first, span = a.count, g.at-a.at
+				first, span = a.report.Arrived, g.at-a.at
 			}
 		}
 		rate += float64(g.last.Arrived-min(first, g.last.Arrived)) / max(0.5, span.Seconds())
--- a/rollout/measure_test.go
+++ b/rollout/measure_test.go
@@ -136,6 +136,8 @@
 			exchange:   rapid.Bool().Draw(t, "exchange"),
 			restarts:   rapid.Bool().Draw(t, "restarts"),
 			alwaysGray: rapid.Bool().Draw(t, "always gray"),
+			// Gates of earlier builds.
+			earlierGates: rapid.Bool().Draw(t, "earlier gates"),
 		}
 		checkRules(t, c, runModel(c))
 	})
--- a/rollout/model_test.go
+++ b/rollout/model_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"time"
@@ -46,6 +47,8 @@
 	exchange, restarts bool
 	// alwaysGray lets 30% of the servers of each version fail at any time, and not only 30% of them at times.
 	alwaysGray bool
+	// earlierGates do not tell the load at which requests arrived.
+	earlierGates bool
 }
 
 type modelResult struct {
@@ -82,6 +85,7 @@
 	known       time.Duration
 	arrived     uint64
 	routes      map[string]RouteCounts
+	atLoad      map[string]RouteCounts
 	nextReport  time.Duration
 }
 
@@ -132,7 +136,7 @@
 	m.plan = Plan{ID: fmt.Sprint("r", c.seed), Service: "s", NewVersion: "v2", Duration: c.duration, Phase: Canary}
 	perVersion := max(3, c.vms*43/90)
 	for i := range c.vms {
-		vm := &modelVM{name: fmt.Sprint("vm", i), incarnation: 1, routes: map[string]RouteCounts{}, view: NewView([]string{"v1"}, nil)}
+		vm := &modelVM{name: fmt.Sprint("vm", i), incarnation: 1, routes: map[string]RouteCounts{}, atLoad: map[string]RouteCounts{}, view: NewView([]string{"v1"}, nil)}
 		vm.nextReport = m.between(0, 500*time.Millisecond)
 		if m.random.IntN(20) == 0 {
 			vm.cutOff[0] = m.between(0, c.duration)
@@ -281,7 +285,7 @@
 func (m *modelRun) restart(vm *modelVM) {
 	vm.incarnation++
 	vm.sequence, vm.arrived, vm.known = 0, 0, m.now
-	vm.allowance, vm.routes = Allowance{}, map[string]RouteCounts{}
+	vm.allowance, vm.routes, vm.atLoad = Allowance{}, map[string]RouteCounts{}, map[string]RouteCounts{}
 	vm.running, vm.open, vm.openFor = 0, false, 0
 }
 
@@ -307,6 +311,9 @@
 	for route, counts := range vm.routes {
 		r.Routes[route] = counts
 	}
+	if !m.earlierGates {
+		r.AtLoad = maps.Clone(vm.atLoad)
+	}
 	if m.now >= vm.cutOff[0] && m.now < vm.cutOff[1] {
 		return
 	}
@@ -388,9 +395,15 @@
 		vm.openUntil = m.now + vm.openFor
 	}
 	vm.arrived++
-	started := vm.routes[route]
-	started.Started++
-	vm.routes[route] = started
+	counted := []map[string]RouteCounts{vm.routes}
+	if AtLoad(vm.running+1, modelSlots) {
+		counted = append(counted, vm.atLoad)
+	}
+	for _, routes := range counted {
+		counts := routes[route]
+		counts.Started++
+		routes[route] = counts
+	}
 	if vm.isNew {
 		m.result.exposed++
 		if m.plan.Phase == Canary || m.plan.Phase == Loaded {
@@ -414,19 +427,21 @@
 			return
 		}
 		vm.running--
-		counts := vm.routes[route]
-		switch {
-		case failed:
-			counts.Failed++
-		case broken:
-			counts.Broken++
-		default:
-			counts.Succeeded++
-			if !cold {
-				counts.Latency[LatencyBucket(took)]++
+		for _, routes := range counted {
+			counts := routes[route]
+			switch {
+			case failed:
+				counts.Failed++
+			case broken:
+				counts.Broken++
+			default:
+				counts.Succeeded++
+				if !cold {
+					counts.Latency[LatencyBucket(took)]++
+				}
 			}
+			routes[route] = counts
 		}
-		vm.routes[route] = counts
 		switch {
 		case !failed && !broken:
 			vm.open, vm.openFor = false, 0
--- a/rollout/rollout.go
+++ b/rollout/rollout.go
@@ -106,6 +106,14 @@
 	Granted   uint64                 `json:"granted,omitempty"`
 	GrantedBy uint64                 `json:"grantedBy,omitempty"`
 	Routes    map[string]RouteCounts `json:"routes,omitempty"`
+	// AtLoad counts those of Routes that arrived at load (AtLoad). It is nil from gates of builds that do not count them.
+	AtLoad map[string]RouteCounts `json:"atLoad,omitzero"`
+}
+
+// AtLoad reports whether a request arrives at load: more than half of the slots run requests, with this one. Gates decide it at the
+// arrival, since what runs when the response comes says nothing about a version that fails only at load.
+func AtLoad(running, slots int) bool {
+	return slots > 0 && float64(running) > loadedFrom*float64(slots)
 }
 
 // Reply answers a Report.
--- a/rollout/verdict.go
+++ b/rollout/verdict.go
@@ -485,7 +485,7 @@
 			continue
 		}
 		// Slow responses to requests that arrived at load come when the load may be over.
-		if w == loaded && !s.Loaded && (c.measure != slow || !wasLoaded[s.VM]) {
+		if w == loaded && !s.Loaded && (c.measure != slow || !wasLoaded[s.VM] || s.ByArrival) {
 			continue
 		}
 		wasLoaded[s.VM] = wasLoaded[s.VM] || s.Loaded
