proxy: tests of two versions on one VM and of a server without a version

Each guards a case of the driver that no test covered: with servers of two versions on one VM, each version is reported apart, the allowance holds and the old server gets nothing from cutover on; a server that announces no version gets requests in cutover and after completion, and reports as an old one.

--- a/proxy/rollouts_test.go
+++ b/proxy/rollouts_test.go
@@ -433,3 +433,54 @@
 	assert.Equal(t, report.Routes["root"].Succeeded, uint32(3))
 	assert.Equal(t, report.AtLoad["root"].Succeeded, uint32(1))
 }
+
+// Guards against a rollout that misses its servers, or an allowance that does not hold, where a server of each version runs on one
+// VM: entries see one version for each VM, and the gate decides for each server.
+func TestTwoVersionsOnOneVM(t *testing.T) {
+	f := newVersionFleet(t, nil)
+	assert.NilError(t, f.new.gate.Announce(Announcement{Name: "c", Service: "svc", Address: addressOf(f.oldServer.Server), Instance: "1", Version: "v1"}, time.Now()))
+	beginTestRollout(t, f.view)
+	decideTestRollout(t, f.view, state.RolloutCanary, 100)
+	f.refresh()
+	reports, isNew := f.new.gate.RolloutReports()
+	assert.Equal(t, len(reports), 2)
+	assert.Assert(t, isNew[0] != isNew[1] && reports[0].Version != reports[1].Version)
+	run := func(n int) {
+		for range n {
+			if resp, err := f.new.gate.Run(t.Context(), newTestRequest(t, "root")); err == nil {
+				resp.Body.Close()
+			} else {
+				assert.Equal(t, asRefusal(err).Outcome, OutcomeNotRun)
+			}
+		}
+	}
+	run(5)
+	assert.Equal(t, f.newServer.count(), 0, "no allowance was given")
+	decideTestRollout(t, f.view, state.RolloutCutover, 100)
+	f.refresh()
+	before := f.oldServer.count()
+	run(5)
+	assert.Equal(t, f.newServer.count(), 5)
+	assert.Equal(t, f.oldServer.count(), before)
+}
+
+// Guards against a server that stays without requests after its rollout, or blocks it, because it announces no version: it counts
+// as one of the old servers, and gets requests in every phase, since no version of it can be refused.
+func TestServerWithoutVersionInCutover(t *testing.T) {
+	f := newVersionFleet(t, nil)
+	assert.NilError(t, f.old.gate.Announce(Announcement{Name: "b", Service: "svc", Address: addressOf(f.oldServer.Server), Instance: "2"}, time.Now()))
+	beginTestRollout(t, f.view)
+	for _, phase := range []state.RolloutPhase{state.RolloutCutover, state.RolloutCompleted} {
+		decideTestRollout(t, f.view, phase, 100)
+		f.refresh()
+		before := f.oldServer.count()
+		resp, err := f.old.gate.Run(t.Context(), newTestRequest(t, "root"))
+		assert.NilError(t, err)
+		resp.Body.Close()
+		assert.Equal(t, f.oldServer.count(), before+1)
+		if phase == state.RolloutCutover {
+			reports, isNew := f.old.gate.RolloutReports()
+			assert.Assert(t, len(reports) == 1 && !isNew[0] && reports[0].Version == "")
+		}
+	}
+}
