rollout: the loaded phase fills its servers at once

Cause: the requests that the bound permits were spread over the time, so that one server ran at half of its slots, each group of 1.6 s was filled only at its end, and a gate began with refusals. At 6 VMs, half of the requests never put a server at load.

Change: the loaded phase offers 1.5 times the slots of its servers while the bound permits, up to all requests; gates of the chosen servers get allowances ahead; a group ends when its servers had twice their slots. Requests are held back while the new servers are cold, since their responses show nothing about their speed. A server counts as at load below half of its slots only if all requests do not fill one.

--- a/rollout/allowance.go
+++ b/rollout/allowance.go
@@ -1,6 +1,10 @@
 package rollout
 
-import "time"
+import (
+	"math"
+	"slices"
+	"time"
+)
 
 // Allowance is the gate's side of the bound on exposure: how many requests it may send to its servers of the new version
 // while the phase is Canary or Loaded. The load pattern is replies that are lost, late or doubled while the leader takes
@@ -81,6 +85,8 @@
 	// refusedAhead is the most that a gate gets for the requests that it refused: those of a report interval of a server
 	// to which the requests of the loaded phase go.
 	refusedAhead = 6
+	// allowanceTime is two report intervals of a gate of the new version: one report or reply may be lost.
+	allowanceTime = 500 * time.Millisecond
 )
 
 // allow decides the allowance of a gate of the new version. The load pattern is a few requests per second for the new version,
@@ -100,13 +106,34 @@
 		return r.Arrived
 	}
 	room := limit - used + g.grant.committed - r.Arrived
-	ahead := 2*arrived + min(refused, refusedAhead)
+	ahead := max(2*arrived+min(refused, refusedAhead), d.expected(g))
 	if ahead == 0 && d.plan.Phase == Canary && 2*used < limit {
 		ahead = 1
 	}
 	return r.Arrived + min(ahead, room)
 }
 
+// expected returns the requests that a gate of the loaded phase gets until its next allowance. Without it, a server would begin
+// with refusals and an allowance for one report interval, and the requests of half a group would pass before it is at load.
+func (d *Decider) expected(g *gateRecord) uint64 {
+	if d.plan.Phase != Loaded || d.plan.Servers == 0 || !slices.Contains(d.participants(), g.last.VM) {
+		return 0
+	}
+	perServer := d.reports.rate(g.at) * float64(d.plan.Percent) / 100 / float64(d.plan.Servers)
+	return 1 + uint64(math.Ceil(perServer*allowanceTime.Seconds()))
+}
+
+// participants returns the VMs that take part in the loaded phase, as entries choose them if they know the same VMs.
+func (d *Decider) participants() []string {
+	var names []string
+	for _, key := range d.reports.keys() {
+		if key.new {
+			names = append(names, key.vm)
+		}
+	}
+	return NewView(nil, &d.plan).Participants(names)
+}
+
 // exposureLimit is the number of requests that all gates of the new version together may have been allowed by now.
 func (d *Decider) exposureLimit() uint64 {
 	return uint64(allowedShare * (d.settings.ExposureShare*float64(d.reports.arrived()) + float64(d.settings.ExposureSlack)))
--- a/rollout/decider.go
+++ b/rollout/decider.go
@@ -40,6 +40,19 @@
 	groupsPerPlan = 10
 	// loadedFrom is the share of its slots from which a server counts as loaded.
 	loadedFrom = 0.5
+	// overfill of the slots of the loaded servers is offered, so that they are filled at once.
+	overfill = 1.5
+	// maxLoadedPercent may go to the servers at load: with 8 requests per second, half of them never fill half of a server. The old
+	// version gets what the allowances refuse, and all requests before the loaded phase.
+	maxLoadedPercent = 100.0
+	// groupRequests for each slot end a group: one fills the slot, and one runs at load.
+	groupRequests = 2.0
+	// maxFillTime bounds the time that a group gets to fill its servers, so that others have a turn.
+	maxFillTime = 1500 * time.Millisecond
+	// minGroup is the share of a server's slots that the requests left must fill; fewer never arrive at load.
+	minGroup = 0.6
+	// fillable is the share of its slots that the requests must fill at one server, so that half of them arrive at load.
+	fillable = 0.6
 	// urgentBad bad responses start the time of RollbackAfter, and urgentLikelihood, ln(150), suffices once half of it has passed.
 	urgentBad        = 50
 	urgentLikelihood = 5.0
@@ -75,6 +88,10 @@
 	// phaseAt is the elapsed time at which the phase began, and groupAt that at which the servers of the loaded phase were chosen.
 	phaseAt, groupAt time.Duration
 	oldSlots         int
+	// groupArrived is the number of requests of the new version when the servers of the loaded phase were chosen.
+	groupArrived uint64
+	// fillTime is the time in which the requests of the loaded phase fill the servers.
+	fillTime time.Duration
 }
 
 // New returns a decider for a plan as the leader finds it. Pass a plan without decisions only if no leader ran it before.
@@ -139,6 +156,7 @@
 	}
 	if plan.Phase == Loaded {
 		d.groupAt = now - d.start
+		d.groupArrived = d.reports.totals(d.groupAt, true).Arrived
 	}
 	d.plan, d.hasPending = plan, false
 }
@@ -274,21 +292,31 @@
 		return Decision{}, false
 	}
 	if elapsed < duration*canaryEnd/16 {
-		if d.plan.Percent != firstPercent || d.plan.Decision > 1 {
+		if d.plan.Percent != firstPercent || d.plan.Decision > 1 || new.Slots*100 < old.Slots*d.settings.FloorPercent {
+			// Responses of cold servers show nothing about their speed, so the requests are kept for later.
 			return Decision{}, false
 		}
 		percent := d.percent(elapsed, duration*canaryEnd/16, rate, canaryPart, new)
 		return Decision{Phase: Canary, Percent: percent, Reason: fmt.Sprintf("%.1f requests per second", rate)}, percent != d.plan.Percent
 	}
-	if d.plan.Phase == Loaded && elapsed-d.groupAt < max(minGroupTime, duration/groupsPerPlan) {
+	if d.plan.Phase == Loaded && elapsed-d.groupAt < max(d.fillTime+minGroupTime/2, minGroupTime, duration/groupsPerPlan) && !d.groupServed(new) {
 		return Decision{}, false
 	}
 	percent := d.percent(elapsed, max(duration/2, elapsed+d.reports.slice), rate, 1, new)
-	servers := d.loadedServers(float64(percent)/100*rate, old, new)
+	servers, percent := d.loadedServers(percent, rate, old, new)
 	return Decision{Phase: Loaded, Percent: percent, Servers: servers,
 		Reason: fmt.Sprintf("%.1f requests per second for %d servers; %s", float64(percent)/100*rate, servers, d.verdict.Reason)}, true
 }
 
+// groupServed reports whether the servers of the loaded phase had what the evidence of one server may take of the limit.
+func (d *Decider) groupServed(new Totals) bool {
+	if new.Gates == 0 {
+		return false
+	}
+	perServer := float64(new.Slots) / float64(new.Gates)
+	return float64(new.Arrived-min(d.groupArrived, new.Arrived)) >= groupRequests*perServer*float64(max(1, d.plan.Servers))
+}
+
 // percent spreads what part of the limit at the time until leaves over the time to it.
 func (d *Decider) percent(elapsed, until time.Duration, rate, part float64, new Totals) int {
 	seconds := max((until - elapsed).Seconds(), 0.5)
@@ -298,20 +326,28 @@
 	return max(firstPercent, min(maxPercent, percent))
 }
 
-// loadedServers returns among how many servers the rate fills the share loadedSlots of their slots, and sets the load from which a
-// server counts as loaded: less than loadedFrom if the rate does not suffice for one server.
-func (d *Decider) loadedServers(rate float64, old, new Totals) int {
+// loadedServers returns among how many servers the percentage of the rate fills the share loadedSlots of their slots, and the
+// percentage that fills one if it does not. What is left of the limit is then used up sooner: a server at half of its slots
+// costs as many requests and shows less. It sets the load from which a server counts as loaded: less than loadedFrom if the
+// rate does not suffice for one server.
+func (d *Decider) loadedServers(percent int, rate float64, old, new Totals) (int, int) {
 	if new.Gates == 0 || new.Slots == 0 || old.Arrived == 0 {
-		return 1
+		return 1, percent
 	}
 	perServer := float64(new.Slots) / float64(new.Gates)
-	running := rate * d.meanLatency(old).Seconds()
-	servers := max(1, min(new.Gates, int(running/(loadedSlots*perServer))))
+	latency := d.meanLatency(old).Seconds()
+	servers := max(1, min(new.Gates, int(float64(percent)/100*rate*latency/(loadedSlots*perServer))))
+	left := float64(d.exposureLimit()) - float64(new.Arrived+d.carried)
+	if left >= minGroup*perServer {
+		percent = max(percent, min(int(maxLoadedPercent), int(math.Ceil(100*overfill*float64(servers)*perServer/(latency*rate)))))
+	}
+	running := maxLoadedPercent / 100 * rate * latency
+	d.fillTime = min(maxFillTime, time.Duration(float64(servers)*perServer/(float64(percent)/100*rate)*float64(time.Second)))
 	d.loadedAt = loadedFrom
-	if running < loadedSlots*perServer {
-		d.loadedAt = loadedFrom / loadedSlots * running / perServer
+	if running < fillable*perServer {
+		d.loadedAt = loadedFrom * running / perServer
 	}
-	return servers
+	return servers, percent
 }
 
 func (d *Decider) meanLatency(t Totals) time.Duration {
