rollout: slow responses of the last seconds relate to the requests that may have had them

Cause: a slow response comes seconds after the fast ones of its time.

Change: for the window of the last seconds, slow responses are compared with Unended.Due, the requests that arrived in that time less the time of a slow response. TestShedRequestsAreNotOverdue also checks Due: requests that were not run do not count.

--- a/rollout/collection.go
+++ b/rollout/collection.go
@@ -30,6 +30,10 @@
 	// Young is the number of responses to requests that arrived so lately that slow ones of the same time still run.
 	// Counting them would make a version look faster than it is.
 	Young int
+	// Due is the number of requests that arrived early enough for slow responses to come in the last recentSlices, and so late that
+	// none came before. Slow responses of that time relate to them, and not to the faster responses of the same time, which
+	// requests that arrived later got. It is negative if it is not known.
+	Due int
 }
 
 type gateKey struct {
@@ -225,6 +229,13 @@
 // sample at load if it had one. limits has the least time of a slow response for each route.
 func (c *collection) samples(limits map[string]time.Duration) []Sample {
 	var all []Sample
+	newest := 0
+	for _, g := range c.gates {
+		if n := len(g.slices); n > 0 {
+			newest = max(newest, g.slices[n-1].Slice)
+		}
+	}
+	from := time.Duration(newest-recentSlices+1) * c.slice
 	for _, key := range c.keys() {
 		g := c.gates[key]
 		first := len(all)
@@ -240,11 +251,35 @@
 			for _, l := range g.last.loads() {
 				g.addUnended(own, route, l, limits[route])
 			}
+			last := own[len(own)-1].Unended[route]
+			last.Due = g.due(route, from, limits[route])
+			own[len(own)-1].Unended[route] = last
 		}
 	}
 	return all
 }
 
+// due returns Unended.Due for the time that begins at from.
+func (g *gateRecord) due(route string, from, limit time.Duration) int {
+	first := g.history[0]
+	known := first.at - time.Duration(first.report.KnownMs)*time.Millisecond
+	if limit <= 0 || from-limit > known+minSlice && from-limit < first.at {
+		return -1
+	}
+	begin, end := uint32(0), uint32(0)
+	for i := range g.history {
+		counts := g.history[i].report.Routes[route]
+		started := counts.Started - min(counts.Shed, counts.Started)
+		if g.history[i].at <= from-limit {
+			begin = started
+		}
+		if g.history[i].at <= g.at-limit {
+			end = started
+		}
+	}
+	return int(end - min(begin, end))
+}
+
 // addUnended adds the requests of a route and load without a result to the newest of the gate's samples with that load.
 func (g *gateRecord) addUnended(own []Sample, route string, l arrivalLoad, limit time.Duration) {
 	u := g.unended(route, l, limit)
--- a/rollout/collection_test.go
+++ b/rollout/collection_test.go
@@ -49,7 +49,7 @@
 	}
 	samples := c.samples(map[string]time.Duration{"/": time.Second})
 	unended := samples[len(samples)-1].Unended["/"]
-	assert.Equal(t, unended, Unended{Running: 1, Overdue: 1})
+	assert.Equal(t, unended, Unended{Running: 1, Overdue: 1, Due: 5})
 }
 
 // A request without a result counts as slow only once a slow response would have ended, and not if it arrived at a cold server.
--- a/rollout/verdict.go
+++ b/rollout/verdict.go
@@ -251,6 +251,23 @@
 	return u
 }
 
+// due returns the requests of a sample that may have had a slow response in the last seconds, and false if that is not known.
+func (s *Sample) due(route string, slowFrom map[string]int) (n int, known bool) {
+	if s.Unended == nil {
+		return 0, false
+	}
+	for name, u := range s.Unended {
+		if _, ok := slowFrom[name]; !ok || route != "" && route != name {
+			continue
+		}
+		if u.Due < 0 {
+			return 0, false
+		}
+		n += u.Due
+	}
+	return n, true
+}
+
 func routeUnit(m measure, counts *RouteCounts, unended Unended, slowFrom map[string]int, route string, how counting) (u unit) {
 	if m == slow {
 		from, known := slowFrom[route]
@@ -477,6 +494,22 @@
 		excluded float64
 		unit
 	}
+	// The slow responses of the last seconds relate to Unended.Due.
+	var dueVMs []string
+	dueAt, byDue := map[string]unit{}, c.measure == slow && w == recent
+	for i := range samples {
+		if !byDue {
+			break
+		}
+		if s := &samples[i]; s.New {
+			due, known := s.due(c.route, slowFrom)
+			if _, ok := dueAt[s.VM]; !ok {
+				dueVMs = append(dueVMs, s.VM)
+			}
+			dueAt[s.VM] = unit{n: dueAt[s.VM].n + due}
+			byDue = known
+		}
+	}
 	var servers []server
 	index, wasLoaded := map[string]int{}, map[string]bool{}
 	for i := range samples {
@@ -508,14 +541,23 @@
 			v.against[j] = max(v.against[j], ratio)
 		}
 		r.suspect = c.ratiosOf(u.scaled()).suspect
-		// A window of the last seconds has slow responses whose faster companions are older, so there only all count.
 		if c.measure == slow && w != recent {
 			r.suspect = c.ratiosOf(s.unit(c.measure, c.route, slowFrom, aged).scaled()).suspect
 		}
-		v.excluded += r.suspect
+		if !byDue {
+			v.excluded += r.suspect
+		}
+		dueAt[s.VM] = unit{dueAt[s.VM].n, dueAt[s.VM].bad + u.bad}
+	}
+	if byDue {
+		for _, vm := range dueVMs {
+			u := dueAt[vm]
+			u.n = max(u.n, u.bad)
+			e.excluded += min(limit, c.ratiosOf(u.scaled()).suspect)
+		}
 	}
 	if len(servers) == 0 {
-		return evidence{}
+		return e
 	}
 	var sums [len(effects)]float64
 	bad, mean := 0, 0.0
