quota: a request for too many tokens does not add tokens

Cause: the sums of Need and Spare of a request overflowed. With both at the largest integer and an empty bucket the owner granted -5 tokens, that is, it added five to the bucket of the team. Change: both are limited to 2^31-1, far above any burst. FuzzGrantRequest checks replies and buckets against the limit of the team.

--- a/quota/owner.go
+++ b/quota/owner.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"math"
 	"slices"
 	"time"
 )
@@ -95,14 +96,15 @@
 // for other holders.
 func (o *Owner) grant(now time.Duration, b *bucket, a *account, r GrantRequest, limit Limit, reply *GrantReply) {
 	available := int(b.level)
-	need := max(r.Need, 0)
-	spare := min(max(r.Spare, 0), max(available-need-(limit.Burst+1)/2, 0))
+	// The upper limit keeps the sums below from overflowing.
+	need, wantedSpare := min(max(r.Need, 0), math.MaxInt32), min(max(r.Spare, 0), math.MaxInt32)
+	spare := min(wantedSpare, max(available-need-(limit.Burst+1)/2, 0))
 	reply.Granted = min(need+spare, available)
 	b.level -= float64(reply.Granted)
 	b.outstanding += reply.Granted
 	a.outstanding += reply.Granted
 	reply.Tight = tightBurstDivisor*b.outstanding > limit.Burst
-	if wanted := need + max(r.Spare, 0); wanted > 0 && reply.Granted < max(need, 1) {
+	if wanted := need + wantedSpare; wanted > 0 && reply.Granted < max(need, 1) {
 		reply.RetryAfter = o.retryAfter(now, b, limit)
 	}
 }
