outlier: permits for negative or too many slots do not lower the floor

Cause: the arbiter added the slots of permits as they came. A permit for -100 slots of a VM made room for ejections of all its other servers, and a sum that overflowed did the same: 4 of 10 slots were left in service where the floor was 6. Change: slots of a request are limited to 0 and 2^31-1.

--- a/outlier/arbiter.go
+++ b/outlier/arbiter.go
@@ -1,6 +1,9 @@
 package outlier
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // ArbiterConfig holds the settings of the arbiter of one service.
 type ArbiterConfig struct {
@@ -66,6 +69,8 @@
 func (a *Arbiter) Request(now time.Duration, r PermitRequest) PermitReply {
 	a.dropExpired(now)
 	reply := PermitReply{VM: r.VM, Service: r.Service, Server: r.Server, Run: r.Run, Number: r.Number}
+	// Negative slots would count as capacity in service, and a sum that overflows too.
+	r.Slots = min(max(r.Slots, 0), math.MaxInt32)
 	reply.Reason = a.decide(now, &r)
 	reply.Granted = reply.Reason == ReasonGranted
 	return reply
