shares: ranks are sorted for all priorities that a report can contain

Cause: the comparison of priorities subtracted them, which overflows for distant ones. A report with the largest and the least integer gave a decision whose ranks were not sorted, so that entries would have used the wrong rank. Change: cmp.Compare.

--- a/shares/decider.go
+++ b/shares/decider.go
@@ -1,6 +1,7 @@
 package shares
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -49,16 +50,7 @@
 }
 
 func (k demandKey) compare(other demandKey) int {
-	switch {
-	case k.priority != other.priority:
-		return k.priority - other.priority
-	case k.team < other.team:
-		return -1
-	case k.team > other.team:
-		return 1
-	default:
-		return 0
-	}
+	return cmp.Or(cmp.Compare(k.priority, other.priority), cmp.Compare(k.team, other.team))
 }
 
 // demandRate is a demand in slots, that is, slot seconds per second.
