proxy: times in headers of a peer do not overflow

Cause: milliseconds were converted without limits. Rosemaryline-Deadline-Ms - gave a deadline in the year 2319, so that the request had none; Rosemaryline-Retry-After-Ms and -Trial-In-Ms could be negative or 292 years long. Change: all four are limited to maxPeerDeadline (10 minutes), and the latter two to 0.

--- a/proxy/bodybytes_test.go
+++ b/proxy/bodybytes_test.go
@@ -157,7 +157,7 @@
 }
 
 // FuzzForwardedRequest guards against input from a peer that runs more than once, is passed on with another length than declared,
-// stops the process, or leaves bytes reserved.
+// stops the process, leaves bytes reserved, or runs without a deadline.
 func FuzzForwardedRequest(f *testing.F) {
 	head := "POST /v1/run HTTP/1.1\r\nHost: h\r\nRosemaryline-Request-Id: 1\r\nRosemaryline-Service: svc\r\nRosemaryline-Uri: /a\r\n" +
 		"Rosemaryline-Deadline-Ms: 1000\r\nRosemaryline-Depth: 0\r\nRosemaryline-Config-Version: 1\r\nRosemaryline-Repeatable: false\r\n"
@@ -167,6 +167,7 @@
 		chunked + "Rosemaryline-Body-Length: 2\r\n\r\n2\r\nab\r\n0\r\n\r\n", chunked + "Rosemaryline-Body-Length: 3\r\n\r\n2\r\nab\r\n0\r\n\r\n",
 		chunked + "Rosemaryline-Body-Length: 0\r\n\r\n2\r\nab\r\n0\r\n\r\n", chunked + "Rosemaryline-Body-Length: -1\r\n\r\n2\r\nab\r\n",
 		chunked + "Rosemaryline-Body-Length: 9223372036854775807\r\n\r\nffffffffffffffff\r\nab",
+		strings.Replace(head, "1000", "-9223372036855", 1) + "\r\n", head + "Rosemaryline-Objective-Ms: 9223372036855\r\n\r\n",
 		head + "Idempotency-Key: k\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n", head + "Transfer-Encoding: chunked\r\n\r\nzz\r\n",
 	} {
 		f.Add([]byte(text))
@@ -180,6 +181,9 @@
 		h := &GateHandler{Bytes: budget, MaxBufferedBody: DefaultMaxBufferedBody, MaxKeyedBody: 128 << 10}
 		h.Gate = runnerFunc(func(_ context.Context, req *Request) (*Response, error) {
 			runs++
+			for _, at := range []time.Time{req.Deadline, req.Objective} {
+				assert.Assert(t, at.IsZero() || time.Until(at).Abs() < maxPeerDeadline+time.Minute, "%v", at)
+			}
 			declared := req.Body.expectedLength()
 			if err := req.Body.BufferUpTo(maxBufferedAtGate); err != nil {
 				return nil, notRunRefusal(http.StatusBadRequest, ReasonBadRequest, "run")
--- a/proxy/gatehttp.go
+++ b/proxy/gatehttp.go
@@ -96,7 +96,7 @@
 		ConfigVersion:  version,
 		Repeatable:     repeatable,
 		IdempotencyKey: r.Header.Get(HeaderIdempotencyKey),
-		Deadline:       time.Now().Add(time.Duration(min(remaining, maxPeerDeadline.Milliseconds())) * time.Millisecond),
+		Deadline:       time.Now().Add(peerMillis(remaining)),
 		Method:         r.Method,
 		URI:            r.Header.Get(headerURI),
 		Host:           r.Header.Get(headerHost),
@@ -104,7 +104,7 @@
 		Body:           body,
 	}
 	if objective != 0 {
-		req.Objective = time.Now().Add(time.Duration(objective) * time.Millisecond)
+		req.Objective = time.Now().Add(peerMillis(int64(objective)))
 	}
 	if req.ID == "" || req.Service == "" || req.URI == "" {
 		req.releaseBody()
@@ -113,6 +113,12 @@
 	return req, nil
 }
 
+// peerMillis converts milliseconds from a peer. The limits keep the result from overflowing.
+func peerMillis(ms int64) time.Duration {
+	limit := maxPeerDeadline.Milliseconds()
+	return time.Duration(min(max(ms, -limit), limit)) * time.Millisecond
+}
+
 // optionalInt returns the integer value of a header, or 0 if the header is absent.
 func optionalInt(h http.Header, name string) (int, error) {
 	text := h.Get(name)
--- a/proxy/remote.go
+++ b/proxy/remote.go
@@ -227,12 +227,8 @@
 		refusal.Load = &load
 	}
 	refusal.Work = parseWork(resp.Header[headerWork])
-	if millis, err := strconv.Atoi(resp.Header.Get(headerRetryAfterMs)); err == nil {
-		refusal.RetryAfter = time.Duration(millis) * time.Millisecond
-	}
-	if millis, err := strconv.Atoi(resp.Header.Get(headerTrialInMs)); err == nil {
-		refusal.TrialIn = time.Duration(millis) * time.Millisecond
-	}
+	refusal.RetryAfter = parseMillis(resp.Header.Get(headerRetryAfterMs))
+	refusal.TrialIn = parseMillis(resp.Header.Get(headerTrialInMs))
 	return refusal
 }
 
@@ -273,6 +269,15 @@
 	return Load{InFlight: values[0], Slots: values[1], Queued: values[2]}, true
 }
 
+// parseMillis returns 0 for a text that is no number, and for a negative one.
+func parseMillis(text string) time.Duration {
+	v, err := strconv.ParseInt(text, 10, 64)
+	if err != nil {
+		return 0
+	}
+	return max(peerMillis(v), 0)
+}
+
 func parseMicros(text string) time.Duration {
 	v, err := strconv.ParseInt(text, 10, 64)
 	if err != nil || v < 0 || v > maxPeerDeadline.Microseconds() {
