proxy: a long cold time of a backend server does not make it warm

Cause: coldMs of an announcement was converted without a limit, so that a value from on became negative, and the server got full load at once. Change: Announcement.coldTime limits it to 0 and 24 hours. FuzzAnnouncement is a target for announcements. Result: one seed fails with the former conversion, and passes.

--- a/proxy/announce.go
+++ b/proxy/announce.go
@@ -21,6 +21,8 @@
 	maxAnnouncementBytes = 8 << 10
 	// maxBackendServers limits the number of backend servers on one VM.
 	maxBackendServers = 1024
+	// maxColdTime limits the time for which a backend server remains cold, so that it does not overflow.
+	maxColdTime = 24 * time.Hour
 	// maxSlots limits the slots that one backend server may announce.
 	maxSlots = 10_000
 )
@@ -65,6 +67,11 @@
 	return a.Instance == other.Instance && a.StartedMs == other.StartedMs
 }
 
+// coldTime returns the time for which the backend server remains cold.
+func (a *Announcement) coldTime() time.Duration {
+	return time.Duration(min(max(a.ColdMs, 0), maxColdTime.Milliseconds())) * time.Millisecond
+}
+
 func (a *Announcement) check() error {
 	if a.Name == "" || a.Service == "" || a.Instance == "" {
 		return errors.New("name, service and instance are needed")
--- a/proxy/server.go
+++ b/proxy/server.go
@@ -162,7 +162,7 @@
 	if newInstance && a.ColdMs == 0 && a.StartedMs == 0 {
 		return s.clock() + settings.Ramp.Time.Std()
 	}
-	return s.clock() + time.Duration(a.ColdMs)*time.Millisecond
+	return s.clock() + a.coldTime()
 }
 
 // hasNewerThan reports whether an announcement newer than a was already received.
--- a/proxy/wire_fuzz_test.go
+++ b/proxy/wire_fuzz_test.go
@@ -4,10 +4,12 @@
 	"bufio"
 	"bytes"
 	"net/http"
+	"net/http/httptest"
 	"os"
 	"testing"
 	"time"
 
+	"github.com/uptrace/bunrouter"
 	"gotest.tools/v3/assert"
 )
 
@@ -62,3 +64,30 @@
 		}
 	})
 }
+
+// FuzzAnnouncement guards against an announcement that is accepted although its values are not in their ranges, and against a server
+// that counts as warm because its cold time overflows.
+func FuzzAnnouncement(f *testing.F) {
+	f.Add([]byte(`{"service":"svc","address":"10.0.0.9:8","instance":"i1","slots":4,"version":"v2","draining":true,"coldMs":500,"startedMs":1764966303000,"sequence":9}`))
+	f.Add([]byte(`{"service":"svc","address":"10.0.0.9:8","instance":"i1","slots":-1,"coldMs":-9223372036854775808}`))
+	f.Add([]byte(`{"service":"svc","address":"10.0.0.9:8","instance":"i1","coldMs":9223372036854775807,"startedMs":-1}`))
+	f.Add([]byte(`{"service":"svc","address":"[::1]:0","instance":"i1"}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var got Announcement
+		var err error
+		router := bunrouter.New()
+		router.PUT("/v1/backend-servers/:name", func(w http.ResponseWriter, r bunrouter.Request) error {
+			got, err = readAnnouncement(w, r)
+			return nil
+		})
+		router.ServeHTTP(httptest.NewRecorder(), httptest.NewRequest("PUT", "/v1/backend-servers/b1", bytes.NewReader(data)))
+		if err != nil {
+			return
+		}
+		cold := got.coldTime()
+		if got.Name != "b1" || got.Service == "" || got.Instance == "" || got.Slots < 0 || got.Slots > maxSlots || cold < 0 || cold > maxColdTime ||
+			got.ColdMs > 0 && cold == 0 {
+			t.Fatalf("accepted %+v", got)
+		}
+	})
+}
