--- a/node/snapshotparts.go
+++ b/node/snapshotparts.go
@@ -90,6 +90,7 @@
 
 type partialSnapshot struct {
 	message raft.Message
+	total   int
 	data    []byte
 }
 
@@ -100,13 +101,14 @@
 // add adds a part. With the last part it returns the whole message and true. A part that does not follow the previous
 // one is an error with code rpc.CodeInvalid; the sender then starts again.
 func (p *snapshotParts) add(part *snapshotPart) (raft.Message, bool, error) {
-	if part.Message.Snapshot == nil || part.Total > maxSnapshotBytes || part.Offset+len(part.Data) > part.Total {
+	known := part.Group == groupControl || part.Group == groupRecords
+	if !known || part.Message.Snapshot == nil || part.Total > maxSnapshotBytes || part.Offset+len(part.Data) > part.Total {
 		return raft.Message{}, false, &rpc.RemoteError{Code: rpc.CodeInvalid, Message: "malformed part of a snapshot"}
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if part.Offset == 0 {
-		p.pending[part.Group] = &partialSnapshot{message: part.Message}
+		p.pending[part.Group] = &partialSnapshot{message: part.Message, total: part.Total}
 	}
 	partial := p.pending[part.Group]
 	if partial == nil || !partial.follows(part) {
@@ -126,7 +128,7 @@
 
 // follows reports whether part belongs to the same snapshot and is the next one.
 func (p *partialSnapshot) follows(part *snapshotPart) bool {
-	return part.Offset == len(p.data) &&
+	return part.Offset == len(p.data) && part.Total == p.total &&
 		part.Message.From == p.message.From &&
 		part.Message.Term == p.message.Term &&
 		part.Message.Snapshot.Index == p.message.Snapshot.Index
