node: slots out of range in the metadata of a member do not lower the floor

Cause: numbers of gossiped rows were used as they came. A row with 4 slots of which -100 are out counted as 104 in service, so that all servers of another VM could be ejected; negative and huge capacities reached the choice of a VM. Change: decodeMetadata replaces numbers out of range by the nearest valid ones; nothing else changes.

--- a/node/gossip.go
+++ b/node/gossip.go
@@ -64,6 +64,25 @@
 	Load int `json:"load,omitempty"`
 }
 
+// maxRowSlots limits the slots of a row. It is above those of the 1,024 servers with 10,000 slots that a process accepts.
+const maxRowSlots = 1 << 24
+
+// decodeMetadata decodes the metadata of a member. Numbers out of range are replaced by the nearest valid ones: negative slots
+// would lower the floor of the service for ejections.
+func decodeMetadata(data []byte) (metadata, error) {
+	var meta metadata
+	if err := json.Unmarshal(data, &meta); err != nil {
+		return metadata{}, err
+	}
+	for i := range meta.Rows {
+		r := &meta.Rows[i]
+		r.Slots = min(max(r.Slots, 0), maxRowSlots)
+		r.Out = min(max(r.Out, 0), r.Slots)
+		r.Effective = min(max(r.Effective, 0), maxRowSlots)
+	}
+	return meta, nil
+}
+
 // gossipEnvelope carries a packet and the address at which its sender receives packets.
 type gossipEnvelope struct {
 	From   string            `json:"from"`
@@ -309,8 +328,7 @@
 	changed := info.MetaVersion != m.MetaVersion || info.Incarnation != m.Incarnation
 	info.Member = m
 	if changed {
-		var meta metadata
-		if err := json.Unmarshal(m.Meta, &meta); err == nil {
+		if meta, err := decodeMetadata(m.Meta); err == nil {
 			info.meta = meta
 			info.receivedAt = g.clock()
 		}
