--- a/idempotency/snapshot.go
+++ b/idempotency/snapshot.go
@@ -31,7 +31,7 @@
 	ReleasedAt time.Duration `msgpack:"t"`
 }
 
-// Snapshot returns the encoded state. Equal states have equal encodings.
+// Snapshot returns the encoded state. Equal states have equal encodings, apart from the order of the headers of a stored response.
 func (s *Store) Snapshot() ([]byte, error) {
 	snap := snapshot{Version: snapshotVersion, Applied: s.applied, Clock: s.clock}
 	for key, r := range s.records {
