shares: the owner keeps at most 16 reports of one process

Cause: reports are kept until they cover one second, and a report may cover 1 ms, so a faulty process could make the owner keep 1,000 reports of 1,024 demands each. Processes sample every 100 ms, so ten cover the second. Change: maxPeriods; FuzzReport checks it.

--- a/shares/decider.go
+++ b/shares/decider.go
@@ -41,6 +41,8 @@
 	maxReporters = 4096
 	maxDemands   = 1024
 	maxRanks     = 64
+	// maxPeriods limits the reports that are kept of one process. Processes sample every 100 ms, so ten of them cover demandWindow.
+	maxPeriods = 16
 )
 
 // demandKey identifies the requests of one team with one priority.
@@ -144,7 +146,7 @@
 	p.periods = append(p.periods, period{length: millis(max(r.PeriodMs, 1)), calls: millis(r.CallsMs), demand: r.Demand[:min(len(r.Demand), maxDemands)]})
 	covered := time.Duration(0)
 	for i := len(p.periods) - 1; i >= 0; i-- {
-		if covered >= demandWindow {
+		if covered >= demandWindow || len(p.periods)-i > maxPeriods {
 			p.periods = slices.Delete(p.periods, 0, i+1)
 			break
 		}
--- a/shares/fuzz_test.go
+++ b/shares/fuzz_test.go
@@ -29,6 +29,9 @@
 			for _, r := range reports {
 				r.Sequence += uint64(now)
 				d.Receive(now, r)
+				if p := d.reporters[r.VM]; len(p.periods) > maxPeriods {
+					t.Fatalf("%d reports of one process are kept", len(p.periods))
+				}
 			}
 			decision := d.Decide(now)
 			if !slices.IsSortedFunc(decision.Ranks, func(a, b Rank) int { return cmp.Compare(a.Priority, b.Priority) }) {
