quota: a reply with negative tokens does not admit without a limit

Cause: a holder added the tokens of a reply as they came. With a negative number, which owners before could send, the count never reached 0, and each request was admitted until the expiry of the grant. A retry time of years blocked the team as long. Change: tokens are limited to 0 and 2^31-1, the time to an hour, the longest that an owner asks for. FuzzGrantReply is the target.

--- a/quota/fuzz_request_test.go
+++ b/quota/fuzz_request_test.go
@@ -33,3 +33,40 @@
 		}
 	})
 }
+
+// FuzzGrantReply guards against replies of a peer that let a holder admit more requests than were granted, or that block a team for
+// ever.
+func FuzzGrantReply(f *testing.F) {
+	f.Add([]byte(`[{"granted":3,"confirmed":1},{"retryAfter":50000000,"tight":true}]`))
+	f.Add([]byte(`[{"granted":-5},{"granted":-5,"confirmed":-9223372036854775808}]`))
+	f.Add([]byte(`[{"retryAfter":9223372036854775807},{"retryAfter":-1}]`))
+	f.Add([]byte(`[{"retryAfter":4611686018427387904}]`))
+	f.Add([]byte(`[{"granted":2},{"granted":9223372036854775807,"confirmed":9223372036854775807}]`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var replies []GrantReply
+		if json.Unmarshal(data, &replies) != nil {
+			return
+		}
+		h := NewHolder(Config{Process: "vm1", Incarnation: 1})
+		now, granted, admitted := time.Minute, 0.0, 0.0
+		for _, r := range replies {
+			now += 100 * time.Millisecond
+			for range 4 {
+				if ok, _ := h.Take(now, "red"); ok {
+					admitted++
+				}
+			}
+			for _, request := range h.Poll(now) {
+				r.Process, r.Incarnation, r.Team, r.ID = request.Process, request.Incarnation, request.Team, request.ID
+				granted += max(float64(r.Granted), 0)
+				h.Receive(now, r)
+			}
+			if tokens := h.teams["red"].tokens; tokens < 0 || admitted > granted {
+				t.Fatalf("%+v: %d tokens, %v requests admitted, %v granted", r, tokens, admitted, granted)
+			}
+		}
+		if now += 2 * time.Hour; h.Blocked(now, "red") {
+			t.Fatal("blocked for more than two hours")
+		}
+	})
+}
--- a/quota/owner.go
+++ b/quota/owner.go
@@ -113,7 +113,7 @@
 // whichever is longer. The time until the Owner opens is added.
 func (o *Owner) retryAfter(now time.Duration, b *bucket, limit Limit) time.Duration {
 	if limit.Burst < 1 || limit.Rate <= 0 {
-		return time.Hour
+		return maxOwnerRetryAfter
 	}
 	missing := 1 - b.level
 	if missing <= 0 {
--- a/quota/requests.go
+++ b/quota/requests.go
@@ -1,6 +1,12 @@
 package quota
 
-import "time"
+import (
+	"math"
+	"time"
+)
+
+// maxOwnerRetryAfter is the longest delay that an owner asks for: that of a team without a rate.
+const maxOwnerRetryAfter = time.Hour
 
 // requestIfLow appends a new request for a team that is low on tokens, unless one is in flight or the owner has no
 // tokens.
@@ -142,9 +148,10 @@
 	expires := t.firstSent + h.cfg.lifetime(request.brief)
 	t.pending = pendingRequest{}
 	t.expire(now)
-	t.tokens = min(t.tokens, r.Confirmed)
+	// A negative number of tokens would never reach 0.
+	t.tokens = min(t.tokens, max(r.Confirmed, 0))
 	if now < expires {
-		t.tokens += r.Granted
+		t.tokens = min(t.tokens+min(max(r.Granted, 0), math.MaxInt32), math.MaxInt32)
 		t.expires = expires
 	}
 	// The tokens of a brief grant expire at the owner so soon that a report would bring nothing.
@@ -154,7 +161,7 @@
 	}
 	t.blockedUntil = 0
 	if r.RetryAfter > 0 {
-		t.blockedUntil = now + r.RetryAfter
+		t.blockedUntil = now + min(r.RetryAfter, maxOwnerRetryAfter)
 	}
 	// The caller calls Retry for the waiting requests, which counts them again.
 	t.unserved = 0
