--- a/proxy/rollouts_test.go
+++ b/proxy/rollouts_test.go
@@ -312,7 +312,7 @@
 	f.refresh()
 	f.allow(t, 6)
 	results := f.start(t, f.new, 6)
-	eventually(t, "requests wait", func() bool { return f.new.gate.Load("svc").Queued == 3 })
+	eventually(t, "requests run and wait", func() bool { return f.newServer.count() == 3 && f.new.gate.Load("svc").Queued == 3 })
 	f.allow(t, 1)
 	report := f.allow(t, 1)
 	assert.Equal(t, report.Arrived, uint64(3))
