proxy/gatereports: the gates of a service that a process keeps are bounded

Cause: found by reading. Names of gates come from other processes, and the table of a service had no bound, nor had what an entry keeps for each name. A faulty process could fill the memory of the others within the retention of a minute. Change: at most 4,096 gates of a service; known ones go on. Result: TestReceiveKeepsABoundedNumberOfGates.

--- a/proxy/gatereports/gatereports_test.go
+++ b/proxy/gatereports/gatereports_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"flag"
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -59,6 +60,16 @@
 	assert.Assert(t, table.Receive("s", report(time.Second, time.Hour+restartAfter)), "a restarted gate")
 }
 
+// Guards against a faulty process whose reports fill the memory of the others.
+func TestReceiveKeepsABoundedNumberOfGates(t *testing.T) {
+	table := NewTable()
+	for i := range maxGates {
+		assert.Assert(t, table.Receive("s", Report{VM: fmt.Sprint("vm", i), Made: 1, Speed: 1}))
+	}
+	assert.Assert(t, !table.Receive("s", Report{VM: "more", Made: 1, Speed: 1}))
+	assert.Assert(t, table.Receive("s", Report{VM: "vm0", Made: 2, Speed: 1}), "known gates go on")
+}
+
 // Guards against news of gates that fail being crowded out by loads, and against reports that are passed on without end.
 func TestPick(t *testing.T) {
 	table := NewTable()
--- a/proxy/gatereports/table.go
+++ b/proxy/gatereports/table.go
@@ -19,6 +19,9 @@
 	// restartAfter is how much later a report with a lower Made must be to come from a new process of the gate. Reports spend
 	// less time on the network.
 	restartAfter = 3 * time.Second
+	// maxGates limits the gates of one service that a process keeps, at twice the largest fleet that the design is for. Names come from
+	// other processes, and a faulty one must not fill the memory.
+	maxGates = 4096
 	// retention is how long the last report of a gate is kept.
 	retention = time.Minute
 )
@@ -52,6 +55,9 @@
 	if ok && r.Made <= known.report.Made && r.At < known.report.At+restartAfter {
 		return false
 	}
+	if !ok && len(rows) >= maxGates {
+		return false
+	}
 	urgent := r.Health != outlier.Healthy || ok && (known.report.Health != r.Health || known.isUrgent())
 	rows[r.VM] = &row{report: r, urgent: urgent}
 	return true
