review: case 7, a stopped machine starts waiting bookings that it then breaks off

Cause: a gate that is leaving refuses new requests but goes on starting those that wait for a slot, also when what is left of its stop is shorter than they need; at the end of the stop they are cut at the target (proxy Gate.Leave, checkSlot; node.stop).

--- a/review/harness-2/client.go
+++ b/review/harness-2/client.go
@@ -14,6 +14,7 @@
 type result struct {
 	id        string
 	sent      time.Time
+	ended     time.Time
 	status    int // 0 without an answer
 	signature string
 	body      string
@@ -21,8 +22,9 @@
 }
 
 // send sends one request on a connection of its own to the process on a machine.
-func send(m *machine, method, path, id string, deadline time.Duration, body string) (res result) {
+func send(m *machine, method, path, id string, deadline time.Duration, body string, headers ...string) (res result) {
 	res = result{id: id, sent: time.Now()}
+	defer func() { res.ended = time.Now() }()
 	conn, err := net.DialTimeout("tcp", m.address(portCaller), time.Second)
 	if err != nil {
 		res.err = err
@@ -31,6 +33,9 @@
 	defer conn.Close()
 	_ = conn.SetDeadline(time.Now().Add(deadline))
 	head := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\nX-Request-Deadline: %d\r\nX-Api-Key: %s\r\n", method, path, routeHost, id, deadline.Milliseconds(), routeKey)
+	for _, h := range headers {
+		head += h + "\r\n"
+	}
 	if method != http.MethodGet {
 		head += fmt.Sprintf("Content-Length: %d\r\n", len(body))
 	}
--- a/review/harness-2/fleet.go
+++ b/review/harness-2/fleet.go
@@ -331,3 +331,11 @@
 	_, err = io.Copy(io.Discard, resp.Body)
 	return resp.StatusCode, err
 }
+
+// signal sends a signal to the process of a machine.
+func (m *machine) signal(s syscall.Signal) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.fleet.run.log("signal to the process on %s: %v", m.name, s)
+	_ = m.command.Process.Signal(s)
+}
--- a/review/harness-2/main.go
+++ b/review/harness-2/main.go
@@ -19,6 +19,7 @@
 var cases = map[string]func(*run) error{
 	"late-heartbeat": lateHeartbeat,
 	"extra-answer":   extraAnswer,
+	"stop-queue":     stopQueue,
 }
 
 // run is one run of a case.
--- a/review/harness-2/target.go
+++ b/review/harness-2/target.go
@@ -44,6 +44,8 @@
 	id       string
 	at       time.Time
 	finished bool
+	// cut is when the connection of the request ended while it ran; zero where it did not.
+	cut time.Time
 }
 
 // startTarget starts a target on a machine, with its heartbeats.
@@ -141,7 +143,20 @@
 				}
 			}
 		}
-		if _, err := conn.Write(t.answer(req)); err != nil {
+		// Like most targets, this one drops a request when its connection closes.
+		gone := make(chan error, 1)
+		go func() {
+			_, err := reader.Peek(1)
+			gone <- err
+		}()
+		answer := t.answer(req, gone)
+		if answer == nil {
+			return
+		}
+		if _, err := conn.Write(answer); err != nil {
+			return
+		}
+		if err := <-gone; err != nil {
 			return
 		}
 	}
@@ -153,8 +168,16 @@
 // answerBody returns the body of the answer to a request.
 func answerBody(id string) string { return "the whole answer to " + id }
 
-// answer runs a request and returns the bytes of the answer.
-func (t *target) answer(req *http.Request) []byte {
+// workTime returns how long a request works: what it asks for, or the usual time.
+func (t *target) workTime(req *http.Request) time.Duration {
+	if ms, err := strconv.Atoi(req.Header.Get("X-Work-Ms")); err == nil {
+		return time.Duration(ms) * time.Millisecond
+	}
+	return t.work
+}
+
+// answer runs a request and returns the bytes of the answer; nil if the connection ends meanwhile, of which gone tells.
+func (t *target) answer(req *http.Request, gone chan error) []byte {
 	id := req.Header.Get("X-Request-Id")
 	if req.URL.Path == "/health" {
 		return fmt.Appendf(nil, "HTTP/1.1 200 OK\r\nX-Instance-Id: %s\r\nContent-Length: 0\r\n\r\n", t.id)
@@ -177,7 +200,19 @@
 	t.arrivals = append(t.arrivals, arrival{id: id, at: time.Now()})
 	t.mu.Unlock()
 	t.run.log("target %s: runs %s", t.id, id)
-	time.Sleep(t.work)
+	select {
+	case <-time.After(t.workTime(req)):
+	case err := <-gone:
+		gone <- err
+		if err != nil {
+			t.mu.Lock()
+			t.arrivals[n].cut = time.Now()
+			t.mu.Unlock()
+			t.run.log("target %s: %s is broken off", t.id, id)
+			return nil
+		}
+		time.Sleep(t.workTime(req))
+	}
 	t.mu.Lock()
 	t.arrivals[n].finished = !t.ended
 	t.mu.Unlock()
