--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Builds what the scripts of review/11 to review/15 start beside the daemon. Run the build of deploy/system.toml first.
+# Builds what the scripts of review/11 to review/13 start beside the daemon. Run the build of deploy/system.toml first.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target
