--- a/review/harness-3/fleet.go
+++ b/review/harness-3/fleet.go
@@ -70,11 +70,11 @@
 			break
 		}
 	}
-	dir, err := os.MkdirTemp("", "review-3-")
+	port, err := freePorts()
 	if err != nil {
 		return nil, err
 	}
-	port, err := freePorts()
+	dir, err := os.MkdirTemp("", "review-3-")
 	if err != nil {
 		return nil, err
 	}
