proxy: a status of a request that has run is no promise that it has not

What callers saw: a backend server began a booking, failed and answered 503 without X-Not-Executed; the caller got the 503, which promises "not run", and booked again.

Cause: only the fleet's own refusals were checked for a status that promises more than is known; a backend server's status was passed on. The same on related paths: 408, 421 and 429; calls; stored responses of idempotency keys; and each 421 counted as not run, marked or not, so the request was sent to another backend server and the claim of its key was released.

Change: where the attempts of a request end, a response whose status callers take as such a promise becomes 502 with the outcome unknown, if the request may not be repeated. Dialect.ImpliesNotRun names the statuses: four on the platform, none in the project's dialect, whose callers read the outcome header. A 421 without the mark has the outcome unknown.

--- a/proxy/dialect.go
+++ b/proxy/dialect.go
@@ -36,7 +36,8 @@
 	ID string
 	// NotRun means that the backend server did not start the request.
 	NotRun bool
-	// OtherInstance means that the response comes from an instance other than the intended one.
+	// OtherInstance means that the response comes from an instance other than the intended one. Without NotRun it does not
+	// state that the request did not run.
 	OtherInstance bool
 }
 
@@ -50,6 +51,8 @@
 	ToBackend(h http.Header, r BackendRequest)
 	// FromBackend reads the metadata of a backend server's response.
 	FromBackend(resp *http.Response) BackendResponse
+	// ImpliesNotRun reports whether callers take a status by itself as a promise that the request has not run and will not.
+	ImpliesNotRun(status int) bool
 	// ToCaller sets the headers that identify the request in a response to a caller.
 	ToCaller(h http.Header, id string)
 	// RetryAfter returns the value of a Retry-After header.
@@ -87,6 +90,9 @@
 	return BackendResponse{ID: resp.Header.Get(HeaderRequestID)}
 }
 
+// ImpliesNotRun implements Dialect. Callers read the outcome from HeaderOutcome, which no backend server can set.
+func (defaultDialect) ImpliesNotRun(int) bool { return false }
+
 // ToCaller implements Dialect.
 func (defaultDialect) ToCaller(h http.Header, id string) { h.Set(HeaderRequestID, id) }
 
--- a/proxy/router.go
+++ b/proxy/router.go
@@ -73,9 +73,9 @@
 	failedResponse *Response
 }
 
-// run tries VMs until one responds, the request must not be sent again, or the retry budget or the time is used up.
+// runAttempts tries VMs until one responds, the request must not be sent again, or the retry budget or the time is used up.
 // Errors are of type *Refusal. Their outcome is not-run only if no attempt may have run.
-func (r *router) run(ctx context.Context, req *Request) (*Response, error) {
+func (r *router) runAttempts(ctx context.Context, req *Request) (*Response, error) {
 	history := &attemptHistory{tried: map[string]bool{}, breakerTripped: map[string]bool{}}
 	history.retryReserved = r.reserveRetry(req)
 	defer r.refundRetry(req, history)
@@ -120,7 +120,7 @@
 // shouldRetryResponse reports whether the request should be sent to another backend server instead of returning the
 // failure.
 func (r *router) shouldRetryResponse(req *Request, resp *Response, history *attemptHistory) bool {
-	if !routing.RetryableStatus(resp.Status, req.Repeatable && req.IdempotencyKey == "") {
+	if !routing.RetryableStatus(resp.Status, req.mayRepeat()) {
 		return false
 	}
 	failed := unknownRefusal(resp.Status, ReasonFailed, "run")
@@ -283,16 +283,6 @@
 	return &final
 }
 
-// impliesNotRun reports whether callers understand a status as a promise that the request did not run.
-func impliesNotRun(status int) bool {
-	switch status {
-	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
-		return true
-	default:
-		return false
-	}
-}
-
 // mayRetry reports whether another attempt is allowed after a refusal. It takes a retry from the budget, or uses the
 // reserved one, if the refused attempt reached a backend server.
 func (r *router) mayRetry(req *Request, refusal *Refusal, history *attemptHistory) bool {
--- a/proxy/run.go
+++ b/proxy/run.go
@@ -201,7 +201,8 @@
 	}
 }
 
-// declinedRefusal returns the refusal of a request that the backend server did not start.
+// declinedRefusal returns the refusal of a request that the backend server did not start, or that another instance got. Without
+// the mark of a request that did not run, the other instance may have started it.
 func (g *Gate) declinedRefusal(req *Request, held *slot, resp *http.Response, info BackendResponse) *Refusal {
 	reason := ReasonShed
 	if info.OtherInstance {
@@ -211,6 +212,9 @@
 			Msg("gate: another instance responded at the address of the backend server.")
 	}
 	refusal := notRunRefusal(http.StatusServiceUnavailable, reason, "run")
+	if !info.NotRun {
+		refusal = unknownRefusal(http.StatusBadGateway, reason, "run")
+	}
 	refusal.Reached = true
 	refusal.Err = errors.Errorf("backend server responded with status %d", resp.StatusCode)
 	return refusal
