proxy, node: a departure without a known start covers every start of the instance

What callers saw: the process beside a backend server was killed and restarted, acknowledged the deregistration that came next, and used the backend server again when a late heartbeat arrived; requests reached it until it exited.

Cause: a deregistration has no start. The gate takes it from the announcements that it has seen; right after a restart these are none, and the departure was recorded with the start 0, which no announcement has. It covered nothing, here and in the control group.

--- a/fleet/state/departures.go
+++ b/fleet/state/departures.go
@@ -20,20 +20,28 @@
 	StartedMs int64  `json:"startedMs,omitempty"`
 	// Through is the number of the last announcement that is outdated.
 	Through uint64 `json:"through"`
+	// ID distinguishes departures of an instance whose start is not known; empty for the others.
+	ID string `json:"id,omitempty"`
+	// Before is the earliest start that a departure without a known start does not cover, as in StartedMs; 0 while none is
+	// known.
+	Before int64 `json:"before,omitempty"`
 }
 
-// sameInstance reports whether two departures are of the same start of a backend server.
-func (d *Departure) sameInstance(other *Departure) bool {
-	return d.VM == other.VM && d.Instance == other.Instance && d.StartedMs == other.StartedMs
+// sameDeparture reports whether two departures are of the same start of a backend server, or are copies of one without a known
+// start.
+func (d *Departure) sameDeparture(other *Departure) bool {
+	return d.VM == other.VM && d.Instance == other.Instance && d.StartedMs == other.StartedMs && d.ID == other.ID
 }
 
-// recordDeparture keeps a departure. One with a higher number replaces an earlier one of the same instance.
+// recordDeparture keeps a departure. A copy of a departure only extends it, so that commands may be repeated or overtake one
+// another.
 func (s *State) recordDeparture(d Departure) Result {
-	if d.VM == "" || len(d.VM) > maxIDBytes || d.Instance == "" || len(d.Instance) > maxIDBytes {
-		return s.refusedResult(refuse(CodeInvalid, nil, "the VM and the instance must have 1 to %d bytes", maxIDBytes))
+	if d.VM == "" || len(d.VM) > maxIDBytes || d.Instance == "" || len(d.Instance) > maxIDBytes || len(d.ID) > maxIDBytes {
+		return s.refusedResult(refuse(CodeInvalid, nil, "the VM and the instance must have 1 to %d bytes, and the ID at most as many", maxIDBytes))
 	}
-	if i := slices.IndexFunc(s.departures, func(other Departure) bool { return other.sameInstance(&d) }); i >= 0 {
+	if i := slices.IndexFunc(s.departures, func(other Departure) bool { return other.sameDeparture(&d) }); i >= 0 {
 		d.Through = max(d.Through, s.departures[i].Through)
+		d.Before = max(d.Before, s.departures[i].Before)
 		s.departures = slices.Delete(s.departures, i, i+1)
 	}
 	s.departures = append(s.departures, d)
--- a/fleet/state/departures_test.go
+++ b/fleet/state/departures_test.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math"
+	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -57,3 +59,26 @@
 	}
 	assert.Equal(t, kept(s), kept(earlier))
 }
+
+// Guards against a late copy of a command that takes back what is known of a departure without a known start, and against a
+// return after one departure that counts as one after the next.
+func TestDeparturesWithoutAStart(t *testing.T) {
+	s := New()
+	first := Departure{VM: "a", Instance: "i-1", Through: math.MaxUint64, ID: "first"}
+	second := Departure{VM: "a", Instance: "i-1", Through: math.MaxUint64, ID: "second"}
+	returned := first
+	returned.Before = 2000
+	for _, d := range []Departure{first, returned, second, first, returned} {
+		depart(t, s, d)
+	}
+	want := []Departure{second, returned}
+	assert.DeepEqual(t, s.Departures("a"), want)
+	data, err := s.Snapshot()
+	assert.NilError(t, err)
+	restored, err := Restore(data)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, restored.Departures("a"), want)
+	long := first
+	long.ID = strings.Repeat("i", maxIDBytes+1)
+	assert.Equal(t, depart(t, s, long).Err.Code, CodeInvalid)
+}
--- a/node/announcements.go
+++ b/node/announcements.go
@@ -34,20 +34,29 @@
 
 	mu sync.Mutex // guards stored
 	// stored holds the departures that the control group has stored, up to maxStoredDepartures.
-	stored map[instanceKey]uint64
+	stored map[departureKey]storedDeparture
 }
 
-// instanceKey identifies a start of a backend server on this VM.
-type instanceKey struct {
+// departureKey identifies a start of a backend server on this VM that is leaving, or a departure without a known start.
+type departureKey struct {
 	instance  string
 	startedMs int64
+	id        string
+}
+
+func keyOf(d proxy.Departure) departureKey { return departureKey{d.Instance, d.StartedMs, d.ID} }
+
+// storedDeparture is what the control group has stored of a departure.
+type storedDeparture struct {
+	through uint64
+	before  int64
 }
 
 // maxStoredDepartures limits Announcements.stored. A departure that it lacks is stored again, which has no effect.
 const maxStoredDepartures = 1024
 
 func newAnnouncements(n *Node) *Announcements {
-	return &Announcements{Node: n, stored: map[instanceKey]uint64{}}
+	return &Announcements{Node: n, stored: map[departureKey]storedDeparture{}}
 }
 
 // Announcements returns the receiver of the announcements of backend servers on this VM.
@@ -58,17 +67,26 @@
 	if err := a.gate.Announce(announcement, time.Now()); err != nil {
 		return &proxy.AnnouncementError{Err: err}
 	}
-	key := instanceKey{announcement.Instance, announcement.StartedMs}
+	departure := proxy.Departure{Instance: announcement.Instance, StartedMs: announcement.StartedMs, Through: announcement.Sequence}
 	switch {
 	case announcement.Sequence == 0:
 		return nil // late announcements cannot be told from new ones
 	case !announcement.Draining:
-		a.endDeparture(key, announcement.Sequence)
+		a.endDeparture(departure)
+		a.storeReturn(ctx, announcement.Instance)
 		return nil
-	case a.hasStored(key, 0):
+	case a.hasStored(proxy.Departure{Instance: announcement.Instance, StartedMs: announcement.StartedMs}):
 		return nil // the number of the first announcement that it is draining is enough
 	}
-	return a.store(ctx, proxy.Departure{Instance: key.instance, StartedMs: key.startedMs, Through: announcement.Sequence})
+	return a.store(ctx, departure)
+}
+
+// storeReturn stores that an instance has started again after a departure without a known start, so that it is not held down
+// once more when this process restarts. A failure is logged by store; the next announcement tries again.
+func (a *Announcements) storeReturn(ctx context.Context, instance string) {
+	for _, d := range a.gate.ReturnedAfter(instance) {
+		_ = a.store(ctx, d)
+	}
 }
 
 // Withdraw implements proxy.Announcer. An instance without numbered announcements may be announced again.
@@ -92,15 +110,14 @@
 
 // store stores a departure in the control group, unless it has.
 func (a *Announcements) store(ctx context.Context, d proxy.Departure) error {
-	key := instanceKey{d.Instance, d.StartedMs}
-	if a.hasStored(key, d.Through) {
+	if a.hasStored(d) {
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, departureStoreTimeout)
 	defer cancel()
 	result, err := a.groups.command(ctx, state.Command{
 		ChangeID: string(newClaimID()), Operator: a.opts.Name, Time: time.Now(),
-		Depart: &state.Departure{VM: a.opts.Name, Instance: d.Instance, StartedMs: d.StartedMs, Through: d.Through},
+		Depart: &state.Departure{VM: a.opts.Name, Instance: d.Instance, StartedMs: d.StartedMs, Through: d.Through, ID: d.ID, Before: d.Before},
 	})
 	if err != nil {
 		a.opts.Log.Warn().Err(err).Str("instance", d.Instance).Msg("gate: could not store that an instance is leaving.")
@@ -111,35 +128,36 @@
 		a.opts.Log.Warn().Str("instance", d.Instance).Str("reason", result.Err.Error()).
 			Msg("gate: the control leader cannot store that an instance is leaving.")
 	}
-	a.setStored(key, d.Through)
+	a.setStored(d)
 	return nil
 }
 
 // endDeparture forgets that the departure of an instance is stored, if a later announcement says that it is in use again. The
 // next departure must be stored with a higher number.
-func (a *Announcements) endDeparture(key instanceKey, sequence uint64) {
+func (a *Announcements) endDeparture(announced proxy.Departure) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if stored, ok := a.stored[key]; ok && sequence > stored {
-		delete(a.stored, key)
+	if stored, ok := a.stored[keyOf(announced)]; ok && announced.Through > stored.through {
+		delete(a.stored, keyOf(announced))
 	}
 }
 
-// hasStored reports whether the control group has stored a departure of an instance with the given number or a higher one.
-func (a *Announcements) hasStored(key instanceKey, through uint64) bool {
+// hasStored reports whether the control group has stored a departure with the given numbers or higher ones.
+func (a *Announcements) hasStored(d proxy.Departure) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	stored, ok := a.stored[key]
-	return ok && stored >= through
+	stored, ok := a.stored[keyOf(d)]
+	return ok && stored.through >= d.Through && stored.before >= d.Before
 }
 
-func (a *Announcements) setStored(key instanceKey, through uint64) {
+func (a *Announcements) setStored(d proxy.Departure) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if len(a.stored) >= maxStoredDepartures {
 		clear(a.stored)
 	}
-	a.stored[key] = max(a.stored[key], through)
+	stored := a.stored[keyOf(d)]
+	a.stored[keyOf(d)] = storedDeparture{through: max(stored.through, d.Through), before: max(stored.before, d.Before)}
 }
 
 // departuresRequest asks a control VM for the departures of the backend servers on a VM.
@@ -218,13 +236,14 @@
 
 // depart passes departures from before the restart to the gate.
 func (a *Announcements) depart(list []state.Departure) {
-	for _, d := range list {
-		if a.hasStored(instanceKey{d.Instance, d.StartedMs}, d.Through) {
+	for _, stored := range list {
+		d := proxy.Departure{Instance: stored.Instance, StartedMs: stored.StartedMs, Through: stored.Through, ID: stored.ID, Before: stored.Before}
+		if a.hasStored(d) {
 			continue
 		}
 		a.opts.Log.Info().Str("instance", d.Instance).Int64("started", d.StartedMs).Uint64("through", d.Through).
-			Bool("withdrawn", d.Through == math.MaxUint64).Msg("gate: an instance was leaving before the restart.")
-		a.gate.Depart(proxy.Departure{Instance: d.Instance, StartedMs: d.StartedMs, Through: d.Through})
-		a.setStored(instanceKey{d.Instance, d.StartedMs}, d.Through)
+			Int64("before", d.Before).Bool("withdrawn", d.Through == math.MaxUint64).Msg("gate: an instance was leaving before the restart.")
+		a.gate.Depart(d)
+		a.setStored(d)
 	}
 }
--- a/node/announcements_test.go
+++ b/node/announcements_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -115,3 +116,24 @@
 	assert.NilError(t, announceNumbered(t, n, 7, false))
 	assert.Assert(t, hasNumbered(n))
 }
+
+// Guards against an instance that is held down again at each restart of the process, because the control group does not learn
+// that it started again after a departure without a known start.
+func TestReturnOfAnInstanceIsStored(t *testing.T) {
+	f := startIsolationFleet(t)
+	n := f.proxies[0]
+	f.waitServing(n)
+	assert.NilError(t, n.Announcements().WithdrawInstance(t.Context(), "i-1", 0))
+	list := departuresOf(f.control, n.opts.Name)
+	assert.Equal(t, len(list), 1)
+	assert.Assert(t, list[0].ID != "" && list[0].StartedMs == 0 && list[0].Before == 0, "%+v", list)
+	assert.NilError(t, announceNumbered(t, n, 1, false))
+	assert.Assert(t, !hasNumbered(n), "the start may be the one that left")
+	n.gate.Depart(proxy.Departure{Instance: "i-1", Through: math.MaxUint64, ID: list[0].ID, Before: 1000}) // as after the hold-down
+	assert.NilError(t, announceNumbered(t, n, 2, false))
+	assert.Assert(t, hasNumbered(n))
+	assert.Equal(t, departuresOf(f.control, n.opts.Name)[0].Before, int64(1000))
+	assert.NilError(t, n.Announcements().WithdrawInstance(t.Context(), "i-1", 0))
+	assert.Assert(t, !hasNumbered(n))
+	assert.Equal(t, len(departuresOf(f.control, n.opts.Name)), 2, "the second departure is of the start that returned")
+}
--- a/proxy/announce.go
+++ b/proxy/announce.go
@@ -89,21 +89,6 @@
 	return nil
 }
 
-// Departure states that an instance of a backend server is leaving.
-type Departure struct {
-	Instance string
-	// StartedMs is the Unix time in milliseconds at which the instance started; 0 where it is not known.
-	StartedMs int64
-	// Through is the sequence number of the last announcement that is outdated, whenever it arrives. It is math.MaxUint64
-	// if the instance must not be announced again.
-	Through uint64
-}
-
-// covers reports whether an announcement is outdated by the departure.
-func (d *Departure) covers(a *Announcement) bool {
-	return a.Instance == d.Instance && a.StartedMs == d.StartedMs && a.Sequence <= d.Through
-}
-
 // Announcer accepts announcements. An acknowledged departure holds across a restart of the process.
 type Announcer interface {
 	// Announce returns an *AnnouncementError if the announcement is not valid. With any other error a departure is not
--- a/proxy/gate.go
+++ b/proxy/gate.go
@@ -106,9 +106,8 @@
 	running map[string]*parentRequest
 	// heldAnnouncements are the announcements of unknown services, by name of the backend server.
 	heldAnnouncements map[string]Announcement
-	// departures are the latest departures, at most maxBackendServers. A late announcement must not register a leaving
-	// instance again.
-	departures []Departure
+	// departures are the latest departures. A late announcement must not register a leaving instance again.
+	departures departures
 	// lastCallFailure is when a call of a backend server on this VM last failed.
 	lastCallFailure time.Duration
 }
@@ -144,7 +143,12 @@
 	settings, known := g.opts.Fleet.Service(a.Service)
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.isOutdated(&a) {
+	outdated, returned := g.departures.isOutdated(&a, g.opts.Clock(), g.opts.AnnouncementTTL)
+	if returned {
+		g.opts.Log.Info().Str("server", a.Name).Str("instance", a.Instance).Int64("started", a.StartedMs).
+			Msg("gate: an instance that left without a known start has started again.")
+	}
+	if outdated {
 		g.opts.Log.Info().Str("server", a.Name).Str("instance", a.Instance).Uint64("sequence", a.Sequence).
 			Int64("started", a.StartedMs).Msg("gate: ignored announcement of an instance that is leaving.")
 		return nil
@@ -220,16 +224,37 @@
 }
 
 // WithdrawInstance removes the backend server that runs the given instance. Later announcements of that instance are
-// ignored. startedMs is the Unix time in milliseconds at which the instance started; 0 where it is not known.
+// ignored. startedMs is the Unix time in milliseconds at which the instance started; 0 where it is not known. If no announcement
+// of the instance is known either, the departure covers every start of the instance.
 func (g *Gate) WithdrawInstance(instance string, startedMs int64) Departure {
 	d := Departure{Instance: instance, StartedMs: startedMs, Through: math.MaxUint64}
 	if startedMs == 0 {
 		d.StartedMs = g.startOf(instance)
 	}
+	if d.startUnknown() {
+		d.ID = g.departureID(instance)
+	}
 	g.Depart(d)
 	return d
 }
 
+// departureID returns the ID of the departure without a known start that is in force for an instance, or a new one.
+func (g *Gate) departureID(instance string) string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if d, ok := g.departures.withoutStart(instance); ok {
+		return d.ID
+	}
+	return newRequestID()
+}
+
+// ReturnedAfter returns the departures without a known start after which an instance started again.
+func (g *Gate) ReturnedAfter(instance string) []Departure {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.departures.returned(instance)
+}
+
 // startOf returns when the announced backend server that runs an instance started, or 0.
 func (g *Gate) startOf(instance string) int64 {
 	g.mu.Lock()
@@ -262,26 +287,13 @@
 			delete(g.heldAnnouncements, name)
 		}
 	}
-	g.departures = append(g.departures, d)
-	if len(g.departures) > maxBackendServers {
-		g.departures = g.departures[1:]
-	}
+	g.departures.add(d)
 	g.mu.Unlock()
 	for _, name := range names {
 		g.Withdraw(name)
 	}
 }
 
-// isOutdated reports whether an announcement comes from an instance that is leaving. The caller holds mu.
-func (g *Gate) isOutdated(a *Announcement) bool {
-	for i := range g.departures {
-		if g.departures[i].covers(a) {
-			return true
-		}
-	}
-	return false
-}
-
 // Newest returns the newest announcement of a backend server; ok is false if there is none.
 func (g *Gate) Newest(name string) (a Announcement, ok bool) {
 	g.mu.Lock()
