node, platform: a control group is created although the disk was full at first

What callers saw: the disks of the control VMs were full for the first 1.5 s after the first start.

Cause: one process creates the control group, at the first start. It ended because of its disk and was started again with firstStart = false, so it joined like all others. Besides, a creation that failed between its two writes left a folder that the next start took for that of a member waiting to be added.

The data folders are opened before anything else is started (node/stores.go), so an attempt leaves nothing behind. An interrupted creation is completed at the next start; only the creator ever writes a hard state of the first term.

--- a/node/controlrole.go
+++ b/node/controlrole.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"path/filepath"
 	"sync"
 	"time"
 
@@ -13,7 +12,6 @@
 	"rosemaryline.dev/raft"
 	"rosemaryline.dev/replica"
 	"rosemaryline.dev/rpc"
-	"rosemaryline.dev/storage"
 )
 
 // controlRole is the part of a process that runs only with the control role, that is, with a data folder.
@@ -41,10 +39,9 @@
 	leavingMembers map[raft.ID]uint64
 }
 
-// startControl opens the data folder, starts the control group and, unless Options.NoRecords is set, the record group.
-// Without a data folder it does nothing. Errors name the step and the folder.
-func (n *Node) startControl() error {
-	if n.opts.DataDir == "" {
+// startControl starts the members of the groups whose data folders were opened. It owns the stores. Without any it does nothing.
+func (n *Node) startControl(stores groupStores) error {
+	if len(stores) == 0 {
 		return nil
 	}
 	c := &controlRole{
@@ -59,13 +56,13 @@
 	c.heartbeats = newHeartbeats(c)
 	c.expirer = idempotency.NewExpirer(0)
 	n.control = c
-	var err error
-	if c.controlID, err = c.startGroup(groupControl, c.machine); err != nil {
-		return err
-	}
-	if !n.opts.NoRecords {
-		if c.recordsID, err = c.startGroup(groupRecords, idempotency.NewStore()); err != nil {
+	c.controlID = stores[groupControl].recovered.ID
+	c.recordsID = stores[groupRecords].recovered.ID
+	machines := map[groupName]replica.StateMachine{groupControl: c.machine, groupRecords: idempotency.NewStore()}
+	for name, opened := range stores {
+		if err := c.startGroup(name, opened, machines[name]); err != nil {
 			c.stop()
+			stores.closeExcept(c.groups)
 			return err
 		}
 	}
@@ -84,43 +81,26 @@
 	return nil
 }
 
-// startGroup starts this process's member of a group from its folder and returns the member id. With an empty folder
-// the member creates the group if Options.Bootstrap is set, else it waits to be added to one.
-func (c *controlRole) startGroup(name groupName, machine replica.StateMachine) (raft.ID, error) {
-	dir := filepath.Join(c.node.opts.DataDir, string(name))
-	store, recovered, err := storage.Open(storage.OS{}, dir)
-	if err != nil {
-		return 0, errors.Wrapf(err, "open %s", dir)
-	}
-	if recovered.TornBytes > 0 {
-		c.node.opts.Log.Warn().Str("group", string(name)).Int64("bytes", recovered.TornBytes).
-			Msg("control: truncated an incomplete last write.")
-	}
-	if recovered.Empty() && c.node.opts.Bootstrap {
-		recovered, err = replica.Initialise(store, recovered, []raft.ID{recovered.ID}, raft.Snapshot{})
-		if err != nil {
-			store.Close()
-			return 0, errors.Wrapf(err, "create group in %s", dir)
-		}
-	}
+// startGroup starts this process's member of a group. Where the folder holds no group, the member waits to be added to one.
+func (c *controlRole) startGroup(name groupName, opened groupStore, machine replica.StateMachine) error {
 	transport := newRaftTransport(name, c.node.opts.PeerAddress, c.node.client, c.node.memberAddress, &c.node.tomb)
 	transport.deps = c.node.deps
 	group, err := replica.Join(replica.Options{
-		HeartbeatTicks: c.node.opts.RaftHeartbeatTicks,
+		HeartbeatTicks:  c.node.opts.RaftHeartbeatTicks,
+		SnapshotEntries: c.node.opts.SnapshotEntries,
 
-		Store:        store,
-		Recovered:    recovered,
+		Store:        opened.store,
+		Recovered:    opened.recovered,
 		StateMachine: machine,
 		Transport:    transport,
 		Logger:       c.node.opts.Log,
 	})
 	if err != nil {
-		store.Close()
-		return 0, errors.Wrapf(err, "start group in %s", dir)
+		return errors.Wrapf(err, "start group %s", name)
 	}
 	c.groups[name] = group
 	c.transports[name] = transport
-	return recovered.ID, nil
+	return nil
 }
 
 // memberAddress returns the peer address of a member of a group, as known from gossip.
--- a/node/node.go
+++ b/node/node.go
@@ -59,12 +59,17 @@
 	stopErr  error
 }
 
-// Start starts a process. Errors name the step and, where there is one, the address or folder.
+// Start starts a process. Errors name the step and, where there is one, the address or folder; *DataFolderError may pass.
 func Start(opts Options) (*Node, error) {
 	opts.setDefaults()
 	n := &Node{opts: opts, clock: proxy.NewClock(), incarnation: uint64(time.Now().UnixMilli())}
+	stores, err := openStores(&n.opts)
+	if err != nil {
+		return nil, err
+	}
 	peerListener, err := net.Listen("tcp", opts.PeerListen)
 	if err != nil {
+		stores.close()
 		return nil, errors.Wrap(err, "listen for peers")
 	}
 	n.opts.PeerListen = peerListener.Addr().String()
@@ -72,7 +77,7 @@
 		n.opts.PeerAddress = n.opts.PeerListen
 	}
 	n.build()
-	if err := n.startControl(); err != nil {
+	if err := n.startControl(stores); err != nil {
 		peerListener.Close()
 		return nil, err
 	}
--- a/node/options.go
+++ b/node/options.go
@@ -11,6 +11,7 @@
 
 	"rosemaryline.dev/proxy"
 	"rosemaryline.dev/rollout"
+	"rosemaryline.dev/storage"
 )
 
 // Options are the settings of one process.
@@ -44,7 +45,12 @@
 
 	// DataDir is the data folder. A process with a data folder has the control role.
 	DataDir string
-	// Bootstrap creates a new control group with this process as its only member if DataDir is empty.
+	// FS is the file system of the data folder. Tests use it to add failures. Default: that of the operating system.
+	FS storage.FS
+	// SnapshotEntries is the number of log entries after which a control VM saves a snapshot of its state. Default 10,000.
+	SnapshotEntries uint64
+	// Bootstrap creates a new control group with this process as its only member if DataDir is empty, or holds a creation that
+	// was interrupted.
 	Bootstrap bool
 	// BootstrapCredential is the SHA-256 sum, in hex, of a credential that has an administrator's rights while the
 	// configuration has no operators.
@@ -206,6 +212,9 @@
 	if o.LeaderHeartbeatInterval <= 0 {
 		o.LeaderHeartbeatInterval = defaultLeaderHeartbeatInterval
 	}
+	if o.FS == nil {
+		o.FS = storage.OS{}
+	}
 	if o.Log == nil {
 		o.Log = &log.Logger{Level: log.PanicLevel}
 	}
--- a/replica/initialise.go
+++ b/replica/initialise.go
@@ -26,9 +26,7 @@
 		initial.Snapshot.Index, initial.Snapshot.Term, initial.Snapshot.Data = from.Index, from.Term, from.Data
 		initial.HardState = raft.HardState{Term: from.Term, Commit: from.Index}
 	}
-	// A crash after the Save below leaves only the hard state, with a commit index of 0 because the log is empty.
-	interrupted := raft.HardState{Term: initial.HardState.Term}
-	if !r.Empty() && (r.HardState != interrupted || r.Snapshot.Index > 0 || len(r.Entries) > 0) {
+	if !r.Empty() && !interruptedAt(r, initial.HardState.Term) {
 		return r, ErrNotEmpty
 	}
 	if err := s.Save(&initial.HardState, nil); err != nil {
@@ -41,6 +39,18 @@
 	return r, nil
 }
 
+// CreationInterrupted reports whether a call of Initialise that creates a group in the initial state was interrupted, by a crash or
+// an error of the store. A member that joined a group has a later term: the first leader of a group has begun one.
+func CreationInterrupted(r storage.Recovered) bool {
+	return interruptedAt(r, raft.Bootstrap([]raft.ID{r.ID}).HardState.Term)
+}
+
+// interruptedAt reports whether a data folder holds what an interrupted call of Initialise leaves: only the hard state, with a
+// commit index of 0 because the log is empty.
+func interruptedAt(r storage.Recovered, term uint64) bool {
+	return r.HardState == raft.HardState{Term: term} && r.Snapshot.Index == 0 && len(r.Entries) == 0
+}
+
 func checkVoters(self raft.ID, voters []raft.ID) error {
 	sorted := slices.Sorted(slices.Values(voters))
 	if len(slices.Compact(sorted)) != len(voters) || slices.Contains(voters, 0) {
