proxy: an unmarked 429 or 503 of a backend server that marks refusals is a failure

What callers saw: a backend server that failed a part of its requests with 503 kept getting its share of them for as long as it did so.

Cause: each 429 and 503 counted as a sign of overload, which lowers concurrency and leaves the circuit breaker alone. On the platform a backend server marks the requests that it did not run; an unmarked one has run and failed.

Change: where callers take the status as a promise (Dialect.ImpliesNotRun), an unmarked response with it counts as failed. The project's own dialect has no mark and counts as before.

--- a/proxy/promise_test.go
+++ b/proxy/promise_test.go
@@ -10,6 +10,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"rosemaryline.dev/admission"
 	"rosemaryline.dev/fleet/config"
 	"rosemaryline.dev/fleet/state"
 )
@@ -131,3 +132,32 @@
 		})
 	}
 }
+
+// Guards against a failing backend server that its circuit breaker never sees: its failures have a status that means overload where
+// the backend server marks it.
+func TestUnmarkedRefusalsCountAsFailures(t *testing.T) {
+	for _, test := range []struct {
+		desc    string
+		dialect Dialect
+		marked  bool
+		want    admission.Result
+	}{
+		{"marked", promisingDialect{}, true, admission.Overloaded},
+		{"not marked", promisingDialect{}, false, admission.Failed},
+		{"without marks", defaultDialect{}, false, admission.Overloaded},
+	} {
+		for _, status := range []int{http.StatusTooManyRequests, http.StatusServiceUnavailable} {
+			t.Run(fmt.Sprint(test.desc, ", ", status), func(t *testing.T) {
+				entry, gate, _ := promiseFleet(t, "one hop", test.dialect, func(w http.ResponseWriter, _ *http.Request) {
+					if test.marked {
+						w.Header().Set("Not-Run", "1")
+					}
+					w.WriteHeader(status)
+				})
+				_, _, err := sendRequest(t, entry.caller, "POST", "/once", strings.NewReader("b"))
+				assert.NilError(t, err)
+				assert.DeepEqual(t, gate.observer.seen(), []admission.Result{test.want})
+			})
+		}
+	}
+}
--- a/proxy/run.go
+++ b/proxy/run.go
@@ -108,7 +108,7 @@
 		}
 		return nil, refusal
 	}
-	result := statusResult(resp.StatusCode)
+	result := g.responseResult(resp.StatusCode)
 	if result == admission.Failed && (g.callFailedSince(began) || resp.StatusCode == http.StatusGatewayTimeout && latency < held.server.overdueLimit(req, remaining)) {
 		result = admission.Cancelled
 	}
@@ -294,6 +294,15 @@
 // request.
 const maxBufferedAtGate = DefaultMaxBufferedBody
 
+// responseResult returns the result of a run by the status of its response. Where a backend server marks the requests that it did
+// not run, an unmarked status of this kind is a failure and not a sign of overload.
+func (g *Gate) responseResult(status int) admission.Result {
+	if g.opts.Dialect.ImpliesNotRun(status) {
+		return admission.Failed
+	}
+	return statusResult(status)
+}
+
 func statusResult(status int) admission.Result {
 	switch {
 	case status == http.StatusServiceUnavailable, status == http.StatusTooManyRequests:
