proxy, node: a stopping gate refuses what waits and starts only what can end

What callers saw: bookings waited at a gate when its process got SIGTERM. The gate went on starting them until it ended and then cut them at the backend server; the callers got 502.

Cause: a stopping gate refused new requests only; a request that got its slot later was checked against the failure domain and not against the stop.

Change: when the gate begins to leave it refuses the waiting requests as not run, so that their entries try other VMs at once. One that gets a slot later is refused too, except a request of the own entry that no other VM can serve, and that one only starts if the usual time of its route ends before the stop does. A log line and rosemaryline_waiting_refused_by_stop_total have the number.

--- a/node/node.go
+++ b/node/node.go
@@ -316,7 +316,9 @@
 	ctx, cancel := context.WithTimeout(context.Background(), n.opts.StopTimeout)
 	defer cancel()
 	n.Leave()
-	defer time.AfterFunc(max(n.opts.StopTimeout-responseReserve, 0), n.entry.EndRequests).Stop()
+	untilEnd := max(n.opts.StopTimeout-responseReserve, 0)
+	n.gate.StopWithin(untilEnd)
+	defer time.AfterFunc(untilEnd, n.entry.EndRequests).Stop()
 	var firstErr error
 	for _, s := range n.servers {
 		if err := s.Shutdown(ctx); err != nil && firstErr == nil {
--- a/proxy/domainstatus.go
+++ b/proxy/domainstatus.go
@@ -2,8 +2,6 @@
 
 import (
 	"time"
-
-	"rosemaryline.dev/admission"
 )
 
 // domainOut reports whether operators took the failure domain of this VM out of service. The first call that sees the failure
@@ -25,17 +23,6 @@
 	return out
 }
 
-// checkSlot checks again whether the request that got a slot may run, because the failure domain may have been taken out of service
-// while it was queued. If not, it releases the slot and returns the reason. It handles the load pattern in which slow requests
-// hold all slots when the domain is taken out, so that queued requests would start for seconds after that.
-func (g *Gate) checkSlot(held *slot) admission.Reason {
-	if !g.domainOut() {
-		return admission.ReasonNone
-	}
-	held.release(0, admission.Cancelled)
-	return admission.Reason(ReasonDomainOut)
-}
-
 // assumeCold treats a backend server as cold for the ramp time of its service, because it may have become cold while its failure
 // domain was out of service. Its next announcement reports how long it remains cold.
 func (g *Gate) assumeCold(s *server) {
--- a/proxy/gate.go
+++ b/proxy/gate.go
@@ -87,6 +87,8 @@
 type Gate struct {
 	opts    GateOptions
 	leaving atomic.Bool
+	// stopBy is when requests must have ended because the process stops, in nanoseconds on its clock; 0 where it is not known.
+	stopBy  atomic.Int64
 	budgets gateBudgets
 	// stoppingEntries has a lock of its own, which is taken last.
 	stoppingEntries stoppingEntries
@@ -369,10 +371,6 @@
 	}
 }
 
-// Leave makes the gate refuse all new requests with the outcome not-run, except those of the own entry that no other VM can
-// serve.
-func (g *Gate) Leave() { g.leaving.Store(true) }
-
 // serversOf returns the backend servers of a service sorted by name, or those of all services for an empty name. The
 // slice is shared and must not be changed.
 func (g *Gate) serversOf(service string) []*server {
@@ -417,7 +415,7 @@
 	}
 	held, reason := s.acquire(ctx, req, g.opts.Fleet.TeamRate(req.Team))
 	if reason == admission.ReasonNone {
-		reason = g.checkSlot(held)
+		reason = g.checkSlot(req, held)
 	}
 	if reason == admission.ReasonNone {
 		ticket, refusal = g.admitAtSlot(req, s, ticket)
--- a/proxy/leaving_test.go
+++ b/proxy/leaving_test.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"context"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -128,3 +129,107 @@
 	close(release)
 	<-done
 }
+
+// stoppingGate is a gate with one slot, whose backend server holds each request until it is released.
+type stoppingGate struct {
+	*Gate
+	t       *testing.T
+	backend *backend
+	release chan struct{}
+}
+
+func newStoppingGate(t *testing.T) *stoppingGate {
+	g := &stoppingGate{t: t, release: make(chan struct{})}
+	g.Gate = NewGate(GateOptions{VM: "vm2", Domain: "d1", Fleet: NewFleet(newFleetView(t, 1)), Clock: NewClock(), Log: discardLogger(),
+		Claimer: &fakeClaimer{}, Observer: &observer{}, AnnouncementTTL: time.Hour})
+	g.backend = newBackend(t, func(http.ResponseWriter, *http.Request) { <-g.release })
+	assert.NilError(t, g.Announce(Announcement{Name: "b", Service: "svc", Address: addressOf(g.backend.Server), Instance: "1"}, time.Now()))
+	t.Cleanup(func() { g.Withdraw("b") })
+	return g
+}
+
+// start sends a request and returns what becomes of it: nil if a backend server answered it.
+func (g *stoppingGate) start(lastResort bool) <-chan *Refusal {
+	req := newTestRequest(g.t, "once")
+	req.LastResort = lastResort
+	done := make(chan *Refusal, 1)
+	go func() {
+		resp, err := g.Run(context.Background(), req)
+		if err != nil {
+			done <- asRefusal(err)
+			return
+		}
+		resp.Body.Close()
+		done <- nil
+	}()
+	return done
+}
+
+// result waits for what becomes of a request.
+func (g *stoppingGate) result(done <-chan *Refusal) *Refusal {
+	g.t.Helper()
+	select {
+	case refusal := <-done:
+		return refusal
+	case <-time.After(10 * time.Second):
+		g.t.Fatal("the request has not ended")
+		return nil
+	}
+}
+
+func (g *stoppingGate) waitQueued(n int) {
+	g.t.Helper()
+	eventually(g.t, "the requests wait", func() bool { return g.Load("svc").Queued == n })
+}
+
+// Guards against a gate that starts waiting requests while its process stops and then cuts them at the backend server: they are
+// refused as not run when the stop begins, so that their entries try elsewhere. What runs continues.
+func TestWaitingRequestsLeaveAStoppingGate(t *testing.T) {
+	g := newStoppingGate(t)
+	running := g.start(false)
+	eventually(t, "the first request runs", func() bool { return g.backend.count() == 1 })
+	waiting := []<-chan *Refusal{g.start(false), g.start(false)}
+	g.waitQueued(2)
+	g.Leave()
+	for _, done := range waiting {
+		refusal := g.result(done)
+		assert.Equal(t, refusal.Reason, ReasonLeaving)
+		assert.Equal(t, refusal.Outcome, OutcomeNotRun)
+	}
+	close(g.release)
+	assert.Assert(t, g.result(running) == nil)
+	assert.Equal(t, g.backend.count(), 1)
+}
+
+// Guards against a request of the own entry that a stopping gate starts although it usually takes longer than what is left of the
+// stop.
+func TestStoppingGateStartsOnlyWhatCanEnd(t *testing.T) {
+	const usual = 100 * time.Millisecond
+	for _, test := range []struct {
+		desc string
+		left time.Duration
+		runs bool
+	}{{"enough time", time.Minute, true}, {"too little", usual / 2, false}} {
+		t.Run(test.desc, func(t *testing.T) {
+			g := newStoppingGate(t)
+			first := g.start(false)
+			time.Sleep(usual)
+			g.release <- struct{}{}
+			assert.Assert(t, g.result(first) == nil)
+			second := g.start(false)
+			eventually(t, "the second request runs", func() bool { return g.backend.count() == 2 })
+			g.Leave()
+			waits := g.start(true)
+			g.waitQueued(1)
+			g.StopWithin(test.left)
+			close(g.release)
+			assert.Assert(t, g.result(second) == nil)
+			refusal := g.result(waits)
+			assert.Equal(t, refusal == nil, test.runs)
+			if refusal != nil {
+				assert.Equal(t, refusal.Reason, ReasonLeaving)
+				assert.Equal(t, refusal.Outcome, OutcomeNotRun)
+			}
+		})
+	}
+}
--- a/proxy/metrics.go
+++ b/proxy/metrics.go
@@ -19,6 +19,8 @@
 	queueSeconds   = metrics.NewHistogram("rosemaryline_queue_seconds")
 	backendSeconds = metrics.NewHistogram("rosemaryline_backend_seconds")
 	pathSeconds    = metrics.NewHistogram("rosemaryline_path_seconds")
+	// refusedByStop counts the requests that waited for a slot when the process began to stop.
+	refusedByStop  = metrics.NewCounter("rosemaryline_waiting_refused_by_stop_total")
 	retriesCounter = metrics.NewCounter("rosemaryline_retries_total")
 	// reportsReceived counts messages with reports of gates, reportsNewer the reports in them that were newer than the known ones.
 	reportsReceived = metrics.NewCounter("rosemaryline_gate_report_messages_total")
