--- a/proxy/leaving.go
+++ b/proxy/leaving.go
@@ -35,6 +35,7 @@
 	return reason
 }
 
+// slotReason returns why a request that got a slot may not run; ReasonNone if it may.
 func (g *Gate) slotReason(req *Request, s *server) admission.Reason {
 	switch {
 	case g.domainOut():
