node: the test of full disks removes its folders after its processes have ended

Seed 128 of 50 run by hand (101 to 150) failed while its folder was removed: the folder's cleanup was registered after that of the processes, so it ran first, while they still wrote.

--- a/node/fulldisk_test.go
+++ b/node/fulldisk_test.go
@@ -228,6 +228,7 @@
 func startDiskFleet(t *testing.T, seed uint64) *diskFleet {
 	machines := 5 + int(seed%3) // with more than 5, a learner may take the place of a VM whose disk is full
 	f := &diskFleet{t: t, rnd: rand.New(rand.NewPCG(seed, 0))}
+	folder := t.TempDir() // removed after the processes have ended
 	ctx, cancel := context.WithCancel(t.Context())
 	var running sync.WaitGroup
 	t.Cleanup(func() { cancel(); running.Wait() })
@@ -236,7 +237,7 @@
 		m := &diskMachine{disk: &refusingFS{rnd: rand.New(rand.NewPCG(seed, uint64(i)+1))}}
 		m.opts = Options{
 			Name: fmt.Sprint("control-", i), Domain: "dom", PeerListen: addresses[i], Join: addresses[:3], AutoMembers: true,
-			NoRecords: true, MinQuorum: 3, DataDir: filepath.Join(t.TempDir(), "data"), Bootstrap: i == 0, FS: m.disk, SnapshotEntries: 40,
+			NoRecords: true, MinQuorum: 3, DataDir: filepath.Join(folder, fmt.Sprint(i)), Bootstrap: i == 0, FS: m.disk, SnapshotEntries: 40,
 		}
 		f.machines = append(f.machines, m)
 	}
