proxy: a reset during the upload does not end a response as whole

What callers saw: a backend server responded to a long upload at once, without a length, sent a part of the body and reset the connection while the upload was still being written. The caller got 200 with the part as a complete response.

Cause: the kernel reports a reset to one system call. The write of the upload got it, the read that followed saw a plain end, and that counted as the end of a body without a length. How the upload had ended was not looked at.

Change: where the end of the connection marks the end of a response, the upload must not have failed, and if it goes on, the connection must not be closed in both directions. A server that has ended its side regularly and still accepts the upload has sent the whole response, as before.

--- /dev/null
+++ b/proxy/brokenresponse_test.go
@@ -0,0 +1,195 @@
+package proxy
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"rosemaryline.dev/admission"
+)
+
+// headServer reads the head of one request on each connection and leaves the rest to respond, which closes the connection.
+func headServer(t *testing.T, respond func(c *net.TCPConn, reader *bufio.Reader, r *http.Request)) (address string) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { listener.Close() })
+	go func() {
+		for {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				reader := bufio.NewReader(c)
+				if r, err := http.ReadRequest(reader); err == nil {
+					respond(c.(*net.TCPConn), reader, r)
+				}
+			}()
+		}
+	}()
+	return listener.Addr().String()
+}
+
+// resetConn closes a connection with a reset instead of a FIN.
+func resetConn(c *net.TCPConn) {
+	_ = c.SetLinger(0)
+	c.Close()
+}
+
+// onBothHops runs a test with the backend server at address on the VM of the entry, and on another one.
+func onBothHops(t *testing.T, address string, test func(t *testing.T, entry, gate *testVM)) {
+	for _, hop := range []string{"same VM", "other VM"} {
+		t.Run(hop, func(t *testing.T) {
+			v := newFleetView(t, 4)
+			entry, gate := newEntryAndGate(t, v, nil)
+			if hop == "same VM" {
+				entry = newSingleVM(t, v, nil)
+				gate = entry
+			}
+			gate.gate.opts.AllowCloseDelimited = true
+			gate.announce(t, "b", address, "1")
+			test(t, entry, gate)
+		})
+	}
+}
+
+// callerResponse is what a caller received.
+type callerResponse struct {
+	status  int
+	outcome Outcome
+	body    string
+	err     error // the response is not complete
+}
+
+// upload sends a request with a body of n bytes in writes of 64 KiB, and reads the response meanwhile.
+func upload(t *testing.T, s *testVM, method string, n int) callerResponse {
+	conn := rawConn(t, addressOf(s.caller), fmt.Sprintf("%s /once HTTP/1.1\r\n%sContent-Length: %d\r\n\r\n", method, rawHead, n))
+	defer conn.Close()
+	go func() {
+		block := make([]byte, 64<<10)
+		for left := n; left > 0; left -= len(block) {
+			if _, err := conn.Write(block[:min(left, len(block))]); err != nil {
+				return
+			}
+		}
+	}()
+	resp, err := http.ReadResponse(bufio.NewReader(conn), &http.Request{Method: method})
+	if err != nil {
+		return callerResponse{err: err}
+	}
+	body, err := io.ReadAll(resp.Body)
+	return callerResponse{resp.StatusCode, Outcome(resp.Header.Get(HeaderOutcome)), string(body), err}
+}
+
+const longUpload = 24 << 20
+
+// Guards against a part of a response that looks whole to the caller: the connection to the backend server is reset, the write of the
+// request's body gets the error, and the read of the response sees a plain end.
+func TestResponseEndedByAReset(t *testing.T) {
+	const open = "HTTP/1.1 200 OK\r\n\r\n"
+	tests := []struct {
+		desc, response string
+		delay          time.Duration // between the response and the end of the connection
+		plain          bool          // a close of the socket, which resets the connection because bytes of the request are unread
+		upload         int
+		readUpload     bool
+	}{
+		{"later", open + "0123456789", 150 * time.Millisecond, false, longUpload, false},
+		{"soon", open + "0123456789", 5 * time.Millisecond, false, longUpload, false},
+		{"at once", open + "0123456789", 0, false, longUpload, false},
+		{"close at once", open + "0123456789", 0, true, longUpload, false},
+		{"close later", open + "0123456789", 150 * time.Millisecond, true, longUpload, false},
+		{"empty part", open, 150 * time.Millisecond, false, longUpload, false},
+		{"long part", open + strings.Repeat("x", 3*maxBufferedResponse), 150 * time.Millisecond, false, longUpload, false},
+		{"HTTP/1.0", "HTTP/1.0 200 OK\r\n\r\n0123456789", 150 * time.Millisecond, false, longUpload, false},
+		{"Connection: close", "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n0123456789", 150 * time.Millisecond, false, longUpload, false},
+		{"failure", "HTTP/1.1 500 E\r\n\r\n0123456789", 150 * time.Millisecond, false, longUpload, false},
+		{"incomplete length", "HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\n0123456789", 150 * time.Millisecond, false, longUpload, false},
+		{"incomplete chunk", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n14\r\n0123456789", 150 * time.Millisecond, false, longUpload, false},
+		{"no last chunk", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\na\r\n0123456789\r\n", 150 * time.Millisecond, false, longUpload, false},
+		{"upload of 200 KB", open + "0123456789", 5 * time.Millisecond, false, 200 << 10, false},
+		{"upload of 100 bytes", open + "0123456789", 5 * time.Millisecond, false, 100, false},
+		{"after the upload", open + "0123456789", 5 * time.Millisecond, false, longUpload, true},
+	}
+	for _, test := range tests {
+		t.Run(test.desc, func(t *testing.T) {
+			t.Parallel()
+			address := headServer(t, func(c *net.TCPConn, reader *bufio.Reader, r *http.Request) {
+				if test.readUpload {
+					_, _ = io.Copy(io.Discard, r.Body)
+				}
+				_, _ = io.WriteString(c, test.response)
+				time.Sleep(test.delay)
+				if !test.plain {
+					resetConn(c)
+				}
+			})
+			onBothHops(t, address, func(t *testing.T, entry, gate *testVM) {
+				got := upload(t, entry, http.MethodPost, test.upload)
+				assert.Assert(t, got.err != nil || got.status == http.StatusBadGateway && got.outcome == OutcomeUnknown,
+					"status %d, outcome %s, body of %d bytes", got.status, got.outcome, len(got.body))
+				eventually(t, "the run counts as a failure", func() bool { return gate.gate.serversOf("svc")[0].score() > 0 })
+			})
+		})
+	}
+}
+
+// Guards against a whole response that is given up because the upload had not ended, or because the connection was reset after its
+// regular end.
+func TestWholeResponseBesideAnUpload(t *testing.T) {
+	const open = "HTTP/1.1 200 OK\r\n\r\n0123456789"
+	write := func(text string) func(*net.TCPConn, *bufio.Reader, *http.Request) {
+		return func(c *net.TCPConn, _ *bufio.Reader, _ *http.Request) { _, _ = io.WriteString(c, text) }
+	}
+	delivered := make(chan struct{})
+	tests := []struct {
+		desc    string
+		method  string
+		upload  int
+		respond func(c *net.TCPConn, reader *bufio.Reader, r *http.Request)
+	}{
+		{"request without a body", http.MethodGet, 0, write(open)},
+		{"after the upload", http.MethodPost, longUpload, func(c *net.TCPConn, _ *bufio.Reader, r *http.Request) {
+			_, _ = io.Copy(io.Discard, r.Body)
+			_, _ = io.WriteString(c, open)
+		}},
+		{"the upload is read further", http.MethodPost, longUpload, func(c *net.TCPConn, reader *bufio.Reader, _ *http.Request) {
+			_, _ = io.WriteString(c, open)
+			_ = c.CloseWrite()
+			_, _ = io.Copy(io.Discard, reader)
+		}},
+		{"reset after the end", http.MethodPost, longUpload, func(c *net.TCPConn, _ *bufio.Reader, _ *http.Request) {
+			_, _ = io.WriteString(c, open)
+			_ = c.CloseWrite()
+			<-delivered
+		}},
+		{"of known length", http.MethodPost, longUpload, func(c *net.TCPConn, reader *bufio.Reader, _ *http.Request) {
+			_, _ = io.WriteString(c, okResponse("", "0123456789"))
+			_, _ = io.Copy(io.Discard, reader)
+		}},
+	}
+	for _, test := range tests {
+		t.Run(test.desc, func(t *testing.T) {
+			onBothHops(t, headServer(t, test.respond), func(t *testing.T, entry, gate *testVM) {
+				got := upload(t, entry, test.method, test.upload)
+				select {
+				case delivered <- struct{}{}:
+				case <-time.After(10 * time.Millisecond): // no server waits
+				}
+				assert.NilError(t, got.err)
+				assert.Equal(t, got.status, http.StatusOK, got.body)
+				assert.Equal(t, got.body, "0123456789")
+				eventually(t, "the run counts", func() bool { return len(gate.observer.seen()) == 1 })
+				assert.Equal(t, gate.observer.seen()[0], admission.Succeeded)
+			})
+		})
+	}
+}
--- a/proxy/clientconn.go
+++ b/proxy/clientconn.go
@@ -7,6 +7,8 @@
 	"net"
 	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // clientConn is a connection of a client. Only one exchange uses it at a time.
@@ -58,3 +60,25 @@
 	})
 	return err == nil && peekErr == syscall.EAGAIN
 }
+
+// hungUp reports whether the connection is closed in both directions, as after a reset. After the regular end of the server's side alone
+// it is not. It returns false for a connection that cannot be inspected.
+func (c *clientConn) hungUp() bool {
+	socket, ok := c.socket.(syscall.Conn)
+	if !ok {
+		return false // a connection from a custom dial function
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return true
+	}
+	state := []unix.PollFd{{}}
+	pollErr := error(unix.EINTR) // a signal interrupts the call although it does not wait
+	err = raw.Control(func(fd uintptr) {
+		state[0].Fd = int32(fd)
+		for pollErr == unix.EINTR {
+			_, pollErr = unix.Poll(state, 0)
+		}
+	})
+	return err != nil || pollErr != nil || state[0].Revents&unix.POLLHUP != 0
+}
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -18,8 +18,8 @@
 	// continueTimeout is how long a body waits for 100 Continue before it is sent anyway. A request with
 	// exchangeOptions.requireContinue waits without this limit.
 	continueTimeout = time.Second
-	// uploadEndTimeout limits the wait for an upload to end after its response is complete. The connection is closed
-	// afterwards.
+	// uploadEndTimeout limits the wait for an upload to end after its response is complete, or after the server has ended its side
+	// of the connection. The connection is closed afterwards.
 	uploadEndTimeout = 50 * time.Millisecond
 	// maxInformationalResponses limits the 1xx responses before the final one.
 	maxInformationalResponses = 5
@@ -83,7 +83,7 @@
 		x.end(!resp.Close)
 		return resp, nil
 	}
-	resp.Body = &exchangeBody{inner: resp.Body, exchange: x, reusable: !resp.Close}
+	resp.Body = &exchangeBody{inner: resp.Body, exchange: x, reusable: !resp.Close, closeDelimited: isCloseDelimited(resp)}
 	return resp, nil
 }
 
@@ -158,17 +158,38 @@
 
 // uploadComplete reports whether the request was written to its end.
 func (x *exchange) uploadComplete() bool {
+	ended, err := x.awaitUpload()
+	return ended && err == nil
+}
+
+// awaitUpload waits up to uploadEndTimeout for the end of the upload, and returns its error.
+func (x *exchange) awaitUpload() (ended bool, err error) {
 	if x.uploadDone == nil {
-		return true
+		return true, nil
 	}
 	timer := time.NewTimer(uploadEndTimeout)
 	defer timer.Stop()
 	select {
-	case err := <-x.uploadDone:
-		return err == nil
+	case err = <-x.uploadDone:
+		x.uploadDone <- err // for the next call
+		return true, err
 	case <-timer.C:
-		return false
+		return false, nil
+	}
+}
+
+// checkClose returns an error if the end of the connection may not be taken for the end of the response, although the read saw no error:
+// the kernel reports a reset to one system call only, which may have been a write of the upload. A server that has ended its side
+// regularly and still accepts the upload has sent the whole response.
+func (x *exchange) checkClose() error {
+	ended, err := x.awaitUpload()
+	if err != nil {
+		return errors.Wrap(err, "connection ended during the upload")
+	}
+	if !ended && x.conn.hungUp() {
+		return errors.New("connection was reset during the upload")
 	}
+	return nil
 }
 
 func closeUpload(out *http.Request) {
@@ -179,13 +200,19 @@
 
 // exchangeBody ends the exchange when the response was read to its end or is closed.
 type exchangeBody struct {
-	inner    io.Reader
-	exchange *exchange
-	reusable bool
+	inner          io.Reader
+	exchange       *exchange
+	reusable       bool
+	closeDelimited bool // the end of the connection marks the end of the response
 }
 
 func (b *exchangeBody) Read(p []byte) (int, error) {
 	n, err := b.inner.Read(p)
+	if err == io.EOF && b.closeDelimited {
+		if closeErr := b.exchange.checkClose(); closeErr != nil {
+			err = closeErr
+		}
+	}
 	if err != nil {
 		b.exchange.end(err == io.EOF && b.reusable)
 	}
--- a/proxy/transport.go
+++ b/proxy/transport.go
@@ -44,7 +44,7 @@
 var errWrongResponse = errors.New("response belongs to another request")
 
 // checkFraming rejects responses whose end is not marked by a length or by chunked encoding. With allowCloseDelimited,
-// the end of the connection may mark the end as well; a connection reset is still detected as an error.
+// the end of the connection may mark the end as well; exchange.checkClose then tells it from a failure of the connection.
 func checkFraming(resp *http.Response, allowCloseDelimited bool) error {
 	switch {
 	case resp.StatusCode < http.StatusOK:
@@ -53,13 +53,18 @@
 		return nil
 	case len(resp.TransferEncoding) > 0 && resp.TransferEncoding[0] == "chunked":
 		return nil
-	case allowCloseDelimited && len(resp.TransferEncoding) == 0:
+	case allowCloseDelimited && isCloseDelimited(resp):
 		return nil
 	default:
 		return errors.New("response has no length, so a truncated body could not be detected")
 	}
 }
 
+// isCloseDelimited reports whether the end of the connection marks the end of a response's body (RFC 9112 section 6.3, item 8).
+func isCloseDelimited(resp *http.Response) bool {
+	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.Request.Method != http.MethodHead
+}
+
 // attachBody sets the body of an outgoing request. cancel is called if the sender of the body stalls.
 func attachBody(ctx context.Context, cancel func(), out *http.Request, req *Request) error {
 	if req.Body.Length() == 0 {
