proxy: a response with a status outside 100 to 599 is broken

What callers saw: behind a response with status 000, 001, 099 or +20 they got the next one that the backend server sent; without one they waited until the deadline. A status from 600 to 999 was passed on.

Cause: http.ReadResponse accepts any status of three characters that is a number of at least 0. Each one below 200 counted as informational, and there was no upper limit.

Change: CheckResponseHead refuses statuses that RFC 9110, section 15, calls invalid, in each response that an exchange reads. The run is a failure of the backend server, and the caller gets 502 with the outcome unknown at once.

--- a/proxy/brokenresponse_test.go
+++ b/proxy/brokenresponse_test.go
@@ -193,3 +193,41 @@
 		})
 	}
 }
+
+// respondWith is a backend server that responds with text, in which ID stands for the ID of the request, and then keeps the connection
+// open.
+func respondWith(t *testing.T, text string) (address string) {
+	return headServer(t, func(c *net.TCPConn, reader *bufio.Reader, r *http.Request) {
+		_, _ = io.WriteString(c, strings.ReplaceAll(text, "ID", r.Header.Get(HeaderRequestID)))
+		_, _ = io.Copy(io.Discard, reader)
+	})
+}
+
+// checkBroken sends a request to a backend server and checks that its response counts as broken.
+func checkBroken(t *testing.T, entry, gate *testVM) {
+	resp, body, err := sendRequest(t, entry.caller, http.MethodPost, "/once", nil)
+	assert.NilError(t, err)
+	assert.Equal(t, resp.StatusCode, http.StatusBadGateway, body)
+	assert.Equal(t, resp.Header.Get(HeaderOutcome), string(OutcomeUnknown))
+	assert.Assert(t, gate.gate.serversOf("svc")[0].score() > 0, "the run counts as a failure")
+	assert.Equal(t, gate.gate.Load("svc").InFlight, 0)
+}
+
+// Guards against a response whose status does not exist (RFC 9110 section 15): it was passed on, or counted as informational, so that
+// the caller got what followed, or waited for it until the deadline.
+func TestResponseWithAnInvalidStatus(t *testing.T) {
+	const whole = " S\r\nRosemaryline-Request-Id: ID\r\nContent-Length: 2\r\n\r\nok"
+	for _, status := range []string{"000", "001", "099", "600", "999", "+20", "-01"} {
+		for desc, text := range map[string]string{
+			"alone":           "HTTP/1.1 " + status + whole,
+			"without a body":  "HTTP/1.1 " + status + " S\r\n\r\n",
+			"before a second": "HTTP/1.1 " + status + " S\r\n\r\n" + "HTTP/1.1 200" + whole,
+			"behind a first":  "HTTP/1.1 103 Early Hints\r\n\r\n" + "HTTP/1.1 " + status + whole,
+		} {
+			t.Run(status+" "+desc, func(t *testing.T) {
+				t.Parallel()
+				onBothHops(t, respondWith(t, text), checkBroken)
+			})
+		}
+	}
+}
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -126,6 +126,9 @@
 		if err != nil {
 			return nil, errors.Wrap(err, "read response")
 		}
+		if err := CheckResponseHead(resp); err != nil {
+			return nil, err
+		}
 		x.conn.limited.N = math.MaxInt64
 		if x.stopFirstTimer != nil {
 			x.stopFirstTimer()
