proxy: a response with a blank in the name of a header field is broken

What callers saw: the response without that field. With "Transfer-Encoding : chunked" beside a length they got the coded bytes, cut to that length; with the ID of another request in such a field, the response of that request.

Cause: net/textproto lets blanks pass in names and keeps such a name as it is, so no lookup finds the field; net/http leaves it out when the response is written.

It checks each response of an exchange, also informational ones.

Evidence: TestResponseWithAnInvalidFieldName failed before in its eight rows with blanks, on both hops; the rows with control bytes, tabs, bytes above 0x7f and empty names passed before. TestResponseWithAFoldedField passed before. All pass 3 of 3 with the race detector.

--- a/proxy/brokenresponse_test.go
+++ b/proxy/brokenresponse_test.go
@@ -231,3 +231,49 @@
 		}
 	}
 }
+
+// Guards against a header field whose name holds a blank (RFC 9112 section 5.1), which net/textproto lets pass. The field was left out;
+// where it says how the body ends, the caller got a body that is not the backend server's.
+func TestResponseWithAnInvalidFieldName(t *testing.T) {
+	const head, rest = "HTTP/1.1 200 OK\r\nRosemaryline-Request-Id: ID\r\n", "Content-Length: 2\r\n\r\nok"
+	tests := []struct{ desc, text string }{
+		{"blank", head + "X Field: a\r\n" + rest},
+		{"blank before the colon", head + "X-Field : a\r\n" + rest},
+		{"two blanks", head + "X  Field: a\r\n" + rest},
+		{"blank before the first name", "HTTP/1.1 200 OK\r\n X-Field: a\r\nRosemaryline-Request-Id: ID\r\n" + rest},
+		{"blank in an informational response", "HTTP/1.1 103 Early Hints\r\nX Field: a\r\n\r\n" + head + rest},
+		{"blank in 100 Continue", "HTTP/1.1 100 Continue\r\nX-Field : a\r\n\r\n" + head + rest},
+		{"length", head + "Content-Length : 4\r\n" + rest},
+		{"coding", head + "Transfer-Encoding : chunked\r\n" + "Content-Length: 12\r\n\r\n2\r\nok\r\n0\r\n\r\n"},
+		{"ID of the request", "HTTP/1.1 200 OK\r\nRosemaryline-Request-Id : other\r\n" + rest},
+		{"tab", head + "X\tField: a\r\n" + rest},
+		{"0x00", head + "X\x00Field: a\r\n" + rest},
+		{"0x01", head + "X\x01Field: a\r\n" + rest},
+		{"0x7f", head + "X\x7fField: a\r\n" + rest},
+		{"byte above 0x7f", head + "X\xe4Field: a\r\n" + rest},
+		{"empty name", head + ": a\r\n" + rest},
+		{"no colon", head + "X-Field\r\n" + rest},
+		{"0x00 in a value", head + "X-Field: a\x00b\r\n" + rest},
+		{"0x01 in a value", head + "X-Field: a\x01b\r\n" + rest},
+		{"0x7f in a value", head + "X-Field: a\x7fb\r\n" + rest},
+		{"CR in a value", head + "X-Field: a\rb\r\n" + rest},
+	}
+	for _, test := range tests {
+		t.Run(test.desc, func(t *testing.T) {
+			t.Parallel()
+			onBothHops(t, respondWith(t, test.text), checkBroken)
+		})
+	}
+}
+
+// Guards against a response that is refused although its header is valid, or may be read as if it were (RFC 9112 section 5.2).
+func TestResponseWithAFoldedField(t *testing.T) {
+	text := "HTTP/1.1 200 OK\r\nRosemaryline-Request-Id: ID\r\nX-Field: a\r\n  b c\r\nx-!#$%&'*+.^_`|~9: d\r\nContent-Length: 2\r\n\r\nok"
+	onBothHops(t, respondWith(t, text), func(t *testing.T, entry, _ *testVM) {
+		resp, body, err := sendRequest(t, entry.caller, http.MethodPost, "/once", nil)
+		assert.NilError(t, err)
+		assert.Equal(t, resp.StatusCode, http.StatusOK)
+		assert.Equal(t, body, "ok")
+		assert.Equal(t, resp.Header.Get("X-Field"), "a b c")
+	})
+}
--- a/proxy/responsehead.go
+++ b/proxy/responsehead.go
@@ -4,6 +4,7 @@
 	"net/http"
 
 	"github.com/pkg/errors"
+	"golang.org/x/net/http/httpguts"
 )
 
 // maxStatus is the highest status that a response may have (RFC 9110 section 15).
@@ -15,5 +16,16 @@
 	if resp.StatusCode < http.StatusContinue || resp.StatusCode > maxStatus {
 		return errors.Errorf("invalid status %d", resp.StatusCode)
 	}
+	return checkFieldNames(resp.Header)
+}
+
+// checkFieldNames returns an error if a name is not a token (RFC 9110 section 5.6.2). net/textproto lets blanks pass and does not take such
+// a field for the one that its name resembles, so another reader may see another length or coding of the body.
+func checkFieldNames(fields http.Header) error {
+	for name := range fields {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return errors.Errorf("invalid field name %q", name)
+		}
+	}
 	return nil
 }
