proxy: a response with a blank in the name of a trailer field is broken

What callers saw: the body as a complete response; the connection to the backend server was used again.

Cause: as with header fields, net/textproto lets blanks pass in names, and trailers are read behind the check of the head.

Change: exchangeBody checks the names of the trailer at the end of the body. Trailers are not passed on, as before.

Evidence: TestResponseWithATrailer failed before in its two rows with blanks, on both hops; the six others passed.

--- a/proxy/brokenresponse_test.go
+++ b/proxy/brokenresponse_test.go
@@ -277,3 +277,38 @@
 		assert.Equal(t, resp.Header.Get("X-Field"), "a b c")
 	})
 }
+
+// Guards against a trailer that no strict reader accepts: where it is wrong, the end of the response is not known. Valid trailers are not
+// passed on.
+func TestResponseWithATrailer(t *testing.T) {
+	const chunked = "HTTP/1.1 200 OK\r\nRosemaryline-Request-Id: ID\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n"
+	tests := []struct {
+		desc, trailer string
+		broken        bool
+	}{
+		{"none", "\r\n", false},
+		{"valid", "X-Field: a\r\n\r\n", false},
+		{"blank", "X Field: a\r\n\r\n", true},
+		{"blank before the colon", "X-Field : a\r\n\r\n", true},
+		{"0x01", "X\x01Field: a\r\n\r\n", true},
+		{"empty name", ": a\r\n\r\n", true},
+		{"no colon", "X-Field\r\n\r\n", true},
+		{"0x00 in a value", "X-Field: a\x00b\r\n\r\n", true},
+	}
+	for _, test := range tests {
+		t.Run(test.desc, func(t *testing.T) {
+			t.Parallel()
+			onBothHops(t, respondWith(t, chunked+test.trailer), func(t *testing.T, entry, gate *testVM) {
+				if test.broken {
+					checkBroken(t, entry, gate)
+					return
+				}
+				resp, body, err := sendRequest(t, entry.caller, http.MethodPost, "/once", nil)
+				assert.NilError(t, err)
+				assert.Equal(t, resp.StatusCode, http.StatusOK)
+				assert.Equal(t, body, "ok")
+				assert.Equal(t, len(resp.Trailer), 0)
+			})
+		})
+	}
+}
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -83,7 +83,7 @@
 		x.end(!resp.Close)
 		return resp, nil
 	}
-	resp.Body = &exchangeBody{inner: resp.Body, exchange: x, reusable: !resp.Close, closeDelimited: isCloseDelimited(resp)}
+	resp.Body = &exchangeBody{inner: resp.Body, exchange: x, resp: resp}
 	return resp, nil
 }
 
@@ -203,25 +203,32 @@
 
 // exchangeBody ends the exchange when the response was read to its end or is closed.
 type exchangeBody struct {
-	inner          io.Reader
-	exchange       *exchange
-	reusable       bool
-	closeDelimited bool // the end of the connection marks the end of the response
+	inner    io.Reader
+	exchange *exchange
+	resp     *http.Response
 }
 
 func (b *exchangeBody) Read(p []byte) (int, error) {
 	n, err := b.inner.Read(p)
-	if err == io.EOF && b.closeDelimited {
-		if closeErr := b.exchange.checkClose(); closeErr != nil {
-			err = closeErr
+	if err == io.EOF {
+		if endErr := b.checkEnd(); endErr != nil {
+			err = endErr
 		}
 	}
 	if err != nil {
-		b.exchange.end(err == io.EOF && b.reusable)
+		b.exchange.end(err == io.EOF && !b.resp.Close)
 	}
 	return n, err
 }
 
+// checkEnd returns an error if the response is broken although its body was read to the end.
+func (b *exchangeBody) checkEnd() error {
+	if isCloseDelimited(b.resp) {
+		return b.exchange.checkClose()
+	}
+	return errors.Wrap(checkFieldNames(b.resp.Trailer), "trailer")
+}
+
 // Close ends the exchange. If the response was not read to its end, the connection is closed.
 func (b *exchangeBody) Close() error {
 	b.exchange.end(false)
--- a/proxy/responsehead.go
+++ b/proxy/responsehead.go
@@ -20,10 +20,11 @@
 }
 
 // checkFieldNames returns an error if a name is not a token (RFC 9110 section 5.6.2). net/textproto lets blanks pass and does not take such
-// a field for the one that its name resembles, so another reader may see another length or coding of the body.
+// a field for the one that its name resembles, so another reader may see another length or coding of the body. Trailer fields that were
+// announced and not sent have no values and are not checked.
 func checkFieldNames(fields http.Header) error {
-	for name := range fields {
-		if !httpguts.ValidHeaderFieldName(name) {
+	for name, values := range fields {
+		if len(values) > 0 && !httpguts.ValidHeaderFieldName(name) {
 			return errors.Errorf("invalid field name %q", name)
 		}
 	}
