node: a broken response to a probe is a failure

What operators saw: an ejected backend server whose responses to probes are broken returned to service.

Cause: a probe looked only at whether the status was below 500, which status 000 is, and did not read the body.

Change: proxy.CheckResponse refuses what the request path refuses and reads up to 64 KiB of the body.

--- a/node/ejections.go
+++ b/node/ejections.go
@@ -76,7 +76,7 @@
 		tomb:        &n.tomb,
 		disabled:    n.opts.NoPeerEjection,
 		versions:    n.opts.Rollouts != nil,
-		probeClient: &http.Client{Timeout: probeTimeout, Transport: &http.Transport{DisableKeepAlives: true}},
+		probeClient: newProbeClient(),
 		detector:    outlier.NewDetector(outlier.Config{}),
 		holder:      holder,
 		ejector:     outlier.NewEjector(outlier.EjectorConfig{}, holder),
--- a/node/probes.go
+++ b/node/probes.go
@@ -7,10 +7,19 @@
 	"time"
 
 	"rosemaryline.dev/outlier"
+	"rosemaryline.dev/proxy"
 )
 
-// probeTimeout limits a probe of a backend server.
-const probeTimeout = time.Second
+const (
+	// probeTimeout limits a probe of a backend server.
+	probeTimeout = time.Second
+	// maxProbeBody limits the part in bytes of a response to a probe that is read to find out whether it is complete.
+	maxProbeBody = 64 << 10
+)
+
+func newProbeClient() *http.Client {
+	return &http.Client{Timeout: probeTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
+}
 
 // probe sends one probe to a backend server and passes the result to the detector and the ejector. A probe occupies no
 // slot.
@@ -41,6 +50,6 @@
 	if err != nil {
 		return false
 	}
-	resp.Body.Close()
-	return resp.StatusCode < http.StatusInternalServerError
+	defer resp.Body.Close()
+	return proxy.CheckResponse(resp, maxProbeBody) == nil && resp.StatusCode < http.StatusInternalServerError
 }
