proxy, rpc: checks of responses in a package of their own

The command line and the upgrade of connections between processes read responses too, and cannot import proxy.

--- a/node/probes.go
+++ b/node/probes.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"rosemaryline.dev/outlier"
-	"rosemaryline.dev/proxy"
+	"rosemaryline.dev/rpc/httpresponse"
 )
 
 const (
@@ -51,5 +51,5 @@
 		return false
 	}
 	defer resp.Body.Close()
-	return proxy.CheckResponse(resp, maxProbeBody) == nil && resp.StatusCode < http.StatusInternalServerError
+	return httpresponse.Check(resp, maxProbeBody) == nil && resp.StatusCode < http.StatusInternalServerError
 }
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"rosemaryline.dev/rpc/httpresponse"
 )
 
 const (
@@ -126,7 +128,7 @@
 		if err != nil {
 			return nil, errors.Wrap(err, "read response")
 		}
-		if err := CheckResponseHead(resp); err != nil {
+		if err := httpresponse.CheckHead(resp); err != nil {
 			return nil, err
 		}
 		x.conn.limited.N = math.MaxInt64
@@ -223,10 +225,10 @@
 
 // checkEnd returns an error if the response is broken although its body was read to the end.
 func (b *exchangeBody) checkEnd() error {
-	if isCloseDelimited(b.resp) {
+	if httpresponse.IsCloseDelimited(b.resp) {
 		return b.exchange.checkClose()
 	}
-	return errors.Wrap(checkFieldNames(b.resp.Trailer), "trailer")
+	return httpresponse.CheckTrailer(b.resp)
 }
 
 // Close ends the exchange. If the response was not read to its end, the connection is closed.
--- a/proxy/transport.go
+++ b/proxy/transport.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"rosemaryline.dev/rpc/httpresponse"
 )
 
 const (
@@ -53,18 +55,13 @@
 		return nil
 	case len(resp.TransferEncoding) > 0 && resp.TransferEncoding[0] == "chunked":
 		return nil
-	case allowCloseDelimited && isCloseDelimited(resp):
+	case allowCloseDelimited && httpresponse.IsCloseDelimited(resp):
 		return nil
 	default:
 		return errors.New("response has no length, so a truncated body could not be detected")
 	}
 }
 
-// isCloseDelimited reports whether the end of the connection marks the end of a response's body (RFC 9112 section 6.3, item 8).
-func isCloseDelimited(resp *http.Response) bool {
-	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.Request.Method != http.MethodHead
-}
-
 // attachBody sets the body of an outgoing request. cancel is called if the sender of the body stalls.
 func attachBody(ctx context.Context, cancel func(), out *http.Request, req *Request) error {
 	if req.Body.Length() == 0 {
