control: a broken response to the command line leaves the outcome unknown

Cause: the client took each response with a status other than 200 for a problem document, which is a refusal unless it says otherwise, and did not look at how the end of the body is marked.

Change: responses are checked as on the request path, and one without a length or chunks, which the API does not send, is refused. The outcome is then unknown, so changes with an id and reads are sent again.

--- a/control/client.go
+++ b/control/client.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"rosemaryline.dev/rpc/httpresponse"
 )
 
 const (
@@ -144,7 +146,7 @@
 		return nil, errors.Wrapf(err, "%s %s at %s", method, path, address)
 	}
 	defer response.Body.Close()
-	data, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes))
+	data, err := readResponse(response)
 	if err != nil {
 		return nil, errors.Wrapf(err, "read response from %s", address)
 	}
@@ -154,6 +156,22 @@
 	return nil, errors.Wrapf(decodeProblem(response, data), "response from %s", address)
 }
 
+// readResponse returns the body of a response, or an error if the response is broken. The API states the length of each body, or sends it
+// in chunks: without either, a part could not be told from the whole.
+func readResponse(response *http.Response) ([]byte, error) {
+	if err := httpresponse.CheckFinal(response); err != nil {
+		return nil, err
+	}
+	if httpresponse.IsCloseDelimited(response) {
+		return nil, errors.New("response has no length")
+	}
+	data, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes))
+	if err != nil {
+		return nil, err
+	}
+	return data, httpresponse.CheckTrailer(response)
+}
+
 // decodeProblem returns the problem document in a response. For a response without one, for example from a process
 // without the control role, it returns a ProblemBadRequest with the status line and the start of the body.
 func decodeProblem(response *http.Response, data []byte) *Problem {
