control: a reply to a change that cannot be decoded leaves its outcome unknown

What operators saw: the command failed with an error of the decoder, which says nothing of whether the change was made.

Cause: Client.Change promises a Problem or an UnknownError, and returned neither.

Change: it returns an UnknownError.

Evidence: the new row of TestBrokenResponsesToOperators failed before; passes 2 of 2 with the race detector.

--- a/control/client.go
+++ b/control/client.go
@@ -79,7 +79,10 @@
 		return ChangeReply{}, err
 	}
 	var reply ChangeReply
-	return reply, errors.Wrapf(json.Unmarshal(data, &reply), "decode %s", path)
+	if err := json.Unmarshal(data, &reply); err != nil {
+		return ChangeReply{}, &UnknownError{Err: errors.Wrapf(err, "decode %s", path)}
+	}
+	return reply, nil
 }
 
 // send tries the addresses in turn. Once a process has named the leader, the next attempt goes to the leader. A request
--- a/control/client_test.go
+++ b/control/client_test.go
@@ -56,6 +56,7 @@
 		{"incomplete length", head + "Content-Length: 13\r\n\r\n" + reply[:6]},
 		{"no last chunk", head + "Transfer-Encoding: chunked\r\n\r\nd\r\n" + reply + "\r\n"},
 		{"blank in a trailer", head + "Transfer-Encoding: chunked\r\n\r\nd\r\n" + reply + "\r\n0\r\nX Field: a\r\n\r\n"},
+		{"no reply", head + "Content-Length: 3\r\n\r\n{\"v"},
 	}
 	for _, test := range tests {
 		t.Run(test.desc, func(t *testing.T) {
@@ -66,6 +67,9 @@
 			assert.Equal(t, requests.Load(), int32(1))
 			_, err = c.Change(t.Context(), "/x", struct{}{})
 			assert.Assert(t, errors.As(err, &unknown), "%v", err)
+			if test.desc == "no reply" {
+				return // a complete response
+			}
 			assert.Equal(t, requests.Load(), int32(1+clientAttempts))
 			data, err := c.GetRaw(t.Context(), "/x")
 			assert.Assert(t, err != nil, "%s", data)
