rpc: an upgrade with a blank in the name of a header field is refused

Callers saw nothing of it.

Cause: the response was read by net/http alone, which lets blanks pass in names.

Evidence: TestPeersOfAnotherKind failed before in its new row with a blank; of the other new rows, status 000, status 000 before another response, a control byte and a cut header were refused before.

--- a/rpc/client.go
+++ b/rpc/client.go
@@ -13,6 +13,8 @@
 
 	"github.com/pkg/errors"
 	"github.com/sourcegraph/jsonrpc2"
+
+	"rosemaryline.dev/rpc/httpresponse"
 )
 
 // Client calls methods of peers. It keeps one connection per peer address and opens it at the first call.
@@ -269,6 +271,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := httpresponse.CheckHead(resp); err != nil {
+		return nil, err
+	}
 	if resp.StatusCode != http.StatusSwitchingProtocols {
 		resp.Body.Close()
 		return nil, errors.Errorf("upgrade to %s refused: %s, peer offers %q", Protocol, resp.Status, resp.Header.Get("Upgrade"))
--- a/rpc/httpresponse/check.go
+++ b/rpc/httpresponse/check.go
@@ -16,7 +16,7 @@
 // CheckHead returns an error for a response, final or informational, whose status or header is invalid.
 func CheckHead(resp *http.Response) error {
 	if resp.StatusCode < http.StatusContinue || resp.StatusCode > maxStatus {
-		return errors.Errorf("invalid status %d", resp.StatusCode)
+		return errors.Errorf("invalid status %03d", resp.StatusCode)
 	}
 	return checkFieldNames(resp.Header)
 }
--- a/rpc/rpc_test.go
+++ b/rpc/rpc_test.go
@@ -120,6 +120,11 @@
 		{"another version", text("HTTP/1.1 426 Upgrade Required\r\nUpgrade: rosemaryline-rpc/2\r\nContent-Length: 0\r\n\r\n"), `peer offers "rosemaryline-rpc/2"`},
 		{"garbage", text("\x16\x03\x01\x00garbage\r\n\r\n"), "malformed"},
 		{"closes", func(net.Conn) {}, "EOF"},
+		{"status 000", text("HTTP/1.1 000 S\r\nUpgrade: rosemaryline-rpc/2\r\n\r\n"), "000"},
+		{"status 000 and another response", text("HTTP/1.1 000 S\r\n\r\nHTTP/1.1 101 Switching Protocols\r\nUpgrade: rosemaryline-rpc/2\r\n\r\n"), "000"},
+		{"blank in a name", text("HTTP/1.1 101 Switching Protocols\r\nUpgrade: rosemaryline-rpc/2\r\nX Field: a\r\n\r\n"), "X Field"},
+		{"control byte in a name", text("HTTP/1.1 101 Switching Protocols\r\nUpgrade: rosemaryline-rpc/2\r\nX\x01Field: a\r\n\r\n"), "malformed"},
+		{"header cut", text("HTTP/1.1 101 Switching Protocols\r\nUpgrade: rosemaryline-rpc/2\r\n"), "EOF"},
 		{"endless header", endless, "EOF"},
 	}
 	for _, test := range tests {
