proxy: a response to an HTTP/1.0 caller that breaks off ends with a reset

What callers saw: a part of a long response that its backend server broke off, and a regular end of the connection, which marks the end of a whole response for HTTP/1.0.

Cause: net/http closes the connection of an aborted response. HTTP/1.1 callers notice the missing last chunk, HTTP/1.0 callers nothing.

Change: the connection of an HTTP/1.0 caller is reset where its response is aborted.

--- a/proxy/entry.go
+++ b/proxy/entry.go
@@ -437,6 +437,9 @@
 		return
 	}
 	defer resp.Body.Close()
+	if !r.ProtoAtLeast(1, 1) {
+		defer resetOnAbort(w)
+	}
 	countResponse(resp.Status)
 	copyHeader(w.Header(), resp.Header)
 	e.opts.Dialect.ToCaller(w.Header(), req.ID)
--- a/proxy/pipeline/conn.go
+++ b/proxy/pipeline/conn.go
@@ -339,6 +339,9 @@
 	return nil
 }
 
+// NetConn returns the connection below, as the method of tls.Conn does.
+func (c *conn) NetConn() net.Conn { return c.Conn }
+
 // Close implements net.Conn. It cancels the requests that were started early.
 func (c *conn) Close() error {
 	c.mu.Lock()
