bench: an invalid response to the load tool counts as broken

Cause: a status below 400 counted as success, and responses were read by net/http alone.

Change: the checks of the request path.

Evidence: TestInvalidResponsesAreBroken failed before (137 in time, 45 failed, none broken); it passes, with the package's tests, with the race detector.

--- a/bench/loadgen/generator.go
+++ b/bench/loadgen/generator.go
@@ -11,6 +11,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"rosemaryline.dev/rpc/httpresponse"
 )
 
 const (
@@ -192,7 +194,7 @@
 	began := time.Now()
 	resp, err := client.Do(req)
 	if err == nil {
-		err = readAt(ctx, resp.Body, k.ReadRate)
+		err = readResponse(ctx, resp, k.ReadRate)
 		resp.Body.Close()
 	}
 	took := time.Since(began)
@@ -231,6 +233,17 @@
 	return req, nil
 }
 
+// readResponse reads a response to its end. It returns an error for one that is broken.
+func readResponse(ctx context.Context, resp *http.Response, rate int) error {
+	if err := httpresponse.CheckFinal(resp); err != nil {
+		return err
+	}
+	if err := readAt(ctx, resp.Body, rate); err != nil {
+		return err
+	}
+	return httpresponse.CheckTrailer(resp)
+}
+
 // readAt reads a response to its end, at most rate bytes per second; 0: as fast as it arrives.
 func readAt(ctx context.Context, body io.Reader, rate int) error {
 	if rate == 0 {
--- a/bench/loadgen/loadgen_test.go
+++ b/bench/loadgen/loadgen_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -166,6 +167,35 @@
 	assert.Assert(t, strings.Contains(table.String(), "new against old, read"), table.String())
 }
 
+// TestInvalidResponsesAreBroken guards against a response that no client may believe and that counts as one in time.
+func TestInvalidResponsesAreBroken(t *testing.T) {
+	invalid := []string{
+		"HTTP/1.1 000 S\r\nContent-Length: 2\r\n\r\nok",
+		"HTTP/1.1 600 S\r\nContent-Length: 2\r\n\r\nok",
+		"HTTP/1.1 200 OK\r\nX Field: a\r\nContent-Length: 2\r\n\r\nok",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nX Field: a\r\n\r\n",
+	}
+	var n atomic.Int64
+	bad := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		conn, _, err := w.(http.Hijacker).Hijack()
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		defer conn.Close()
+		_, _ = io.WriteString(conn, invalid[n.Add(1)%int64(len(invalid))])
+	}))
+	defer bad.Close()
+	spec, err := Parse([]byte(strings.Replace(sound, "http://127.0.0.1:1", bad.URL, 1)))
+	assert.NilError(t, err)
+	c, err := spec.Compare(t.Context(), func(string, int, time.Duration, int, int) {})
+	assert.NilError(t, err)
+	for _, kind := range c.Targets[0].Rounds[0].Kinds {
+		assert.Assert(t, kind.Ends[Broken.String()] > 5, "%v", kind.Ends)
+		assert.Equal(t, kind.Ends[Broken.String()], kind.Ends[InTime.String()]+kind.Ends[Late.String()]+kind.Ends[Failed.String()]+kind.Ends[Broken.String()], "%v", kind.Ends)
+	}
+}
+
 // TestTargetThatIsNotReady guards against a load that is sent to a target that never became ready, and against a command that
 // is left running.
 func TestTargetThatIsNotReady(t *testing.T) {
