--- a/rpc/httpresponse/check.go
+++ b/rpc/httpresponse/check.go
@@ -37,7 +37,9 @@
 	return errors.Wrap(checkFieldNames(resp.Trailer), "trailer")
 }
 
-// IsCloseDelimited reports whether the end of the connection marks the end of the response's body (RFC 9112 section 6.3, item 8).
+// IsCloseDelimited reports whether only the end of the connection marks the end of the response's body (RFC 9112 section 6.3, item 8). It is
+// false for HTTP/2, whose frames mark the end, and for a body that http.Transport decompresses, which notices a missing end. resp.Request
+// must be set.
 func IsCloseDelimited(resp *http.Response) bool {
 	return resp.ProtoMajor == 1 && resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && !resp.Uncompressed &&
 		resp.Request.Method != http.MethodHead
