node: a test that a part of a response is not stored for an idempotency key

The claims already handle it: what breaks off within the bytes that a record stores is abandoned, and of a longer response no body is kept. TestPartOfAResponseIsNotStored passes on's claims, which are unchanged.

--- a/node/claims_test.go
+++ b/node/claims_test.go
@@ -7,6 +7,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"testing/iotest"
 	"time"
 
 	"github.com/phuslu/log"
@@ -132,6 +133,43 @@
 	assert.Equal(t, reasonOf(t, err), proxy.ReasonLost)
 }
 
+// Guards against a part of a response that is stored as the whole. What breaks off behind the bytes that a record stores is not kept.
+func TestPartOfAResponseIsNotStored(t *testing.T) {
+	tests := []struct {
+		desc        string
+		received    int
+		completes   bool
+		resubmitted proxy.Reason
+	}{
+		{"empty", 0, false, proxy.ReasonLost},
+		{"short", 3, false, proxy.ReasonLost},
+		{"all that a record stores", idempotency.MaxBodyBytes, false, proxy.ReasonLost},
+		{"long", 2 * idempotency.MaxBodyBytes, true, proxy.ReasonAnswerNotKept},
+	}
+	for _, test := range tests {
+		t.Run(test.desc, func(t *testing.T) {
+			c := newTestClaims(t, &recordGroup{store: idempotency.NewStore()}, proxy.NewClock())
+			ctx := context.Background()
+			claim, _, err := c.Claim(ctx, keyedRequest(t, "k1", ""))
+			assert.NilError(t, err)
+			resp := responseWith(strings.Repeat("x", test.received))
+			resp.Body = io.NopCloser(io.MultiReader(resp.Body, iotest.ErrReader(io.ErrUnexpectedEOF)))
+			kept, err := claim.Complete(resp)
+			if test.completes {
+				assert.NilError(t, err)
+				_, err = io.Copy(io.Discard, kept.Body)
+				assert.ErrorIs(t, err, io.ErrUnexpectedEOF)
+			} else {
+				assert.Equal(t, reasonOf(t, err), proxy.ReasonBrokenAnswer)
+			}
+			c.drain(ctx)
+			_, earlier, err := c.Claim(ctx, keyedRequest(t, "k1", ""))
+			assert.Assert(t, earlier == nil)
+			assert.Equal(t, reasonOf(t, err), test.resubmitted)
+		})
+	}
+}
+
 // Guards against losing an outcome because the record group was unavailable when the request ended, and against claims
 // that are granted or wait while it is unavailable.
 func TestOutcomeIsRecordedWhenTheGroupIsBack(t *testing.T) {
