proxy: a reset behind the last write of an upload also breaks a response without a length

What callers saw: a backend server that closed its socket at once, before the last write of an upload of 20 or 40 KiB had arrived.

Cause: the connection was looked at only while the upload went on. The reset that answers its last write comes behind the end.

Change: it is looked at whenever the response came beside an upload.

--- a/proxy/brokenresponse_test.go
+++ b/proxy/brokenresponse_test.go
@@ -115,6 +115,8 @@
 		{"incomplete length", "HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\n0123456789", 150 * time.Millisecond, false, longUpload, false},
 		{"incomplete chunk", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n14\r\n0123456789", 150 * time.Millisecond, false, longUpload, false},
 		{"no last chunk", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\na\r\n0123456789\r\n", 150 * time.Millisecond, false, longUpload, false},
+		{"close at once, upload of 20 KB", open + "0123456789", 0, true, 20 << 10, false},
+		{"close at once, upload of 40 KB", open + "0123456789", 0, true, 40 << 10, false},
 		{"upload of 200 KB", open + "0123456789", 5 * time.Millisecond, false, 200 << 10, false},
 		{"upload of 100 bytes", open + "0123456789", 5 * time.Millisecond, false, 100, false},
 		{"after the upload", open + "0123456789", 5 * time.Millisecond, false, longUpload, true},
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -184,14 +184,17 @@
 }
 
 // checkClose returns an error if the end of the connection may not be taken for the end of the response, although the read saw no error:
-// the kernel reports a reset to one system call only, which may have been a write of the upload. A server that has ended its side
-// regularly and still accepts the upload has sent the whole response.
+// the kernel reports a reset to one system call only, which may have been a write of the upload, and a reset may follow a regular end
+// because the server has not read the upload. A server that has ended its side regularly and still accepts the upload has sent the whole
+// response.
 func (x *exchange) checkClose() error {
-	ended, err := x.awaitUpload()
-	if err != nil {
+	if x.uploadDone == nil {
+		return nil
+	}
+	if _, err := x.awaitUpload(); err != nil {
 		return errors.Wrap(err, "connection ended during the upload")
 	}
-	if !ended && x.conn.hungUp() {
+	if x.conn.hungUp() {
 		return errors.New("connection was reset during the upload")
 	}
 	return nil
