proxy: a reset behind a short upload also breaks a response without a length

What callers saw: the same part as a complete response, where the upload has up to 16 KiB. It is written before the response is read, and the backend server closed its socket before the last write had arrived.

Cause: the connection was looked at only if the upload was written beside the response.

Change: it is looked at whenever the request has a body. A request without one has no write that a reset could answer.

--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -188,8 +188,8 @@
 // because the server has not read the upload. A server that has ended its side regularly and still accepts the upload has sent the whole
 // response.
 func (x *exchange) checkClose() error {
-	if x.uploadDone == nil {
-		return nil
+	if x.out.ContentLength == 0 {
+		return nil // there was no body to write
 	}
 	if _, err := x.awaitUpload(); err != nil {
 		return errors.Wrap(err, "connection ended during the upload")
